Add the workspace, the design page and the domain types

Cause: the project starts empty; every later package needs the same keys, profiles, result codes and replicated state. Conclusion: packages can be built against these types in parallel.

--- /dev/null
+++ b/crates/types/src/clock.rs
@@ -0,0 +1,79 @@
+//! The clock interface. Decision cores receive the time as an argument and never read it themselves.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Source of monotonic and wall-clock time.
+pub trait Clock: Send + Sync {
+    /// Monotonic time, for deadlines and leases.
+    fn now(&self) -> Instant;
+
+    /// Wall-clock time, for logs and the hybrid logical clock.
+    fn wall(&self) -> SystemTime;
+
+    /// Wall-clock time in milliseconds since the Unix epoch; 0 for an earlier time.
+    fn wall_millis(&self) -> u64 {
+        let since_epoch = self.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+        u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+/// The operating system's clock.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+/// A clock that moves only when told to, for tests and simulations.
+#[derive(Debug)]
+pub struct ManualClock {
+    start: Instant,
+    elapsed: Mutex<Duration>,
+}
+
+impl ManualClock {
+    /// Creates a clock at elapsed time zero.
+    #[must_use]
+    pub fn new() -> Self {
+        Self { start: Instant::now(), elapsed: Mutex::new(Duration::ZERO) }
+    }
+
+    /// Moves the clock forward.
+    pub fn advance(&self, by: Duration) {
+        *self.lock() += by;
+    }
+
+    /// Time since the clock was created.
+    #[must_use]
+    pub fn elapsed(&self) -> Duration {
+        *self.lock()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Duration> {
+        self.elapsed.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+impl Default for ManualClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for ManualClock {
+    fn now(&self) -> Instant {
+        self.start + self.elapsed()
+    }
+
+    fn wall(&self) -> SystemTime {
+        UNIX_EPOCH + self.elapsed()
+    }
+}
--- /dev/null
+++ b/crates/types/src/codes.rs
@@ -0,0 +1,183 @@
+//! Numbered result codes. `docs/errors.md` lists them.
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumIter, IntoStaticStr};
+
+/// What a code says about the work that was asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Family {
+    /// 0: done.
+    Done,
+    /// 1xxx: the request was provably not run.
+    NotRun,
+    /// 2xxx: the request may have run.
+    Unknown,
+    /// 3xxx: bad input of an operator.
+    Operator,
+    /// 4xxx: a target's announcement was refused.
+    Announcement,
+    /// 5xxx: a message between own processes was refused.
+    Peer,
+    /// 6xxx: a storage fault.
+    Storage,
+}
+
+/// A numbered result.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumIter,
+    IntoStaticStr,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+#[repr(u16)]
+pub enum ResultCode {
+    /// The work is done.
+    Ok = 0,
+    /// No service has this name or address.
+    NoSuchService = 1001,
+    /// No target of the service takes new work.
+    NoTarget = 1002,
+    /// The queue is full, or a request of higher priority took the place.
+    Shed = 1003,
+    /// The deadline ended before the request could start.
+    DeadlineBeforeStart = 1004,
+    /// The target refused before it ran the request.
+    TargetRefused = 1005,
+    /// The caller left before the request started.
+    CancelledBeforeStart = 1006,
+    /// This instance is stopping and takes no new work.
+    Stopping = 1007,
+    /// The target could not be connected to.
+    TargetUnreachable = 1008,
+    /// The request is malformed.
+    BadRequest = 1009,
+    /// The request body exceeds the size limit.
+    RequestTooLarge = 1010,
+    /// No dispatcher for the service answered.
+    NoDispatcher = 1011,
+    /// The request was written to a target, and no whole answer came.
+    AnswerLost = 2001,
+    /// The deadline ended while the request was running.
+    DeadlineWhileRunning = 2002,
+    /// Another attempt with the same key holds the right to run.
+    KeyInUse = 2003,
+    /// The record of the key can't be read from enough replicas.
+    KeyRecordLost = 2004,
+    /// The request completed earlier and its answer was not kept.
+    AnswerNotKept = 2005,
+    /// The caller left while the request was running.
+    CancelledWhileRunning = 2006,
+    /// The failure domain was taken out while the request was running.
+    DomainOutWhileRunning = 2007,
+    /// The same key came with another request content.
+    KeyContentMismatch = 2008,
+    /// The document is not valid YAML or JSON.
+    BadDocument = 3001,
+    /// A field is unknown, missing or out of range.
+    BadField = 3002,
+    /// Another publication holds this version number.
+    VersionConflict = 3003,
+    /// The version number is not the last one plus one.
+    VersionGap = 3004,
+    /// The name is not known.
+    UnknownName = 3005,
+    /// No majority of control instances can be reached.
+    NoQuorum = 3006,
+    /// This instance is not the leader.
+    NotLeader = 3007,
+    /// The outcome of the publication is not known yet.
+    OutcomePending = 3008,
+    /// The document exceeds the size limit.
+    DocumentTooLarge = 3009,
+    /// The control member can't be replaced now.
+    MemberChangeRefused = 3010,
+    /// The announcement is malformed.
+    BadAnnouncement = 4001,
+    /// The address belongs to another service.
+    AddressConflict = 4002,
+    /// A newer incarnation has announced itself.
+    OldIncarnation = 4003,
+    /// The settings don't allow targets of this failure domain here.
+    DomainNotAllowed = 4004,
+    /// The service is not declared.
+    ServiceNotDeclared = 4005,
+    /// The frame can't be decoded.
+    BadFrame = 5001,
+    /// The protocol version is not supported.
+    BadVersion = 5002,
+    /// The term is older than the one known here.
+    OldTerm = 5003,
+    /// The revision is older than the one in force here.
+    OldRevision = 5004,
+    /// The message is for another instance or incarnation.
+    WrongReceiver = 5005,
+    /// The frame exceeds the size limit.
+    FrameTooLarge = 5006,
+    /// A log record before the tail fails its checksum.
+    LogCorrupt = 6001,
+    /// The disk is full.
+    DiskFull = 6002,
+    /// A write could not be synced.
+    SyncFailed = 6003,
+    /// The data folder is older than what peers have confirmed.
+    StaleDisk = 6004,
+    /// The data folder can't be opened.
+    DataFolder = 6005,
+}
+
+impl ResultCode {
+    /// The number, as sent in headers and bodies.
+    #[must_use]
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+
+    /// What the code says about the work.
+    #[must_use]
+    pub fn family(self) -> Family {
+        match self.number() / 1000 {
+            0 => Family::Done,
+            1 => Family::NotRun,
+            2 => Family::Unknown,
+            3 => Family::Operator,
+            4 => Family::Announcement,
+            5 => Family::Peer,
+            _ => Family::Storage,
+        }
+    }
+
+    /// HTTP status that carries the code.
+    #[must_use]
+    pub fn http_status(self) -> u16 {
+        match self {
+            Self::Ok => 200,
+            Self::NoSuchService | Self::UnknownName | Self::ServiceNotDeclared => 404,
+            Self::RequestTooLarge | Self::DocumentTooLarge => 413,
+            Self::BadRequest | Self::BadDocument | Self::BadField | Self::BadAnnouncement => 400,
+            Self::DeadlineWhileRunning => 504,
+            Self::KeyInUse
+            | Self::VersionConflict
+            | Self::VersionGap
+            | Self::AddressConflict
+            | Self::OldIncarnation
+            | Self::MemberChangeRefused => 409,
+            Self::KeyContentMismatch => 422,
+            Self::DomainNotAllowed => 403,
+            Self::OutcomePending => 202,
+            other if other.family() == Family::Unknown => 502,
+            _ => 503,
+        }
+    }
+}
--- /dev/null
+++ b/crates/types/src/declarations.rs
@@ -0,0 +1,343 @@
+//! The replicated state: what operators declared and which targets exist, as the result of applying
+//! log entries in order. Every process that applied the same entries holds the same state.
+
+use crate::codes::ResultCode;
+use crate::keys::{DomainId, Incarnation, InstanceId, Revision, ServiceId};
+use crate::profile::{FieldError, Profile, check_name};
+use crate::target::TargetRecord;
+use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
+use strum::{Display, EnumString};
+
+/// Versions per subject whose digest is kept, to answer resent publications.
+pub const KEPT_VERSIONS: usize = 4_096;
+
+/// Whether operators let a failure domain take traffic.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize, Display, EnumString,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum DomainState {
+    /// The domain takes traffic.
+    #[default]
+    In,
+    /// The domain takes no traffic.
+    Out,
+}
+
+/// A declared service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceSpec {
+    /// Name, unique among services.
+    pub name: String,
+    /// Service address for packets; requests are found by host name.
+    pub address: SocketAddr,
+    /// Name of the profile that the service runs under.
+    pub profile: String,
+}
+
+/// What a publication declares.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Content {
+    /// A profile.
+    Profile(Profile),
+    /// A service.
+    Service(ServiceSpec),
+    /// The state of a failure domain.
+    Domain(DomainId, DomainState),
+}
+
+impl Content {
+    /// What the publication is about, such as `profile/orders`.
+    #[must_use]
+    pub fn subject(&self) -> String {
+        match self {
+            Self::Profile(profile) => format!("profile/{}", profile.name),
+            Self::Service(service) => format!("service/{}", service.name),
+            Self::Domain(domain, _) => format!("domain/{}", domain.0),
+        }
+    }
+
+    /// Checks the content by itself.
+    ///
+    /// # Errors
+    /// The first field that is not allowed.
+    pub fn check(&self) -> Result<(), FieldError> {
+        match self {
+            Self::Profile(profile) => profile.check(),
+            Self::Service(service) => {
+                check_name("name", &service.name)?;
+                check_name("profile", &service.profile)
+            }
+            Self::Domain(..) => Ok(()),
+        }
+    }
+}
+
+/// A declaration under a version number of its subject.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Publication {
+    /// 1 for the first of a subject, then the last one plus 1.
+    pub version: u64,
+    /// Who published it.
+    pub operator: String,
+    /// What it declares.
+    pub content: Content,
+}
+
+impl Publication {
+    /// Digest of version and content. The operator's name is left out, so that a resend by a
+    /// colleague counts as the same publication.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let text = serde_json::to_vec(&(self.version, &self.content)).unwrap_or_default();
+        let mut hasher = SipHasher13::new();
+        text.hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
+/// Changes of the target set, gathered by the leader.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetBatch {
+    /// New and changed targets.
+    pub upserts: Vec<TargetRecord>,
+    /// Targets that are gone, with the incarnation that ended.
+    pub removals: Vec<(SocketAddr, Incarnation)>,
+}
+
+/// A control instance with the data folder that it votes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Voter {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Random identity of its data folder.
+    pub disk: u64,
+}
+
+/// One entry of the replicated log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Command {
+    /// Opens a leader's term.
+    Noop,
+    /// An operator's declaration.
+    Publish(Publication),
+    /// Changes of the target set.
+    Targets(TargetBatch),
+    /// The new set of voters.
+    Voters(BTreeSet<Voter>),
+}
+
+/// What applying an entry came to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// Accepted at this revision.
+    Accepted(Revision),
+    /// Accepted earlier, at this revision, with the same content.
+    Duplicate(Revision),
+    /// The version number belongs to another publication.
+    Conflict {
+        /// Operator whose publication holds the number.
+        winner: String,
+        /// Revision of that publication.
+        revision: Revision,
+    },
+    /// The version number is not the last plus one.
+    Gap {
+        /// The number that would be accepted.
+        expected: u64,
+    },
+    /// The content contradicts the state.
+    Refused {
+        /// Why.
+        code: ResultCode,
+        /// Explanation for the operator.
+        reason: String,
+    },
+}
+
+impl Outcome {
+    /// The numbered result.
+    #[must_use]
+    pub fn code(&self) -> ResultCode {
+        match self {
+            Self::Accepted(_) | Self::Duplicate(_) => ResultCode::Ok,
+            Self::Conflict { .. } => ResultCode::VersionConflict,
+            Self::Gap { .. } => ResultCode::VersionGap,
+            Self::Refused { code, .. } => *code,
+        }
+    }
+}
+
+/// Which publication holds a version number.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionRecord {
+    /// Digest of the publication.
+    pub digest: u64,
+    /// Revision at which it was accepted.
+    pub revision: Revision,
+    /// Who published it.
+    pub operator: String,
+}
+
+/// A service in the replicated state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Service {
+    /// Its key, never reused.
+    pub id: ServiceId,
+    /// Its declaration.
+    pub spec: ServiceSpec,
+}
+
+/// The replicated state.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Declarations {
+    /// Last applied entry.
+    pub revision: Revision,
+    /// Profiles by name.
+    pub profiles: BTreeMap<String, Profile>,
+    /// Services by name.
+    pub services: BTreeMap<String, Service>,
+    /// Failure domains that operators have marked; others are in service.
+    pub domains: BTreeMap<DomainId, DomainState>,
+    /// Targets by address.
+    pub targets: BTreeMap<SocketAddr, TargetRecord>,
+    /// Control instances that vote.
+    pub voters: BTreeSet<Voter>,
+    /// Holders of version numbers, by subject and version.
+    pub versions: BTreeMap<String, BTreeMap<u64, VersionRecord>>,
+}
+
+impl Declarations {
+    /// Applies one log entry. The revision advances whatever the outcome.
+    pub fn apply(&mut self, revision: Revision, command: &Command) -> Outcome {
+        self.revision = revision;
+        match command {
+            Command::Noop => Outcome::Accepted(revision),
+            Command::Publish(publication) => self.publish(revision, publication),
+            Command::Targets(batch) => {
+                self.change_targets(batch);
+                Outcome::Accepted(revision)
+            }
+            Command::Voters(voters) => {
+                self.voters.clone_from(voters);
+                Outcome::Accepted(revision)
+            }
+        }
+    }
+
+    /// Answers a publication from the versions on record, without changing anything. `None` means that
+    /// it would be accepted.
+    #[must_use]
+    pub fn recorded_outcome(&self, publication: &Publication) -> Option<Outcome> {
+        let versions = self.versions.get(&publication.content.subject());
+        if let Some(record) = versions.and_then(|held| held.get(&publication.version)) {
+            return Some(record_outcome(record, publication.digest()));
+        }
+        let last = versions.and_then(|held| held.keys().next_back().copied()).unwrap_or(0);
+        if publication.version != last + 1 {
+            return Some(Outcome::Gap { expected: last + 1 });
+        }
+        self.contradiction(&publication.content)
+    }
+
+    /// Service of a host name or of the target at an address.
+    #[must_use]
+    pub fn service_of_target(&self, address: SocketAddr) -> Option<&Service> {
+        self.targets.get(&address).and_then(|target| self.services.get(&target.service))
+    }
+
+    /// Whether operators let the domain take traffic.
+    #[must_use]
+    pub fn domain_in_service(&self, domain: DomainId) -> bool {
+        self.domains.get(&domain).copied().unwrap_or_default() == DomainState::In
+    }
+
+    fn publish(&mut self, revision: Revision, publication: &Publication) -> Outcome {
+        if let Some(outcome) = self.recorded_outcome(publication) {
+            return outcome;
+        }
+        self.store_content(&publication.content);
+        let record = VersionRecord {
+            digest: publication.digest(),
+            revision,
+            operator: publication.operator.clone(),
+        };
+        let versions = self.versions.entry(publication.content.subject()).or_default();
+        versions.insert(publication.version, record);
+        while versions.len() > KEPT_VERSIONS {
+            versions.pop_first();
+        }
+        Outcome::Accepted(revision)
+    }
+
+    fn contradiction(&self, content: &Content) -> Option<Outcome> {
+        if let Err(error) = content.check() {
+            return Some(Outcome::Refused {
+                code: ResultCode::BadField,
+                reason: error.to_string(),
+            });
+        }
+        let Content::Service(spec) = content else { return None };
+        if !self.profiles.contains_key(&spec.profile) {
+            let reason = format!("profile {:?} does not exist", spec.profile);
+            return Some(Outcome::Refused { code: ResultCode::UnknownName, reason });
+        }
+        let holder = self.services.values().find(|service| {
+            service.spec.address == spec.address && service.spec.name != spec.name
+        })?;
+        let reason = format!("address {} belongs to service {:?}", spec.address, holder.spec.name);
+        Some(Outcome::Refused { code: ResultCode::AddressConflict, reason })
+    }
+
+    fn store_content(&mut self, content: &Content) {
+        match content {
+            Content::Profile(profile) => {
+                self.profiles.insert(profile.name.clone(), profile.clone());
+            }
+            Content::Service(spec) => self.store_service(spec),
+            Content::Domain(domain, state) => {
+                self.domains.insert(*domain, *state);
+            }
+        }
+    }
+
+    fn store_service(&mut self, spec: &ServiceSpec) {
+        let next = u16::try_from(self.services.len() + 1).unwrap_or(u16::MAX);
+        let id = self.services.get(&spec.name).map_or(ServiceId(next), |service| service.id);
+        self.services.insert(spec.name.clone(), Service { id, spec: spec.clone() });
+    }
+
+    fn change_targets(&mut self, batch: &TargetBatch) {
+        for (address, incarnation) in &batch.removals {
+            let ended = self.targets.get(address).is_some_and(|t| t.incarnation <= *incarnation);
+            if ended {
+                self.targets.remove(address);
+            }
+        }
+        for target in &batch.upserts {
+            let newer = self
+                .targets
+                .get(&target.address)
+                .is_none_or(|known| known.incarnation <= target.incarnation);
+            if newer {
+                self.targets.insert(target.address, target.clone());
+            }
+        }
+    }
+}
+
+fn record_outcome(record: &VersionRecord, digest: u64) -> Outcome {
+    if record.digest == digest {
+        return Outcome::Duplicate(record.revision);
+    }
+    Outcome::Conflict { winner: record.operator.clone(), revision: record.revision }
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,12 @@
+//! Domain types shared by every comfreyhold package: keys, profiles, result codes, time, events and
+//! the replicated declarations.
+
+pub mod clock;
+pub mod codes;
+pub mod declarations;
+pub mod event;
+pub mod hlc;
+pub mod keys;
+pub mod prelude;
+pub mod profile;
+pub mod target;
