Add the protocol between processes: envelopes over capnp-rpc

Cause: cores exchange one-way messages and need a transport that finds connections that went silent. Conclusion: cores can treat the network as lossy and unordered.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,15 @@
-//! Placeholder.
+//! The protocol between comfreyhold processes: Cap'n Proto envelopes over capnp-rpc, message bodies in
+//! postcard. Messages are one-way; delivery is unordered and may be lost.
+//!
+//! `src/peer_capnp.rs` is generated from `schema/peer.capnp` with the `capnpc` crate and committed, so
+//! that a build needs no generator.
+
+pub mod envelope;
+pub mod error;
+#[allow(missing_docs, clippy::all, clippy::pedantic, clippy::unwrap_used, clippy::panic)]
+#[rustfmt::skip]
+pub mod peer_capnp;
+mod peer_link;
+mod server;
+pub mod stats;
+pub mod transport;
--- /dev/null
+++ b/crates/wire/src/peer_link.rs
@@ -0,0 +1,158 @@
+//! The sending side towards one peer: batches envelopes, and replaces a connection that went silent.
+
+use crate::envelope::Envelope;
+use crate::peer_capnp::peer;
+use crate::server::reader_options;
+use crate::stats::Stats;
+use crate::transport::{Inbox, PROBE_DEADLINE};
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use comfreyhold_types::prelude::InstanceId;
+use futures_util::AsyncReadExt;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{Semaphore, mpsc};
+use tokio::task::AbortHandle;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+/// Most body bytes in one batch.
+const MAX_BATCH_BYTES: usize = 64 * 1024;
+
+/// Most batches that wait for their confirmation at once.
+const MAX_IN_FLIGHT: usize = 64;
+
+/// Pause after a failed connect, so that an instance that is down isn't flooded with attempts.
+const CONNECT_RETRY: Duration = Duration::from_millis(100);
+
+/// One connection, and whether a task found it broken.
+struct Connection {
+    client: Rc<peer::Client>,
+    broken: Rc<Cell<bool>>,
+    rpc: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.rpc.abort();
+    }
+}
+
+/// Sends to one peer.
+pub struct PeerLink {
+    peer: InstanceId,
+    address: SocketAddr,
+    inbox: Arc<dyn Inbox>,
+    stats: Arc<Stats>,
+    connection: Option<Connection>,
+}
+
+impl PeerLink {
+    /// Creates a link that connects when it first has something to send.
+    pub fn new(
+        peer: InstanceId,
+        address: SocketAddr,
+        inbox: Arc<dyn Inbox>,
+        stats: Arc<Stats>,
+    ) -> Self {
+        Self { peer, address, inbox, stats, connection: None }
+    }
+
+    /// Sends what the queue holds until it is closed.
+    pub async fn run(mut self, mut queue: mpsc::Receiver<Envelope>) {
+        let in_flight = Arc::new(Semaphore::new(MAX_IN_FLIGHT));
+        while let Some(first) = queue.recv().await {
+            let batch = fill_batch(first, &mut queue);
+            let Ok(permit) = Arc::clone(&in_flight).acquire_owned().await else { return };
+            let Some((client, broken)) = self.connected().await else { continue };
+            self.count(&batch);
+            let inbox = Arc::clone(&self.inbox);
+            let peer = self.peer;
+            tokio::task::spawn_local(async move {
+                let result = deliver(&client, &batch).await;
+                drop(permit);
+                if let Err(reason) = result
+                    && !broken.replace(true)
+                {
+                    inbox.connection_closed(peer, &reason);
+                }
+            });
+        }
+    }
+
+    /// The current connection, or a new one. `None` when the peer can't be connected to; the batch is
+    /// then lost, which the protocol allows.
+    async fn connected(&mut self) -> Option<(Rc<peer::Client>, Rc<Cell<bool>>)> {
+        if self.connection.as_ref().is_some_and(|connection| connection.broken.get()) {
+            self.connection = None;
+        }
+        if self.connection.is_none() {
+            match connect(self.address).await {
+                Ok(connection) => self.connection = Some(connection),
+                Err(error) => {
+                    log::debug!("connect to {} at {}: {error}", self.peer, self.address);
+                    tokio::time::sleep(CONNECT_RETRY).await;
+                }
+            }
+        }
+        let connection = self.connection.as_ref()?;
+        Some((Rc::clone(&connection.client), Rc::clone(&connection.broken)))
+    }
+
+    fn count(&self, batch: &[Envelope]) {
+        for envelope in batch {
+            self.stats.count_sent(envelope.topic, envelope.body.len());
+        }
+    }
+}
+
+fn fill_batch(first: Envelope, queue: &mut mpsc::Receiver<Envelope>) -> Vec<Envelope> {
+    let mut bytes = first.body.len();
+    let mut batch = vec![first];
+    while bytes < MAX_BATCH_BYTES {
+        let Ok(next) = queue.try_recv() else { break };
+        bytes += next.body.len();
+        batch.push(next);
+    }
+    batch
+}
+
+async fn connect(address: SocketAddr) -> Result<Connection, String> {
+    let connecting = tokio::net::TcpStream::connect(address);
+    let stream = tokio::time::timeout(PROBE_DEADLINE, connecting)
+        .await
+        .map_err(|_| "connect timed out".to_owned())?
+        .map_err(|error| error.to_string())?;
+    stream.set_nodelay(true).map_err(|error| error.to_string())?;
+    let (reader, writer) = stream.compat().split();
+    let side = rpc_twoparty_capnp::Side::Client;
+    let network = twoparty::VatNetwork::new(reader, writer, side, reader_options());
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let client: peer::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+    let broken = Rc::new(Cell::new(false));
+    let ended = Rc::clone(&broken);
+    let task = tokio::task::spawn_local(async move {
+        let _ = system.await;
+        ended.set(true);
+    });
+    Ok(Connection { client: Rc::new(client), broken, rpc: task.abort_handle() })
+}
+
+async fn deliver(client: &peer::Client, batch: &[Envelope]) -> Result<(), String> {
+    let mut request = client.deliver_request();
+    let count = u32::try_from(batch.len()).map_err(|error| error.to_string())?;
+    let mut list = request.get().init_envelopes(count);
+    for (index, envelope) in (0..count).zip(batch) {
+        envelope.write(list.reborrow().get(index));
+    }
+    let response = tokio::time::timeout(PROBE_DEADLINE, request.send().promise)
+        .await
+        .map_err(|_| "delivery not confirmed in time".to_owned())?
+        .map_err(|error| error.to_string())?;
+    let code = response.get().map_err(|error| error.to_string())?.get_code();
+    if code != 0 {
+        log::warn!("a peer refused an envelope with code {code}");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/wire/src/server.rs
@@ -0,0 +1,111 @@
+//! The receiving side: accepts connections and hands envelopes to the inbox.
+
+use crate::envelope::{Envelope, MAX_BODY_BYTES};
+use crate::peer_capnp::peer;
+use crate::stats::Stats;
+use crate::transport::Inbox;
+use capnp::message::ReaderOptions;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use comfreyhold_types::prelude::InstanceId;
+use futures_util::AsyncReadExt;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+
+/// Largest frame that is read, in 8-byte words: four full bodies.
+const MAX_FRAME_WORDS: usize = 4 * MAX_BODY_BYTES / 8;
+
+/// Pause after a failed accept, such as one for lack of file descriptors.
+const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+
+/// Reader limits for frames from other processes.
+pub fn reader_options() -> ReaderOptions {
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_FRAME_WORDS));
+    options.nesting_limit(16);
+    options
+}
+
+struct PeerServer {
+    local: InstanceId,
+    inbox: Arc<dyn Inbox>,
+    stats: Arc<Stats>,
+}
+
+impl PeerServer {
+    fn take(&self, params: &peer::DeliverParams) -> capnp::Result<u16> {
+        let mut code = 0;
+        for reader in params.get()?.get_envelopes()? {
+            match Envelope::read(reader, self.local) {
+                Ok(envelope) => {
+                    self.stats.count_received(envelope.topic, envelope.body.len());
+                    self.inbox.deliver(envelope);
+                }
+                Err(error) => {
+                    log::warn!("refused an envelope: {error}");
+                    code = error.code().number();
+                }
+            }
+        }
+        Ok(code)
+    }
+}
+
+impl peer::Server for PeerServer {
+    async fn deliver(
+        self: capnp::capability::Rc<Self>,
+        params: peer::DeliverParams,
+        mut results: peer::DeliverResults,
+    ) -> Result<(), capnp::Error> {
+        let code = self.take(&params)?;
+        results.get().set_code(code);
+        Ok(())
+    }
+}
+
+/// Accepts connections until the task is dropped.
+pub async fn accept(
+    listener: TcpListener,
+    local: InstanceId,
+    inbox: Arc<dyn Inbox>,
+    stats: Arc<Stats>,
+) {
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!("can't listen for peers: {error}");
+            return;
+        }
+    };
+    let server = PeerServer { local, inbox, stats };
+    let client: peer::Client = capnp_rpc::new_client(server);
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => serve(stream, client.clone()),
+            Err(error) => {
+                log::warn!("accept failed: {error}");
+                tokio::time::sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+fn serve(stream: tokio::net::TcpStream, client: peer::Client) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("TCP_NODELAY: {error}");
+    }
+    let (reader, writer) = stream.compat().split();
+    let network = twoparty::VatNetwork::new(
+        reader,
+        writer,
+        rpc_twoparty_capnp::Side::Server,
+        reader_options(),
+    );
+    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    tokio::task::spawn_local(async move {
+        if let Err(error) = system.await {
+            log::debug!("peer connection ended: {error}");
+        }
+    });
+}
