--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod codes;
 pub mod declarations;
+pub mod document;
 pub mod event;
 pub mod hlc;
 pub mod keys;
