Add dispatcher, ramp, budget and client cores of the request side

Cause: slots of targets must be allocated in one place, and a request must end with a result code that is true about whether it ran. Change: dispatcher with bounded queue, takeover and load reports; cold ramp; retry budget; client with a typestate per attempt; messages with serde.

--- /dev/null
+++ b/crates/request/src/dispatcher.rs
@@ -0,0 +1,477 @@
+//! Dispatcher: the one place that allocates the slots of the targets of a (service, failure domain),
+//! so that slot limits hold across all entries.
+
+use crate::answers::{Answer, Answers};
+pub use crate::dispatcher_event::{Action, DispatcherConfig, Event};
+use crate::grants::{Grant, Grants};
+use crate::message::{AttemptId, GrantId, HeldGrant, LoadReport, Message, SlotOutcome};
+use crate::queue::{Offer, Queue, Waiting};
+use crate::ramp::Feedback;
+use crate::takeover::Takeover;
+use crate::target_slots::{TargetKey, TargetSlots};
+use comfreyhold_types::declarations::DomainState;
+use comfreyhold_types::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Time between load reports.
+pub const LOAD_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Load reports of other dispatchers older than this are ignored.
+pub const LOAD_STALE: Duration = Duration::from_millis(600);
+
+/// A grant stays counted this long after its deadline, while the entry closes the connection and the
+/// target notices.
+pub const GRANT_MARGIN: Duration = Duration::from_millis(250);
+
+/// Cold targets that a load report names.
+pub const MAX_COLD_REPORTED: usize = 32;
+
+/// Expected wait when no target can start anything; above every deadline.
+const MAX_EXPECTED_WAIT: Duration = Duration::from_secs(3_600);
+
+/// Weight of the newest service time in the running mean.
+const MEAN_WEIGHT: f64 = 0.05;
+
+#[derive(Debug)]
+enum Phase {
+    Active,
+    Collecting(Takeover),
+    Stopped,
+}
+
+/// The decision core. Every message gets its answer from [`Dispatcher::handle`].
+#[derive(Debug)]
+pub struct Dispatcher {
+    cfg: DispatcherConfig,
+    phase: Phase,
+    out: bool,
+    targets: TargetSlots,
+    known_targets: Vec<TargetRecord>,
+    queue: Queue,
+    grants: Grants,
+    answers: Answers,
+    /// End of the count of slots that failed entries may use, and those entries.
+    reserved: Option<(Instant, BTreeSet<InstanceId>)>,
+    mean_service: Option<Duration>,
+    peers: BTreeMap<DomainId, (u32, Instant)>,
+    next_grant: u64,
+    next_load: Instant,
+}
+
+impl Dispatcher {
+    /// Creates a dispatcher without targets. Targets start cold unless a takeover says otherwise.
+    #[must_use]
+    pub fn new(cfg: DispatcherConfig, now: Instant) -> Self {
+        let queue_limit = usize::try_from(cfg.profile.queue_limit).unwrap_or(usize::MAX);
+        Self {
+            targets: TargetSlots::new(cfg.profile.cold.clone()),
+            known_targets: Vec::new(),
+            queue: Queue::new(queue_limit),
+            phase: Phase::Active,
+            out: false,
+            grants: Grants::default(),
+            answers: Answers::default(),
+            reserved: None,
+            mean_service: None,
+            peers: BTreeMap::new(),
+            next_grant: 1,
+            next_load: now,
+            cfg,
+        }
+    }
+
+    /// Takes in an event and returns what to do.
+    pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        match event {
+            Event::Message(from, message) => self.on_message(now, from, message, &mut out),
+            Event::Targets(records) => self.on_targets(now, records, &mut out),
+            Event::Profile(profile) => self.on_profile(now, *profile),
+            Event::Domain(state) => self.on_domain(now, state, &mut out),
+            Event::Takeover { lease_ends, live, failed, cold } => {
+                self.on_takeover(now, Takeover::new(lease_ends, live, failed, now), &cold);
+            }
+            Event::EntryFailed(entry) => self.on_entry_failed(entry),
+            Event::Stop => self.on_stop(&mut out),
+            Event::Tick => {}
+        }
+        self.advance(now, &mut out);
+        out
+    }
+
+    /// Latest time at which [`Event::Tick`] is due.
+    #[must_use]
+    pub fn next_wake(&self) -> Instant {
+        let mut wake = self.next_load;
+        let expiry = self.grants.next_expiry();
+        let rested = self.targets.next_wake().filter(|_| !self.queue.is_empty());
+        let others = [expiry, rested, self.queue.next_deadline()];
+        for at in others.into_iter().flatten() {
+            wake = wake.min(at);
+        }
+        wake
+    }
+
+    /// Whether it grants slots.
+    #[must_use]
+    pub fn is_active(&self) -> bool {
+        matches!(self.phase, Phase::Active) && !self.out
+    }
+
+    /// Slots of a target that are or may be in use.
+    #[must_use]
+    pub fn occupied(&self, target: SocketAddr) -> u32 {
+        self.targets.occupied(target)
+    }
+
+    /// Ramp step of a target; `None` when warm or unknown.
+    #[must_use]
+    pub fn ramp_step(&self, target: SocketAddr) -> Option<u16> {
+        self.targets.ramp_step(target)
+    }
+
+    /// Attempts that wait.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    fn on_message(&mut self, now: Instant, from: InstanceId, msg: Message, out: &mut Vec<Action>) {
+        match msg {
+            Message::Acquire { attempt, pool, priority, remaining, may_redirect }
+                if pool == self.cfg.pool =>
+            {
+                let deadline = now + remaining;
+                let waiting = Waiting { attempt, entry: from, priority, deadline };
+                self.on_acquire(now, waiting, may_redirect, out);
+            }
+            Message::Release { pool, grant, outcome } if pool == self.cfg.pool => {
+                self.on_release(now, grant, outcome, out);
+                out.push(Action::Send(from, Message::Released { grant }));
+            }
+            Message::Cancel { pool, attempt } if pool == self.cfg.pool => {
+                self.on_cancel(now, from, attempt, out);
+            }
+            Message::HeldGrants { pool, epoch, grants }
+                if pool == self.cfg.pool && epoch == self.cfg.epoch =>
+            {
+                self.on_held(now, from, &grants);
+            }
+            Message::Load(report) if report.pool.service == self.cfg.pool.service => {
+                self.peers.insert(report.pool.domain, (report.free, now));
+            }
+            _ => {}
+        }
+    }
+
+    fn on_acquire(&mut self, now: Instant, w: Waiting, may_redirect: bool, out: &mut Vec<Action>) {
+        if self.queue.contains(w.attempt) {
+            return;
+        }
+        if let Some(answer) = self.answers.get(w.attempt) {
+            out.push(Action::Send(w.entry, answer.message(w.attempt, self.cfg.pool)));
+            return;
+        }
+        if let Some((code, elsewhere)) = self.refusal(now, &w, may_redirect) {
+            self.refuse(&w, code, elsewhere, out);
+            return;
+        }
+        match self.queue.offer(w) {
+            Offer::Queued => {}
+            Offer::Displaced(last) => self.refuse(&last, ResultCode::Shed, true, out),
+            Offer::Full if self.can_grant_now(now) => self.grant(now, &w, out),
+            Offer::Full => self.refuse(&w, ResultCode::Shed, true, out),
+        }
+    }
+
+    /// Why a new attempt can't be accepted, and whether another domain may take it.
+    fn refusal(&self, now: Instant, w: &Waiting, redirect: bool) -> Option<(ResultCode, bool)> {
+        if matches!(self.phase, Phase::Stopped) {
+            return Some((ResultCode::NoDispatcher, true));
+        }
+        if self.out || (self.is_active() && !self.targets.any_serving()) {
+            return Some((ResultCode::NoTarget, true));
+        }
+        if w.deadline <= now {
+            return Some((ResultCode::DeadlineBeforeStart, false));
+        }
+        if self.can_grant_now(now) {
+            return None;
+        }
+        if redirect && self.others_have_room(now) {
+            return Some((ResultCode::Shed, true));
+        }
+        let expected = self.expected_wait(w)?;
+        (now + expected > w.deadline).then_some((ResultCode::DeadlineBeforeStart, true))
+    }
+
+    fn can_grant_now(&self, now: Instant) -> bool {
+        let rested = self.targets.next_wake().is_some_and(|at| at <= now);
+        let ready = self.targets.has_ready() || rested;
+        self.is_active() && self.queue.is_empty() && ready
+    }
+
+    fn others_have_room(&self, now: Instant) -> bool {
+        let fresh = |at: Instant| now.saturating_duration_since(at) < LOAD_STALE;
+        let mut others = self.peers.iter().filter(|(domain, _)| **domain != self.cfg.pool.domain);
+        others.any(|(_, (free, at))| *free > 0 && fresh(*at))
+    }
+
+    /// Expected time in the queue; `None` until a service time is known.
+    fn expected_wait(&self, w: &Waiting) -> Option<Duration> {
+        let mean = self.mean_service?;
+        let rate = self.targets.totals().starts_per_s(mean);
+        let ahead = self.queue.ahead_of(w.priority, w.deadline) + 1;
+        let seconds = (ahead as f64 / rate).min(MAX_EXPECTED_WAIT.as_secs_f64());
+        Some(Duration::from_secs_f64(seconds))
+    }
+
+    fn refuse(&mut self, w: &Waiting, code: ResultCode, elsewhere: bool, out: &mut Vec<Action>) {
+        let answer = Answer::Refused { code, elsewhere };
+        self.answers.insert(w.attempt, answer, w.deadline);
+        out.push(Action::Send(w.entry, answer.message(w.attempt, self.cfg.pool)));
+    }
+
+    fn on_cancel(
+        &mut self,
+        now: Instant,
+        from: InstanceId,
+        attempt: AttemptId,
+        out: &mut Vec<Action>,
+    ) {
+        let queued = self.queue.remove(attempt);
+        if let Some(Answer::Granted { grant, .. }) = self.answers.get(attempt) {
+            self.free_grant(grant);
+        }
+        let keep = now + self.cfg.profile.deadline();
+        let deadline = queued.map_or(keep, |waiting| waiting.deadline);
+        let priority = self.cfg.profile.priority;
+        let waiting = Waiting { attempt, entry: from, priority, deadline };
+        self.refuse(&waiting, ResultCode::CancelledBeforeStart, false, out);
+    }
+
+    fn on_release(
+        &mut self,
+        now: Instant,
+        id: GrantId,
+        outcome: SlotOutcome,
+        out: &mut Vec<Action>,
+    ) {
+        if let Phase::Collecting(takeover) = &mut self.phase {
+            takeover.released.insert(id);
+        }
+        let Some(Grant { target: key, started, .. }) = self.grants.get(id) else { return };
+        match outcome {
+            SlotOutcome::Answered { took } => {
+                self.learn_service_time(took);
+                self.feedback(now, key, started, Feedback::Answered(took), out);
+            }
+            SlotOutcome::Refused => self.feedback(now, key, started, Feedback::Refused, out),
+            SlotOutcome::Failed | SlotOutcome::Unknown => {
+                self.feedback(now, key, started, Feedback::Failed, out);
+            }
+            SlotOutcome::Cancelled | SlotOutcome::Unused => {}
+        }
+        match outcome {
+            SlotOutcome::Unknown => {}
+            SlotOutcome::Cancelled => self.grants.shorten(id, now + GRANT_MARGIN),
+            _ => self.free_grant(id),
+        }
+    }
+
+    fn feedback(
+        &mut self,
+        now: Instant,
+        key: TargetKey,
+        started: Instant,
+        feedback: Feedback,
+        out: &mut Vec<Action>,
+    ) {
+        if !self.targets.feedback(now, key, started, feedback) {
+            return;
+        }
+        if let Some((address, _)) = self.targets.get(key) {
+            out.push(Action::TargetCold(address));
+        }
+    }
+
+    fn learn_service_time(&mut self, took: Duration) {
+        let mean = self.mean_service.unwrap_or(took);
+        self.mean_service = Some(mean.mul_f64(1.0 - MEAN_WEIGHT) + took.mul_f64(MEAN_WEIGHT));
+    }
+
+    fn on_targets(&mut self, now: Instant, records: Vec<TargetRecord>, out: &mut Vec<Action>) {
+        self.targets.replace(now, &records, self.cfg.profile.max_slots, |_| false);
+        self.known_targets = records;
+        if !self.targets.any_serving() && self.is_active() {
+            self.refuse_all(ResultCode::NoTarget, out);
+        }
+    }
+
+    fn on_profile(&mut self, now: Instant, profile: Profile) {
+        self.queue.set_limit(usize::try_from(profile.queue_limit).unwrap_or(usize::MAX));
+        self.targets.set_rule(profile.cold.clone());
+        self.targets.replace(now, &self.known_targets, profile.max_slots, |_| false);
+        self.cfg.profile = profile;
+    }
+
+    fn on_domain(&mut self, now: Instant, state: DomainState, out: &mut Vec<Action>) {
+        let was_out = self.out;
+        self.out = state == DomainState::Out;
+        if self.out {
+            self.refuse_all(ResultCode::NoTarget, out);
+        } else if was_out {
+            self.targets.restart_ramps(now);
+        }
+    }
+
+    fn on_stop(&mut self, out: &mut Vec<Action>) {
+        self.phase = Phase::Stopped;
+        self.refuse_all(ResultCode::NoDispatcher, out);
+    }
+
+    fn on_entry_failed(&mut self, entry: InstanceId) {
+        self.queue.remove_entry(entry);
+        if let Phase::Collecting(takeover) = &mut self.phase {
+            takeover.fail(entry);
+        }
+    }
+
+    fn refuse_all(&mut self, code: ResultCode, out: &mut Vec<Action>) {
+        while let Some(waiting) = self.queue.pop() {
+            self.refuse(&waiting, code, true, out);
+        }
+    }
+
+    fn on_takeover(&mut self, now: Instant, takeover: Takeover, cold: &BTreeSet<SocketAddr>) {
+        self.phase = Phase::Collecting(takeover);
+        let mut targets = TargetSlots::new(self.cfg.profile.cold.clone());
+        let max_slots = self.cfg.profile.max_slots;
+        targets.replace(now, &self.known_targets, max_slots, |address| !cold.contains(&address));
+        self.targets = targets;
+    }
+
+    fn on_held(&mut self, now: Instant, from: InstanceId, held: &[HeldGrant]) {
+        let fresh = match &mut self.phase {
+            Phase::Collecting(takeover) => takeover.report(from),
+            Phase::Active => {
+                self.reserved.as_mut().is_some_and(|(_, missing)| missing.remove(&from))
+            }
+            Phase::Stopped => false,
+        };
+        if !fresh {
+            return;
+        }
+        for grant in held {
+            self.adopt(now, grant);
+        }
+        if self.reserved.as_ref().is_some_and(|(_, missing)| missing.is_empty()) {
+            self.reserved = None;
+            self.targets.clear_reserved();
+        }
+    }
+
+    fn adopt(&mut self, now: Instant, held: &HeldGrant) {
+        let released = match &self.phase {
+            Phase::Collecting(takeover) => takeover.released.contains(&held.grant),
+            _ => false,
+        };
+        if released || self.grants.get(held.grant).is_some() {
+            return;
+        }
+        let Some(target) = self.targets.adopt(held.target) else { return };
+        let expires = now + held.remaining + GRANT_MARGIN;
+        self.grants.insert(held.grant, Grant { target, started: now, expires });
+    }
+
+    fn advance(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.finish_takeover(now, out);
+        self.expire(now, out);
+        while self.is_active() && !self.queue.is_empty() && self.targets.ready(now) {
+            let Some(waiting) = self.queue.pop() else { break };
+            self.grant(now, &waiting, out);
+        }
+        if now >= self.next_load && !matches!(self.phase, Phase::Stopped) {
+            out.push(Action::Broadcast(Message::Load(self.load_report())));
+            self.ask_missing(out);
+        }
+        if now >= self.next_load {
+            self.next_load = now + LOAD_INTERVAL;
+        }
+    }
+
+    /// Asks entries that did not report in time again: they may be alive after all.
+    fn ask_missing(&self, out: &mut Vec<Action>) {
+        let Some((_, missing)) = &self.reserved else { return };
+        let ask = Message::ReportGrants { pool: self.cfg.pool, epoch: self.cfg.epoch };
+        out.extend(missing.iter().map(|entry| Action::Send(*entry, ask.clone())));
+    }
+
+    fn finish_takeover(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let Phase::Collecting(takeover) = &mut self.phase else { return };
+        let ask = Message::ReportGrants { pool: self.cfg.pool, epoch: self.cfg.epoch };
+        for entry in takeover.due_asks(now) {
+            out.push(Action::Send(entry, ask.clone()));
+        }
+        if !takeover.is_complete(now) {
+            return;
+        }
+        let missing = takeover.missing();
+        let until = takeover.lease_ends + self.cfg.profile.deadline() + GRANT_MARGIN;
+        self.phase = Phase::Active;
+        if !missing.is_empty() {
+            self.targets.reserve_rest();
+            self.reserved = Some((until, missing));
+        }
+        if !self.targets.any_serving() {
+            self.refuse_all(ResultCode::NoTarget, out);
+        }
+    }
+
+    fn expire(&mut self, now: Instant, out: &mut Vec<Action>) {
+        while let Some(waiting) = self.queue.pop_expired(now) {
+            self.refuse(&waiting, ResultCode::DeadlineBeforeStart, false, out);
+        }
+        while let Some(grant) = self.grants.pop_expired(now) {
+            self.targets.vacate(grant.target);
+        }
+        if self.reserved.as_ref().is_some_and(|(until, _)| *until <= now) {
+            self.reserved = None;
+            self.targets.clear_reserved();
+        }
+        self.answers.expire(now);
+    }
+
+    fn grant(&mut self, now: Instant, waiting: &Waiting, out: &mut Vec<Action>) {
+        let Some(key) = self.targets.take(now) else { return };
+        let Some((target, incarnation)) = self.targets.get(key) else { return };
+        let id =
+            GrantId { epoch: self.cfg.epoch, issuer: self.cfg.instance, number: self.next_grant };
+        self.next_grant += 1;
+        let expires = waiting.deadline + GRANT_MARGIN;
+        self.grants.insert(id, Grant { target: key, started: now, expires });
+        let answer = Answer::Granted { grant: id, target, incarnation };
+        self.answers.insert(waiting.attempt, answer, waiting.deadline);
+        out.push(Action::Send(waiting.entry, answer.message(waiting.attempt, self.cfg.pool)));
+    }
+
+    fn free_grant(&mut self, id: GrantId) {
+        if let Some(grant) = self.grants.remove(id) {
+            self.targets.vacate(grant.target);
+        }
+    }
+
+    fn load_report(&self) -> LoadReport {
+        let totals = self.targets.totals();
+        LoadReport {
+            pool: self.cfg.pool,
+            epoch: self.cfg.epoch,
+            free: if self.is_active() { totals.free } else { 0 },
+            capacity: if self.out { 0 } else { totals.capacity },
+            queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            cold: self.targets.cold(MAX_COLD_REPORTED),
+        }
+    }
+}
--- /dev/null
+++ b/crates/request/src/dispatcher_event.rs
@@ -0,0 +1,62 @@
+//! Settings, input and output of a dispatcher.
+
+use crate::message::{Message, Pool};
+use comfreyhold_types::declarations::DomainState;
+use comfreyhold_types::prelude::*;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+/// Settings of a dispatcher.
+#[derive(Clone, Debug)]
+pub struct DispatcherConfig {
+    /// The targets it is responsible for.
+    pub pool: Pool,
+    /// The instance it runs on.
+    pub instance: InstanceId,
+    /// Term of the role; must be higher than that of every earlier dispatcher of the pool.
+    pub epoch: u64,
+    /// Profile of the service.
+    pub profile: Profile,
+}
+
+/// Input of a dispatcher.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A message of an entry.
+    Message(InstanceId, Message),
+    /// The current targets of the pool.
+    Targets(Vec<TargetRecord>),
+    /// A changed profile.
+    Profile(Box<Profile>),
+    /// Operators marked the failure domain.
+    Domain(DomainState),
+    /// This dispatcher follows an earlier one. Comes after the first [`Event::Targets`].
+    Takeover {
+        /// End of the earlier dispatcher's lease, with allowance for clock drift.
+        lease_ends: Instant,
+        /// Entries that are alive and asked for their grants.
+        live: BTreeSet<InstanceId>,
+        /// Entries that failed and may have held grants.
+        failed: BTreeSet<InstanceId>,
+        /// Targets that were cold, by the last load report, or joined since.
+        cold: BTreeSet<SocketAddr>,
+    },
+    /// An entry was found dead.
+    EntryFailed(InstanceId),
+    /// This instance may no longer act as dispatcher.
+    Stop,
+    /// Time has passed.
+    Tick,
+}
+
+/// Output of a dispatcher.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a message to one entry.
+    Send(InstanceId, Message),
+    /// Send a message to all entries.
+    Broadcast(Message),
+    /// A target was found cold.
+    TargetCold(SocketAddr),
+}
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -1,1 +1,21 @@
-//! Placeholder.
+//! Admission of requests: slots, queues, cold ramps, retries, deadlines and the idempotency register,
+//! as state machines without sockets, threads or clocks.
+
+pub mod answers;
+pub mod attempt;
+pub mod budget;
+pub mod client;
+mod client_changes;
+pub mod client_event;
+pub mod directory;
+pub mod dispatcher;
+pub mod dispatcher_event;
+pub mod grants;
+pub mod keys;
+pub mod message;
+mod open_request;
+pub mod queue;
+pub mod ramp;
+pub mod releases;
+pub mod takeover;
+pub mod target_slots;
