Add the idempotency register and tests of dispatcher and keys

Cause: a non-idempotent request must run at most once across resends, lost replies and restarts of replicas. Conclusion: votes carry start numbers so that one from before a restart is void.

--- /dev/null
+++ b/crates/request/src/key_client.rs
@@ -0,0 +1,331 @@
+//! The entry's side of the idempotency register: wins a key for an attempt, learns an earlier
+//! outcome, and records the outcome of a win.
+
+use crate::keys::{
+    ContentDigest, KeyMessage, KeyName, KeyOutcome, MAX_KEY_BYTES, MAX_RESPONSE_BYTES, ShardMap,
+    Verdict,
+};
+use crate::message::RequestId;
+use comfreyhold_types::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+/// Time between resends of a claim, about ten round trips between failure domains.
+pub const CLAIM_RESEND: Duration = Duration::from_millis(30);
+
+/// Longest time to wait for a decision. Covers about 60 resends; replicas that have not answered by
+/// then are restarting or cut off.
+pub const CLAIM_WINDOW: Duration = Duration::from_secs(2);
+
+/// Time between resends of an outcome.
+pub const FINISH_RESEND: Duration = Duration::from_millis(200);
+
+/// Longest time for which an outcome is resent.
+pub const FINISH_WINDOW: Duration = Duration::from_secs(10);
+
+/// Outcomes kept for resending. Beyond it the oldest is given up; its key reads as in use.
+pub const MAX_UNCONFIRMED: usize = 4_096;
+
+/// What the register says about a claim.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeyDecision {
+    /// The attempt alone may run.
+    Won,
+    /// The key's request has completed; this is its outcome.
+    Replay(KeyOutcome),
+    /// The attempt must not run. The code is of family 2xxx.
+    NotWon(ResultCode),
+}
+
+/// Output of a key client.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeyAction {
+    /// Send a message.
+    Send(InstanceId, KeyMessage),
+    /// The claim is decided.
+    Decided(RequestId, KeyDecision),
+}
+
+#[derive(Clone, Debug)]
+struct Vote {
+    incarnation: Incarnation,
+    peers: Vec<(InstanceId, Incarnation)>,
+    verdict: Verdict,
+}
+
+#[derive(Debug)]
+struct Claim {
+    key: KeyName,
+    digest: ContentDigest,
+    deadline: Instant,
+    decide_by: Instant,
+    resend_at: Instant,
+    retention: Duration,
+    votes: BTreeMap<InstanceId, Vote>,
+}
+
+#[derive(Debug)]
+struct Finish {
+    message: KeyMessage,
+    unconfirmed: BTreeSet<InstanceId>,
+    resend_at: Instant,
+    until: Instant,
+}
+
+#[derive(Debug)]
+struct Win {
+    key: KeyName,
+    digest: ContentDigest,
+    retention: Duration,
+}
+
+/// The decision core of one entry.
+#[derive(Debug)]
+pub struct KeyClient {
+    shards: ShardMap,
+    claims: BTreeMap<RequestId, Claim>,
+    wins: BTreeMap<RequestId, Win>,
+    finishes: BTreeMap<RequestId, Finish>,
+}
+
+impl KeyClient {
+    /// Creates a key client.
+    #[must_use]
+    pub fn new(shards: ShardMap) -> Self {
+        let (claims, wins, finishes) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        Self { shards, claims, wins, finishes }
+    }
+
+    /// Begins to claim a key for an attempt. The attempt must not be written to a target before
+    /// [`KeyDecision::Won`], nor after `deadline`.
+    pub fn claim(
+        &mut self,
+        now: Instant,
+        attempt: RequestId,
+        key: KeyName,
+        digest: ContentDigest,
+        deadline: Instant,
+        retention: Duration,
+    ) -> Vec<KeyAction> {
+        let decide_by = deadline.min(now + CLAIM_WINDOW);
+        let votes = BTreeMap::new();
+        let claim = Claim { key, digest, deadline, decide_by, resend_at: now, retention, votes };
+        if claim.key.key.len() > MAX_KEY_BYTES {
+            let code = ResultCode::KeyRecordLost;
+            return vec![KeyAction::Decided(attempt, KeyDecision::NotWon(code))];
+        }
+        self.claims.insert(attempt, claim);
+        self.tick(now)
+    }
+
+    /// Gives up a claim whose caller left. Returns whether it was still open.
+    pub fn abandon(&mut self, attempt: RequestId) -> bool {
+        self.claims.remove(&attempt).is_some()
+    }
+
+    /// Records the outcome of an attempt that had won.
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        attempt: RequestId,
+        mut outcome: KeyOutcome,
+    ) -> Vec<KeyAction> {
+        let Some(Win { key, digest, retention }) = self.wins.remove(&attempt) else {
+            return Vec::new();
+        };
+        let size = outcome.response.as_ref().map_or(0, Vec::len);
+        if size > MAX_RESPONSE_BYTES {
+            outcome.response = None;
+        }
+        let unconfirmed = self.shards.replicas(key.shard()).iter().copied().collect();
+        let message = KeyMessage::Finish { key, attempt, digest, outcome, retention };
+        let until = now + FINISH_WINDOW;
+        self.finishes.insert(attempt, Finish { message, unconfirmed, resend_at: now, until });
+        if self.finishes.len() > MAX_UNCONFIRMED {
+            self.finishes.pop_first();
+        }
+        self.tick(now)
+    }
+
+    /// Takes in a reply. One that matches no open claim or outcome is dropped.
+    pub fn on_message(
+        &mut self,
+        now: Instant,
+        from: InstanceId,
+        msg: KeyMessage,
+    ) -> Vec<KeyAction> {
+        match msg {
+            KeyMessage::Vote { key, attempt, incarnation, peers, verdict } => {
+                self.on_vote(now, from, &key, attempt, Vote { incarnation, peers, verdict })
+            }
+            KeyMessage::Finished { attempt, .. } => {
+                self.on_finished(from, attempt);
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Resends what is due and ends claims whose time is over.
+    pub fn tick(&mut self, now: Instant) -> Vec<KeyAction> {
+        let mut out = Vec::new();
+        let late: Vec<_> = self.claims.iter().filter(|(_, claim)| claim.decide_by <= now).collect();
+        let late: Vec<_> = late.into_iter().map(|(attempt, _)| *attempt).collect();
+        for attempt in late {
+            self.claims.remove(&attempt);
+            let decision = KeyDecision::NotWon(ResultCode::KeyRecordLost);
+            out.push(KeyAction::Decided(attempt, decision));
+        }
+        for (attempt, claim) in &mut self.claims {
+            claim.resend(now, *attempt, &self.shards, &mut out);
+        }
+        self.finishes.retain(|_, finish| finish.until > now);
+        for finish in self.finishes.values_mut() {
+            finish.resend(now, &mut out);
+        }
+        out
+    }
+
+    /// Latest time at which [`Self::tick`] is due; `None` when nothing is open.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<Instant> {
+        let claims = self.claims.values().map(|claim| claim.resend_at.min(claim.decide_by));
+        claims.chain(self.finishes.values().map(|finish| finish.resend_at)).min()
+    }
+
+    fn on_vote(
+        &mut self,
+        now: Instant,
+        from: InstanceId,
+        key: &KeyName,
+        attempt: RequestId,
+        vote: Vote,
+    ) -> Vec<KeyAction> {
+        let Some(claim) = self.claims.get_mut(&attempt) else { return Vec::new() };
+        let replicas = self.shards.replicas(key.shard());
+        if claim.key != *key || !replicas.contains(&from) || now >= claim.decide_by {
+            return Vec::new();
+        }
+        claim.record(from, vote);
+        let quorum = self.shards.quorum(key.shard());
+        let Some(decision) = claim.decide(replicas, quorum) else { return Vec::new() };
+        if let Some(claim) = self.claims.remove(&attempt)
+            && decision == KeyDecision::Won
+        {
+            let Claim { key, digest, retention, .. } = claim;
+            self.wins.insert(attempt, Win { key, digest, retention });
+        }
+        vec![KeyAction::Decided(attempt, decision)]
+    }
+
+    fn on_finished(&mut self, from: InstanceId, attempt: RequestId) {
+        let Some(finish) = self.finishes.get_mut(&attempt) else { return };
+        finish.unconfirmed.remove(&from);
+        if finish.unconfirmed.is_empty() {
+            self.finishes.remove(&attempt);
+        }
+    }
+}
+
+impl Claim {
+    /// Keeps the vote of the latest start of a replica. Late ones of an earlier start are dropped, and
+    /// among those of one start a vote for another attempt or an outcome replaces "not ready".
+    fn record(&mut self, from: InstanceId, vote: Vote) {
+        match self.votes.get_mut(&from) {
+            Some(known) if vote.incarnation < known.incarnation => {}
+            Some(known) if vote.incarnation == known.incarnation => {
+                if vote.verdict.rank() >= known.verdict.rank() {
+                    known.verdict = vote.verdict;
+                }
+                known.peers.extend(vote.peers);
+            }
+            _ => {
+                self.votes.insert(from, vote);
+            }
+        }
+    }
+
+    /// An acceptance does not count when another replica has since seen a later start of its giver:
+    /// the restarted replica may have accepted another attempt.
+    fn is_valid(&self, giver: InstanceId, vote: &Vote) -> bool {
+        let mut seen = self.votes.values().flat_map(|other| &other.peers);
+        !seen.any(|(peer, incarnation)| *peer == giver && *incarnation > vote.incarnation)
+    }
+
+    fn decide(&self, replicas: &[InstanceId], quorum: usize) -> Option<KeyDecision> {
+        let held = || {
+            self.votes.values().filter_map(|vote| match &vote.verdict {
+                Verdict::Held { same_content, outcome } => Some((*same_content, outcome.as_ref())),
+                _ => None,
+            })
+        };
+        let finished = held().find_map(|(same, outcome)| outcome.filter(|_| same));
+        if let Some(outcome) = finished {
+            return Some(replay(outcome));
+        }
+        let accepted = self.votes.iter().filter(|(giver, vote)| {
+            vote.verdict == Verdict::Accepted && self.is_valid(**giver, vote)
+        });
+        if accepted.count() >= quorum {
+            return Some(KeyDecision::Won);
+        }
+        if held().any(|(same_content, _)| !same_content) {
+            return Some(KeyDecision::NotWon(ResultCode::KeyContentMismatch));
+        }
+        let open = replicas.len() - held().count();
+        (open < quorum).then_some(KeyDecision::NotWon(ResultCode::KeyInUse))
+    }
+
+    fn resend(
+        &mut self,
+        now: Instant,
+        attempt: RequestId,
+        shards: &ShardMap,
+        out: &mut Vec<KeyAction>,
+    ) {
+        if self.resend_at > now {
+            return;
+        }
+        self.resend_at = now + CLAIM_RESEND;
+        for replica in shards.replicas(self.key.shard()) {
+            let claim = KeyMessage::Claim {
+                key: self.key.clone(),
+                attempt,
+                digest: self.digest,
+                remaining: self.deadline.saturating_duration_since(now),
+                retention: self.retention,
+            };
+            out.push(KeyAction::Send(*replica, claim));
+        }
+    }
+}
+
+impl Finish {
+    fn resend(&mut self, now: Instant, out: &mut Vec<KeyAction>) {
+        if self.resend_at > now {
+            return;
+        }
+        self.resend_at = now + FINISH_RESEND;
+        let sends = self.unconfirmed.iter();
+        out.extend(sends.map(|replica| KeyAction::Send(*replica, self.message.clone())));
+    }
+}
+
+impl Verdict {
+    fn rank(&self) -> u8 {
+        match self {
+            Self::NotReady | Self::Full => 0,
+            Self::Accepted => 1,
+            Self::Held { outcome: None, .. } => 2,
+            Self::Held { outcome: Some(_), .. } => 3,
+        }
+    }
+}
+
+fn replay(outcome: &KeyOutcome) -> KeyDecision {
+    let completed = outcome.code == ResultCode::Ok;
+    if completed && outcome.response.is_none() {
+        return KeyDecision::NotWon(ResultCode::AnswerNotKept);
+    }
+    KeyDecision::Replay(outcome.clone())
+}
--- /dev/null
+++ b/crates/request/tests/dispatcher.rs
@@ -0,0 +1,254 @@
+//! Fault cases of the dispatcher.
+
+mod common;
+
+use comfreyhold_request::dispatcher::{Action, Dispatcher, Event, GRANT_MARGIN};
+use comfreyhold_request::message::{GrantId, HeldGrant, LoadReport, Message, Pool, SlotOutcome};
+use comfreyhold_types::declarations::DomainState;
+use comfreyhold_types::prelude::*;
+use common::*;
+use std::time::{Duration, Instant};
+
+const ANSWERED: SlotOutcome = SlotOutcome::Answered { took: Duration::from_millis(20) };
+
+/// One warm target with one slot that request 1 holds.
+fn full(queue_limit: u32, now: Instant) -> (Dispatcher, GrantId) {
+    let mut d = dispatcher(warm_profile(queue_limit), vec![target(1, 1)], now);
+    let grant = only_grant(&d.handle(now, acquire(1, Priority::High, ms(5_000))));
+    (d, grant)
+}
+
+/// Guards against a slot that is lost or freed early when the network or an entry misbehaves.
+#[test]
+fn a_slot_is_freed_exactly_when_its_use_has_ended() {
+    struct Case {
+        name: &'static str,
+        outcome: Option<SlotOutcome>,
+        free_at: Duration,
+    }
+    let deadline = ms(5_000) + GRANT_MARGIN;
+    let cases = [
+        Case { name: "answered", outcome: Some(ANSWERED), free_at: ms(0) },
+        Case { name: "refused", outcome: Some(SlotOutcome::Refused), free_at: ms(0) },
+        Case { name: "failed", outcome: Some(SlotOutcome::Failed), free_at: ms(0) },
+        Case { name: "unused", outcome: Some(SlotOutcome::Unused), free_at: ms(0) },
+        Case { name: "cancelled", outcome: Some(SlotOutcome::Cancelled), free_at: GRANT_MARGIN },
+        Case { name: "unknown", outcome: Some(SlotOutcome::Unknown), free_at: deadline },
+        Case { name: "entry failed", outcome: None, free_at: deadline },
+    ];
+    for case in cases {
+        let t = Instant::now();
+        let (mut d, grant) = full(8, t);
+        match case.outcome {
+            Some(outcome) => d.handle(t, release(grant, outcome)),
+            None => d.handle(t, Event::EntryFailed(ENTRY)),
+        };
+        if case.free_at > ms(0) {
+            d.handle(t + case.free_at - ms(1), Event::Tick);
+            assert_eq!(d.occupied(address(1)), 1, "{}: freed early", case.name);
+        }
+        d.handle(t + case.free_at, Event::Tick);
+        assert_eq!(d.occupied(address(1)), 0, "{}: not freed", case.name);
+    }
+}
+
+/// Guards against a resent acquire that takes a second slot, or gets another answer than the first.
+#[test]
+fn a_resent_acquire_gets_the_same_answer() {
+    let t = Instant::now();
+    let (mut d, grant) = full(1, t);
+    let again = acquire(1, Priority::High, ms(4_990));
+    assert_eq!(only_grant(&d.handle(t + ms(10), again.clone())), grant);
+    d.handle(t + ms(20), acquire(2, Priority::Low, ms(5_000)));
+    assert!(answers(&d.handle(t + ms(30), acquire(2, Priority::Low, ms(4_990)))).is_empty());
+    assert_eq!(d.queued(), 1);
+    let refused = answers(&d.handle(t + ms(40), acquire(3, Priority::Low, ms(5_000))));
+    assert_eq!(refused, vec![(3, Err(ResultCode::Shed))]);
+    let resent = answers(&d.handle(t + ms(50), acquire(3, Priority::Low, ms(4_990))));
+    assert_eq!(resent, refused);
+    d.handle(t + ms(60), release(grant, ANSWERED));
+    assert_eq!(only_grant(&d.handle(t + ms(70), again)), grant, "no new slot after the release");
+}
+
+/// Guards against a late or doubled release that frees a slot another request holds by now.
+#[test]
+fn a_late_release_frees_nothing_else() {
+    let t = Instant::now();
+    let (mut d, grant) = full(8, t);
+    d.handle(t, release(grant, ANSWERED));
+    only_grant(&d.handle(t, acquire(2, Priority::High, ms(5_000))));
+    let confirmed = d.handle(t, release(grant, ANSWERED));
+    assert_eq!(confirmed, vec![Action::Send(ENTRY, Message::Released { grant })]);
+    assert_eq!(d.occupied(address(1)), 1);
+}
+
+/// Guards against grants that reach a caller who left, including a cancel that overtakes its acquire.
+#[test]
+fn a_cancelled_attempt_holds_no_slot() {
+    let t = Instant::now();
+    let (mut d, grant) = full(8, t);
+    d.handle(t, acquire(2, Priority::High, ms(5_000)));
+    d.handle(t, cancel(2));
+    assert_eq!(d.queued(), 0);
+    d.handle(t, cancel(3));
+    let overtaken = answers(&d.handle(t, acquire(3, Priority::High, ms(5_000))));
+    assert_eq!(overtaken, vec![(3, Err(ResultCode::CancelledBeforeStart))]);
+    d.handle(t, cancel(1));
+    assert_eq!(d.occupied(address(1)), 0, "a grant that crossed the cancel is returned");
+    d.handle(t, release(grant, ANSWERED));
+    assert_eq!(d.occupied(address(1)), 0);
+}
+
+/// Guards against reservations that are shed while less important requests wait.
+#[test]
+fn the_lowest_priority_is_shed_first() {
+    let t = Instant::now();
+    let (mut d, _) = full(2, t);
+    d.handle(t, acquire(2, Priority::Low, ms(5_000)));
+    d.handle(t, acquire(3, Priority::Normal, ms(5_000)));
+    let shed = answers(&d.handle(t, acquire(4, Priority::High, ms(5_000))));
+    assert_eq!(shed, vec![(2, Err(ResultCode::Shed))]);
+    let shed = answers(&d.handle(t, acquire(5, Priority::High, ms(5_000))));
+    assert_eq!(shed, vec![(3, Err(ResultCode::Shed))]);
+    let shed = answers(&d.handle(t, acquire(6, Priority::High, ms(5_000))));
+    assert_eq!(shed, vec![(6, Err(ResultCode::Shed))]);
+}
+
+/// Guards against requests that wait in vain until their deadline.
+#[test]
+fn a_request_that_cannot_start_in_time_is_refused_at_once() {
+    let t = Instant::now();
+    let (mut d, grant) = full(8, t);
+    let slow = SlotOutcome::Answered { took: ms(800) };
+    d.handle(t, release(grant, slow));
+    only_grant(&d.handle(t, acquire(2, Priority::High, ms(5_000))));
+    let refused = answers(&d.handle(t, acquire(3, Priority::High, ms(700))));
+    assert_eq!(refused, vec![(3, Err(ResultCode::DeadlineBeforeStart))]);
+    assert!(answers(&d.handle(t, acquire(4, Priority::High, ms(900)))).is_empty());
+    let late = answers(&d.handle(t + ms(900), Event::Tick));
+    assert_eq!(late, vec![(4, Err(ResultCode::DeadlineBeforeStart))]);
+}
+
+/// Guards against waiting at a full dispatcher while another failure domain has free slots.
+#[test]
+fn a_full_dispatcher_redirects_only_to_fresh_free_slots() {
+    let t = Instant::now();
+    for (age, free, redirected) in [(0, 1, true), (0, 0, false), (700, 1, false)] {
+        let (mut d, _) = full(8, t);
+        let pool = Pool { domain: DomainId(2), ..POOL };
+        let (epoch, capacity, queued, cold) = (1, 2, 0, Vec::new());
+        let load = Message::Load(LoadReport { pool, epoch, free, capacity, queued, cold });
+        d.handle(t, Event::Message(InstanceId(2), load));
+        let actions = d.handle(t + ms(age), acquire(2, Priority::High, ms(5_000)));
+        assert_eq!(!answers(&actions).is_empty(), redirected, "age {age}, free {free}");
+    }
+}
+
+/// Guards against work that reaches a failure domain after operators took it out, and against full
+/// load on targets that have just come back.
+#[test]
+fn a_domain_out_gets_no_grants_and_returns_cold() {
+    let t = Instant::now();
+    let profile = Profile::builder().name("orders").build();
+    let mut d = dispatcher(profile, vec![target(1, 4)], t);
+    d.handle(t, takeover(t, &[], &[]));
+    assert_eq!(d.ramp_step(address(1)), None);
+    for round in 0..2 {
+        let out = t + ms(round * 1_000);
+        d.handle(out, Event::Domain(DomainState::Out));
+        let number = 10 + round;
+        let refused = answers(&d.handle(out, acquire(number, Priority::High, ms(5_000))));
+        assert_eq!(refused, vec![(number, Err(ResultCode::NoTarget))]);
+        d.handle(out + ms(500), Event::Domain(DomainState::In));
+        assert_eq!(d.ramp_step(address(1)), Some(1), "round {round}");
+    }
+}
+
+/// Guards against new work for a leaving target, and against forgetting the work it still has.
+#[test]
+fn a_leaving_target_gets_no_new_grants() {
+    let t = Instant::now();
+    let (mut d, grant) = full(8, t);
+    let draining = TargetRecord { state: TargetState::Draining, ..target(1, 1) };
+    d.handle(t, Event::Targets(vec![draining]));
+    d.handle(t, release(grant, ANSWERED));
+    let refused = answers(&d.handle(t, acquire(2, Priority::High, ms(5_000))));
+    assert_eq!(refused, vec![(2, Err(ResultCode::NoTarget))]);
+    let (mut d, _) = full(8, t);
+    d.handle(t, Event::Targets(Vec::new()));
+    d.handle(t, Event::Targets(vec![target(1, 1)]));
+    assert_eq!(d.occupied(address(1)), 1, "a target that flaps keeps its count");
+}
+
+fn held(number: u64, target: u16, remaining: Duration) -> HeldGrant {
+    let grant = GrantId { epoch: 6, issuer: InstanceId(3), number };
+    HeldGrant { grant, target: address(target), remaining }
+}
+
+fn report(from: u16, grants: Vec<HeldGrant>) -> Event {
+    Event::Message(InstanceId(from), Message::HeldGrants { pool: POOL, epoch: 7, grants })
+}
+
+/// Guards against two dispatchers granting at once, and against granting before all reports are in.
+#[test]
+fn a_takeover_waits_for_the_lease_and_for_reports() {
+    let t = Instant::now();
+    let mut d = dispatcher(warm_profile(8), vec![target(1, 1), target(2, 1)], t);
+    let asked = d.handle(t, takeover(t + ms(2_000), &[1, 2], &[]));
+    let ask = Message::ReportGrants { pool: POOL, epoch: 7 };
+    assert!(asked.contains(&Action::Send(InstanceId(2), ask)));
+    assert!(answers(&d.handle(t, acquire(1, Priority::High, ms(9_000)))).is_empty());
+    d.handle(t, report(1, vec![held(1, 1, ms(3_000))]));
+    let at_lease_end = d.handle(t + ms(2_000), Event::Tick);
+    assert!(answers(&at_lease_end).is_empty(), "entry 2 has not reported");
+    let granted = answers(&d.handle(t + ms(2_050), report(2, Vec::new())));
+    assert_eq!(granted.len(), 1);
+    assert_eq!(granted[0].1.unwrap().1, address(2), "target 1 is held by entry 1");
+    let early = t + ms(3_000) + GRANT_MARGIN;
+    d.handle(early - ms(1), Event::Tick);
+    assert_eq!(d.occupied(address(1)), 1);
+    d.handle(early, Event::Tick);
+    assert_eq!(d.occupied(address(1)), 0);
+}
+
+/// Guards against counting an adopted grant for ever when its release overtakes the report.
+#[test]
+fn a_release_that_overtakes_the_report_counts() {
+    let t = Instant::now();
+    let mut d = dispatcher(warm_profile(8), vec![target(1, 1)], t);
+    d.handle(t, takeover(t, &[1], &[]));
+    d.handle(t, release(held(1, 1, ms(3_000)).grant, ANSWERED));
+    d.handle(t, report(1, vec![held(1, 1, ms(3_000))]));
+    assert_eq!(d.occupied(address(1)), 0);
+}
+
+/// Guards against exceeding slots that a failed or silent entry may still use.
+#[test]
+fn slots_unknown_to_a_takeover_count_until_the_longest_deadline() {
+    let t = Instant::now();
+    for (live, failed) in [(vec![1, 2], vec![]), (vec![1], vec![2])] {
+        let mut d = dispatcher(warm_profile(8), vec![target(1, 1), target(2, 1)], t);
+        d.handle(t, takeover(t, &live, &failed));
+        d.handle(t, report(1, vec![held(1, 1, ms(3_000))]));
+        d.handle(t + ms(1_000), acquire(1, Priority::High, ms(9_000)));
+        assert_eq!(d.occupied(address(2)), 1, "entry 2 may use target 2");
+        let freed = d.handle(t + ms(1_100), release(held(1, 1, ms(0)).grant, ANSWERED));
+        assert_eq!(answers(&freed).len(), 1, "a slot of a live entry is known to be free");
+        let end = t + ms(10_000) + GRANT_MARGIN;
+        d.handle(end - ms(1), Event::Tick);
+        assert_eq!(d.occupied(address(2)), 1);
+        d.handle(end, Event::Tick);
+        assert_eq!(d.occupied(address(2)), 0);
+    }
+}
+
+/// Guards against slots that stay blocked although the entry thought dead has reported after all.
+#[test]
+fn a_late_report_ends_the_reservation() {
+    let t = Instant::now();
+    let mut d = dispatcher(warm_profile(8), vec![target(1, 2)], t);
+    d.handle(t, takeover(t, &[], &[2]));
+    assert_eq!(d.occupied(address(1)), 2);
+    d.handle(t + ms(50), report(2, vec![held(1, 1, ms(3_000))]));
+    assert_eq!(d.occupied(address(1)), 1);
+}
--- /dev/null
+++ b/crates/request/tests/key_schedules.rs
@@ -0,0 +1,255 @@
+//! At most one attempt wins a key, under seeded schedules of loss, delay, duplication, reordering and
+//! restarts of replicas.
+
+use comfreyhold_request::key_client::{KeyAction, KeyClient, KeyDecision};
+use comfreyhold_request::key_replica::{KeyReplica, ReplicaConfig};
+use comfreyhold_request::keys::{ContentDigest, KeyMessage, KeyName, KeyOutcome, ShardMap};
+use comfreyhold_request::message::RequestId;
+use comfreyhold_types::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+const SCHEDULES: u64 = 4_000;
+const REPLICAS: u16 = 3;
+const ATTEMPTS: u64 = 6;
+const ATTEMPT_MS: u64 = 1_500;
+const TICK_MS: u64 = 10;
+
+struct Run {
+    rng: StdRng,
+    start: Instant,
+    now: Instant,
+    shards: ShardMap,
+    shard: u16,
+    retention: Duration,
+    replicas: BTreeMap<InstanceId, (KeyReplica, u64)>,
+    clients: BTreeMap<RequestId, KeyClient>,
+    /// Messages under way by arrival: `Some` attempt for a client, otherwise for a replica.
+    network: BTreeMap<(Instant, u64), (InstanceId, Packet)>,
+    sent: u64,
+    loss: f64,
+    duplication: f64,
+    slowest_ms: u64,
+    /// Wins: attempt, time and end of the possible run.
+    wins: Vec<(RequestId, Instant, Instant)>,
+    deadlines: BTreeMap<RequestId, Instant>,
+}
+
+enum Packet {
+    ToReplica { from: Source, msg: KeyMessage },
+    ToClient { attempt: RequestId, from: InstanceId, msg: KeyMessage },
+}
+
+#[derive(Clone, Copy)]
+enum Source {
+    Client(RequestId),
+    Replica(InstanceId),
+}
+
+fn key() -> KeyName {
+    KeyName { service: ServiceId(1), key: "reservation-1".to_owned() }
+}
+
+/// Other shards hold no key here; their refills would only slow the test down.
+fn is_about(msg: &KeyMessage, wanted: u16) -> bool {
+    matches!(msg, KeyMessage::Refill { shard, .. } if *shard == wanted)
+}
+
+impl Run {
+    fn new(seed: u64, retention: Duration) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let start = Instant::now();
+        let shards = ShardMap::new(&[1, 2, 3].map(|id| (InstanceId(id), DomainId(id))));
+        let (loss, duplication) = (rng.random_range(0.0..0.4), rng.random_range(0.0..0.3));
+        let slowest_ms = rng.random_range(2..800);
+        let mut run = Self {
+            rng,
+            start,
+            now: start,
+            shards,
+            shard: key().shard(),
+            retention,
+            replicas: BTreeMap::new(),
+            clients: BTreeMap::new(),
+            network: BTreeMap::new(),
+            sent: 0,
+            loss,
+            duplication,
+            slowest_ms,
+            wins: Vec::new(),
+            deadlines: BTreeMap::new(),
+        };
+        for id in 1..=REPLICAS {
+            run.start_replica(InstanceId(id), 1);
+        }
+        run
+    }
+
+    fn start_replica(&mut self, instance: InstanceId, incarnation: u64) {
+        let cfg = ReplicaConfig::builder()
+            .instance(instance)
+            .incarnation(Incarnation(incarnation))
+            .shards(self.shards.clone())
+            .max_attempt(Duration::from_millis(ATTEMPT_MS))
+            .max_retention(self.retention)
+            .first_start(incarnation == 1)
+            .build();
+        self.replicas.insert(instance, (KeyReplica::new(cfg, self.now), incarnation));
+    }
+
+    fn send(&mut self, to: InstanceId, packet: impl Fn() -> Packet) {
+        let copies = if self.rng.random_bool(self.duplication) { 2 } else { 1 };
+        for _ in 0..copies {
+            if self.rng.random_bool(self.loss) {
+                continue;
+            }
+            let delay = self.rng.random_range(1..=self.slowest_ms);
+            self.sent += 1;
+            let arrival = self.now + Duration::from_millis(delay);
+            self.network.insert((arrival, self.sent), (to, packet()));
+        }
+    }
+
+    fn begin(&mut self, number: u64) {
+        let entry = InstanceId(u16::try_from(number).expect("a small number") + 10);
+        let attempt = RequestId { entry, incarnation: Incarnation(1), number };
+        let digest = ContentDigest::of("POST", "/orders", b"a");
+        let deadline = self.now + Duration::from_millis(ATTEMPT_MS);
+        let mut client = KeyClient::new(self.shards.clone());
+        let actions = client.claim(self.now, attempt, key(), digest, deadline, self.retention);
+        self.clients.insert(attempt, client);
+        self.deadlines.insert(attempt, deadline);
+        self.act(attempt, actions);
+    }
+
+    fn act(&mut self, attempt: RequestId, actions: Vec<KeyAction>) {
+        for action in actions {
+            match action {
+                KeyAction::Send(to, msg) => {
+                    let from = Source::Client(attempt);
+                    self.send(to, || Packet::ToReplica { from, msg: msg.clone() });
+                }
+                KeyAction::Decided(_, KeyDecision::Won) => {
+                    self.wins.push((attempt, self.now, self.deadlines[&attempt]));
+                }
+                KeyAction::Decided(..) => {}
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some(((at, _), _)) = self.network.first_key_value() {
+            if *at > self.now {
+                return;
+            }
+            let Some((_, (to, packet))) = self.network.pop_first() else { return };
+            match packet {
+                Packet::ToReplica { from, msg } => self.deliver_to_replica(to, from, msg),
+                Packet::ToClient { attempt, from, msg } => {
+                    let Some(client) = self.clients.get_mut(&attempt) else { continue };
+                    let actions = client.on_message(self.now, from, msg);
+                    self.act(attempt, actions);
+                }
+            }
+        }
+    }
+
+    fn deliver_to_replica(&mut self, to: InstanceId, source: Source, msg: KeyMessage) {
+        let Some((replica, _)) = self.replicas.get_mut(&to) else { return };
+        let from = match source {
+            Source::Client(attempt) => attempt.entry,
+            Source::Replica(instance) => instance,
+        };
+        for (_, msg) in replica.on_message(self.now, from, msg) {
+            match source {
+                Source::Client(attempt) => {
+                    self.send(from, || Packet::ToClient { attempt, from: to, msg: msg.clone() });
+                }
+                Source::Replica(instance) => {
+                    let from = Source::Replica(to);
+                    self.send(instance, || Packet::ToReplica { from, msg: msg.clone() });
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, restart_chance: f64) {
+        self.now += Duration::from_millis(TICK_MS);
+        self.deliver();
+        let instances: Vec<_> = self.replicas.keys().copied().collect();
+        for instance in instances {
+            if self.rng.random_bool(restart_chance) {
+                let incarnation = self.replicas[&instance].1 + 1;
+                self.start_replica(instance, incarnation);
+            }
+            let Some((replica, _)) = self.replicas.get_mut(&instance) else { continue };
+            let asks = replica.tick(self.now);
+            let of_shard = asks.into_iter().filter(|(_, ask)| is_about(ask, self.shard));
+            for (to, msg) in of_shard.collect::<Vec<_>>() {
+                let from = Source::Replica(instance);
+                self.send(to, || Packet::ToReplica { from, msg: msg.clone() });
+            }
+        }
+        for attempt in self.clients.keys().copied().collect::<Vec<_>>() {
+            let Some(client) = self.clients.get_mut(&attempt) else { continue };
+            let mut actions = client.tick(self.now);
+            if self.rng.random_bool(0.02) {
+                let outcome = KeyOutcome { code: ResultCode::Ok, response: Some(vec![1]) };
+                actions.extend(client.finish(self.now, attempt, outcome));
+            }
+            self.act(attempt, actions);
+        }
+    }
+
+    fn run(&mut self, steps: u64, restart_chance: f64) {
+        let mut begins: Vec<u64> =
+            (0..ATTEMPTS).map(|_| self.rng.random_range(0..steps * 3 / 4)).collect();
+        begins[1] = begins[0];
+        begins[2] = begins[0] + 1;
+        for step in 0..steps {
+            for (number, at) in begins.clone().into_iter().enumerate() {
+                if at == step {
+                    self.begin(number as u64);
+                }
+            }
+            self.step(restart_chance);
+        }
+    }
+}
+
+/// Guards against two runs of one reservation. Runs end before any record may be forgotten, so a
+/// second win at any time is an error.
+#[test]
+fn at_most_one_attempt_wins_across_restarts() {
+    let mut won = 0;
+    for seed in 0..SCHEDULES {
+        let mut run = Run::new(seed, Duration::from_secs(60));
+        let restart_chance = if seed % 4 == 0 { 0.0 } else { 0.01 };
+        run.run(400, restart_chance);
+        assert!(run.wins.len() <= 1, "seed {seed}: {:?}", run.wins);
+        won += run.wins.len();
+    }
+    assert!(won > 1_000, "schedules without winners prove nothing; {won} had one");
+}
+
+/// Guards against a replica that forgets a key, or votes again without its records, while an attempt
+/// that won it can still run. Retention is shorter than the run here.
+#[test]
+fn a_key_is_not_won_again_while_its_winner_may_run() {
+    let (mut won, mut again) = (0, 0);
+    for seed in 0..SCHEDULES / 4 {
+        let mut run = Run::new(seed, Duration::from_millis(100));
+        run.run(2_000, 0.001);
+        for pair in run.wins.windows(2) {
+            let ((_, _, first_ends), (_, second_begins, _)) = (pair[0], pair[1]);
+            let since = second_begins.duration_since(run.start);
+            assert!(second_begins >= first_ends, "seed {seed}: second win after {since:?}");
+            again += 1;
+        }
+        won += run.wins.len();
+    }
+    assert!(won > 500, "schedules without winners prove nothing; {won} wins");
+    assert!(again > 20, "the retention must run out in some schedules; {again} did");
+}
