--- a/crates/request/src/budget.rs
+++ b/crates/request/src/budget.rs
@@ -4,8 +4,9 @@
 use comfreyhold_types::profile::RetryRule;
 use std::time::{Duration, Instant};
 
-/// Cost of one retry in tokens. First tries deposit `budget_percent` tokens each.
-const RETRY_COST: u64 = 100;
+/// Cost of one retry in tokens, fine enough that a percent of it and the floor's share of a millisecond
+/// are whole numbers; rounding would lose tokens at every refill.
+const RETRY_COST: u64 = 100_000;
 
 /// Retries that can be saved up; bounds the burst after a quiet period.
 const MAX_SAVED_RETRIES: u64 = 20;
@@ -28,7 +29,7 @@
 
     /// Deposits the share of one first try.
     pub fn on_first_try(&mut self) {
-        self.deposit(u64::from(self.rule.budget_percent));
+        self.deposit(u64::from(self.rule.budget_percent) * (RETRY_COST / 100));
     }
 
     /// Withdraws one retry. `false` means that the budget is spent.
@@ -43,10 +44,7 @@
         let floor = u64::from(self.rule.floor_per_s);
         let elapsed = now.saturating_duration_since(self.refilled);
         let millis = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
-        let gained = millis.saturating_mul(floor).saturating_mul(RETRY_COST) / 1_000;
-        if gained == 0 {
-            return;
-        }
+        let gained = millis.saturating_mul(floor).saturating_mul(RETRY_COST / 1_000);
         self.refilled += Duration::from_millis(millis);
         self.deposit(gained);
     }
