Add the membership decision cores

Cause: daemons need failure detection, target announcements, installation of revisions with leases, counters and a timeline as state machines that can be tested without sockets.

--- /dev/null
+++ b/crates/membership/src/probes.rs
@@ -0,0 +1,90 @@
+//! Messages and actions of the failure detector.
+
+use crate::members::Update;
+use comfreyhold_types::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// Messages between detectors. Each carries the sender's own state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DetectorMessage {
+    /// The sender's statement about itself.
+    pub sender: Update,
+    /// Updates passed on.
+    pub updates: Vec<Update>,
+    /// What the message is for.
+    pub body: DetectorBody,
+}
+
+/// Purpose of a detector message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DetectorBody {
+    /// Asks for an `Ack`.
+    Probe {
+        /// Number of the probe.
+        number: u32,
+        /// On whose behalf the sender probes.
+        origin: Option<InstanceId>,
+    },
+    /// Confirms a probe.
+    Ack {
+        /// Number of the probe.
+        number: u32,
+        /// As in the probe.
+        origin: Option<InstanceId>,
+    },
+    /// Asks the receiver to probe another member.
+    ProbeRequest {
+        /// Number of the probe.
+        number: u32,
+        /// The member to probe.
+        target: InstanceId,
+    },
+    /// Passes on the `Ack` of a requested probe.
+    IndirectAck {
+        /// Number of the probe.
+        number: u32,
+        /// The member that responded.
+        target: Update,
+    },
+    /// A part of the member list, in `updates`.
+    Sync {
+        /// Whether the receiver should send its whole list.
+        want: bool,
+    },
+}
+
+/// How the live set changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The member is live for the first time, or again.
+    Alive,
+    /// A newer start of the member replaced the older one.
+    Restarted,
+    /// The member is suspected; it still counts as live.
+    Suspected,
+    /// The member was declared dead.
+    Dead,
+    /// The member stopped gracefully.
+    Left,
+}
+
+/// What the daemon has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a message.
+    Send {
+        /// Receiver.
+        to: InstanceId,
+        /// Message.
+        message: DetectorMessage,
+    },
+    /// A member's state changed.
+    Changed {
+        /// How.
+        change: Change,
+        /// The member's new state.
+        member: Update,
+    },
+    /// Another process with this instance number and a higher incarnation exists; this one must stop.
+    Superseded(Incarnation),
+}
--- /dev/null
+++ b/crates/membership/src/targets.rs
@@ -0,0 +1,132 @@
+//! Announced targets as a mergeable map. The merge is commutative, associative and idempotent, so
+//! entries that exchange their records in any order end with the same map.
+
+use comfreyhold_types::declarations::TargetBatch;
+use comfreyhold_types::prelude::*;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Whether one entry hears a target. A higher `version` replaces a lower one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Hearing {
+    /// Incarnation of the entry and number of the change, so that a restarted entry continues higher.
+    pub version: (Incarnation, u64),
+    /// Whether the target's lease runs at the entry.
+    pub hears: bool,
+}
+
+/// What is known about the target at one address.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announced {
+    /// The announced record.
+    pub record: TargetRecord,
+    /// Number of the content within the incarnation.
+    pub sequence: u64,
+    /// Lease that the target asked for, in milliseconds.
+    pub lease_ms: u64,
+    /// Which entries hear this incarnation.
+    pub heard_by: BTreeMap<InstanceId, Hearing>,
+}
+
+impl Announced {
+    /// Whether at least one entry hears the target.
+    #[must_use]
+    pub fn is_heard(&self) -> bool {
+        self.heard_by.values().any(|hearing| hearing.hears)
+    }
+
+    /// Order of contents; the state ranks before the rest, so that of two entries that number a
+    /// content alike, the one that saw the target drain wins.
+    fn order(&self) -> impl Ord + use<'_> {
+        let record = &self.record;
+        let content = (&record.service, record.domain, record.slots, self.lease_ms);
+        (record.incarnation, self.sequence, record.state, content)
+    }
+
+    fn merge(&mut self, other: &Self) {
+        if other.record.incarnation > self.record.incarnation {
+            *self = other.clone();
+            return;
+        }
+        if other.record.incarnation < self.record.incarnation {
+            return;
+        }
+        if other.order() > self.order() {
+            self.record = other.record.clone();
+            self.sequence = other.sequence;
+            self.lease_ms = other.lease_ms;
+        }
+        for (entry, hearing) in &other.heard_by {
+            let known = self.heard_by.entry(*entry).or_insert(*hearing);
+            *known = (*known).max(*hearing);
+        }
+    }
+}
+
+/// Announced targets by address.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetMap {
+    targets: BTreeMap<SocketAddr, Announced>,
+}
+
+impl TargetMap {
+    /// The target at an address.
+    #[must_use]
+    pub fn get(&self, address: SocketAddr) -> Option<&Announced> {
+        self.targets.get(&address)
+    }
+
+    /// All records, targets that nobody hears included.
+    pub fn iter(&self) -> impl Iterator<Item = &Announced> {
+        self.targets.values()
+    }
+
+    /// Merges one record and returns whether it changed anything.
+    pub fn merge_one(&mut self, other: &Announced) -> bool {
+        let Some(known) = self.targets.get_mut(&other.record.address) else {
+            self.targets.insert(other.record.address, other.clone());
+            return true;
+        };
+        let before = known.clone();
+        known.merge(other);
+        *known != before
+    }
+
+    /// Merges all records of another map.
+    pub fn merge(&mut self, other: &Self) {
+        for announced in other.targets.values() {
+            self.merge_one(announced);
+        }
+    }
+
+    /// Forgets targets for which `keep` returns false.
+    pub fn retain(&mut self, mut keep: impl FnMut(&Announced) -> bool) {
+        self.targets.retain(|_, announced| keep(announced));
+    }
+
+    /// Changes that turn the declared target set into the announced one. `is_heard` decides which
+    /// targets still exist. A declared target without a record is left alone: its entries may not
+    /// have reported yet.
+    #[must_use]
+    pub fn batch(
+        &self,
+        declared: &BTreeMap<SocketAddr, TargetRecord>,
+        is_heard: impl Fn(&Announced) -> bool,
+    ) -> TargetBatch {
+        let mut batch = TargetBatch::default();
+        for announced in self.targets.values() {
+            let record = &announced.record;
+            let known = declared.get(&record.address);
+            if !is_heard(announced) {
+                let ended = known.filter(|known| known.incarnation <= record.incarnation);
+                batch.removals.extend(ended.map(|_| (record.address, record.incarnation)));
+            } else if known
+                .is_none_or(|known| known != record && known.incarnation <= record.incarnation)
+            {
+                batch.upserts.push(record.clone());
+            }
+        }
+        batch
+    }
+}
