Add target, fabric, fault proxy and load generator

Cause: the daemons need counterparts to be tested against: targets, the packet fabric, network faults and callers. Change: crates/lab gets a library and the commands target, fabric, proxy, load and up. Targets log each run; the load compares that log with what callers saw.

--- /dev/null
+++ b/crates/lab/src/cmd/load.rs
@@ -0,0 +1,51 @@
+//! `comfreyhold-lab load --settings FILE [--out FOLDER] [--revision NAME]`
+//!
+//! Runs the load, prints the report and writes it to the folder. Exit status 2 means that a check
+//! does not hold.
+
+use anyhow::Result;
+use bpaf::Bpaf;
+use comfreyhold_lab::load::{self, LoadSettings};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tokio::process::Command;
+
+const CHECK_FAILED: u8 = 2;
+
+#[derive(Clone, Debug, Bpaf)]
+pub struct Args {
+    /// YAML settings of the load
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+    /// Folder for load.json, load.txt and load.svg
+    #[bpaf(argument("FOLDER"))]
+    out: Option<PathBuf>,
+    /// Source revision for the report; that of the current folder when missing
+    #[bpaf(argument("NAME"))]
+    revision: Option<String>,
+}
+
+pub async fn run(args: Args) -> Result<ExitCode> {
+    let settings = LoadSettings::read(&args.settings)?;
+    let revision = match args.revision {
+        Some(revision) => revision,
+        None => current_revision().await,
+    };
+    let report = load::run(&settings, &revision).await?;
+    print!("{}", report.table());
+    if let Some(folder) = args.out {
+        report.write(&folder)?;
+    }
+    let holds = report.checks.holds();
+    Ok(if holds { ExitCode::SUCCESS } else { ExitCode::from(CHECK_FAILED) })
+}
+
+async fn current_revision() -> String {
+    let output = Command::new("git").args(["describe", "--always", "--dirty"]).output().await;
+    match output {
+        Ok(output) if output.status.success() => {
+            String::from_utf8_lossy(&output.stdout).trim().to_owned()
+        }
+        _ => "unknown".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/cmd/mod.rs
@@ -0,0 +1,95 @@
+//! Commands of `comfreyhold-lab`, one file each.
+
+mod fabric;
+mod load;
+mod proxy;
+mod target;
+mod up;
+
+use anyhow::Result;
+use bpaf::Bpaf;
+use comfreyhold_lab::lifetime::{DEFAULT_RUN_LIMIT, wait_for_stop};
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Stand-ins that the comfreyhold daemons are tested against
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+enum Command {
+    /// Run a simulated target
+    #[bpaf(command)]
+    Target(#[bpaf(external(target::args))] target::Args),
+    /// Run a packet fabric
+    #[bpaf(command)]
+    Fabric(#[bpaf(external(fabric::args))] fabric::Args),
+    /// Run a fault-injecting proxy
+    #[bpaf(command)]
+    Proxy(#[bpaf(external(proxy::args))] proxy::Args),
+    /// Generate load and report on its outcomes
+    #[bpaf(command)]
+    Load(#[bpaf(external(load::args))] load::Args),
+    /// Run a whole local deployment
+    #[bpaf(command)]
+    Up(#[bpaf(external(up::args))] up::Args),
+}
+
+/// When a stand-in stops by itself.
+#[derive(Clone, Debug, Bpaf)]
+struct Lifetime {
+    /// Stop after this time
+    #[bpaf(argument("MS"))]
+    run_limit_ms: Option<u64>,
+    /// Stop when standard input is closed, as it is when the parent process ends
+    until_input_closes: bool,
+}
+
+impl Lifetime {
+    async fn wait(&self) -> Result<()> {
+        let limit = self.run_limit_ms.map_or(DEFAULT_RUN_LIMIT, Duration::from_millis);
+        let reason = wait_for_stop(limit, self.until_input_closes).await?;
+        log::info!("stopping: {reason:?}");
+        Ok(())
+    }
+}
+
+/// Parses the command line and runs the command.
+pub fn run() -> ExitCode {
+    let command = command().run();
+    let result = start_logging().and_then(|()| dispatch(command));
+    match result {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn dispatch(command: Command) -> Result<ExitCode> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(async {
+        match command {
+            Command::Target(args) => target::run(args).await,
+            Command::Fabric(args) => fabric::run(args).await,
+            Command::Proxy(args) => proxy::run(args).await,
+            Command::Load(args) => load::run(args).await,
+            Command::Up(args) => up::run(args).await,
+        }
+    })
+}
+
+fn start_logging() -> Result<()> {
+    fern::Dispatch::new()
+        .format(|out, message, record| {
+            out.finish(format_args!(
+                "{} {} {}: {message}",
+                comfreyhold_lab::wall_us(),
+                record.level(),
+                record.target()
+            ));
+        })
+        .level(log::LevelFilter::Info)
+        .chain(std::io::stderr())
+        .apply()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/http.rs
@@ -0,0 +1,220 @@
+//! Small HTTP/1.1 server and client on hyper, with whole bodies in memory.
+
+use anyhow::{Context as _, Result, bail};
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+
+/// A response with its body in memory.
+pub type Reply = Response<Full<Bytes>>;
+
+/// Limit for control requests between the stand-ins.
+pub const CONTROL_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Idle connections kept per address by [`Client`].
+const MAX_IDLE: usize = 64;
+
+/// Serves requests until the future is dropped, which also ends the open connections.
+pub async fn serve<F, Fut>(listener: TcpListener, handler: F)
+where
+    F: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
+    Fut: Future<Output = Reply> + Send + 'static,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => { connections.spawn(serve_one(stream, handler.clone())); }
+                Err(error) => {
+                    log::warn!("accept failed: {error}");
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn serve_one<F, Fut>(stream: TcpStream, handler: F)
+where
+    F: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
+    Fut: Future<Output = Reply> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let reply = handler(request);
+        async move { Ok::<_, Infallible>(reply.await) }
+    });
+    let connection = hyper::server::conn::http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(error) = connection {
+        log::debug!("connection ended: {error}");
+    }
+}
+
+/// A response with a status and a text body.
+pub fn text(status: StatusCode, body: impl Into<Bytes>) -> Reply {
+    let mut reply = Response::new(Full::new(body.into()));
+    *reply.status_mut() = status;
+    reply
+}
+
+/// A JSON response with status 200.
+pub fn json<T: Serialize>(value: &T) -> Reply {
+    match serde_json::to_vec(value) {
+        Ok(body) => text(StatusCode::OK, body),
+        Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
+
+/// Reads a JSON request body. An empty body gives the default value.
+///
+/// # Errors
+/// The body can't be read, or is not valid JSON for the type.
+pub async fn read_json<T: DeserializeOwned + Default>(request: Request<Incoming>) -> Result<T> {
+    let body = request.into_body().collect().await?.to_bytes();
+    if body.is_empty() {
+        return Ok(T::default());
+    }
+    Ok(serde_json::from_slice(&body)?)
+}
+
+/// What happened to a request that was sent.
+#[derive(Debug)]
+pub enum Sent {
+    /// A whole response.
+    Answered(Response<Bytes>),
+    /// No connection could be opened; nothing was written.
+    NotWritten(String),
+    /// The request may have arrived, and no whole response came.
+    Lost(String),
+}
+
+/// Client that reuses connections. A connection that ended with a lost answer is closed.
+#[derive(Debug, Default)]
+pub struct Client {
+    idle: Mutex<BTreeMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>>,
+}
+
+impl Client {
+    /// Sends a request, and waits for its whole response at most for the limit.
+    pub async fn send(
+        &self,
+        to: SocketAddr,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Sent {
+        let opened = tokio::time::timeout(limit, self.connection(to)).await;
+        let mut connection = match opened {
+            Ok(Ok(connection)) => connection,
+            Ok(Err(error)) => return Sent::NotWritten(error.to_string()),
+            Err(_) => return Sent::NotWritten("connect timed out".to_owned()),
+        };
+        let exchange = async {
+            let (parts, body) = connection.send_request(request).await?.into_parts();
+            let body = body.collect().await?.to_bytes();
+            Ok::<_, hyper::Error>(Response::from_parts(parts, body))
+        };
+        match tokio::time::timeout(limit, exchange).await {
+            Ok(Ok(response)) => {
+                self.keep(to, connection);
+                Sent::Answered(response)
+            }
+            Ok(Err(error)) => Sent::Lost(error.to_string()),
+            Err(_) => Sent::Lost("no answer within the limit".to_owned()),
+        }
+    }
+
+    async fn connection(&self, to: SocketAddr) -> Result<SendRequest<Full<Bytes>>> {
+        while let Some(mut idle) = self.take_idle(to) {
+            if idle.ready().await.is_ok() {
+                return Ok(idle);
+            }
+        }
+        let stream = TcpStream::connect(to).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("client connection ended: {error}");
+            }
+        });
+        Ok(sender)
+    }
+
+    fn take_idle(&self, to: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+        crate::lock(&self.idle).get_mut(&to)?.pop()
+    }
+
+    fn keep(&self, to: SocketAddr, connection: SendRequest<Full<Bytes>>) {
+        let mut idle = crate::lock(&self.idle);
+        let kept = idle.entry(to).or_default();
+        if kept.len() < MAX_IDLE && !connection.is_closed() {
+            kept.push(connection);
+        }
+    }
+}
+
+/// Builds a request with a body, and the address as its host.
+///
+/// # Errors
+/// The path is not a valid request target.
+pub fn request(
+    method: Method,
+    to: SocketAddr,
+    path: &str,
+    body: impl Into<Bytes>,
+) -> Result<Request<Full<Bytes>>> {
+    let builder = Request::builder().method(method).uri(path).header("host", to.to_string());
+    Ok(builder.body(Full::new(body.into()))?)
+}
+
+/// Sends a control request on a new connection and returns the body of a successful response.
+///
+/// # Errors
+/// No whole response came, or its status is not a success.
+pub async fn call(method: Method, to: SocketAddr, path: &str, body: Vec<u8>) -> Result<Bytes> {
+    let request = request(method, to, path, body)?;
+    match Client::default().send(to, request, CONTROL_TIMEOUT).await {
+        Sent::Answered(response) if response.status().is_success() => Ok(response.into_body()),
+        Sent::Answered(response) => {
+            let body = String::from_utf8_lossy(response.body()).into_owned();
+            bail!("{to}{path}: {}: {body}", response.status())
+        }
+        Sent::NotWritten(error) | Sent::Lost(error) => bail!("{to}{path}: {error}"),
+    }
+}
+
+/// Gets a JSON document.
+///
+/// # Errors
+/// As [`call`], or the document does not match the type.
+pub async fn get_json<T: DeserializeOwned>(to: SocketAddr, path: &str) -> Result<T> {
+    let body = call(Method::GET, to, path, Vec::new()).await?;
+    serde_json::from_slice(&body).with_context(|| format!("{to}{path}: unexpected document"))
+}
+
+/// Gets a document of JSON lines.
+///
+/// # Errors
+/// As [`call`], or a line does not match the type.
+pub async fn get_json_lines<T: DeserializeOwned>(to: SocketAddr, path: &str) -> Result<Vec<T>> {
+    let body = call(Method::GET, to, path, Vec::new()).await?;
+    let lines = serde_json::Deserializer::from_slice(&body).into_iter();
+    lines.collect::<Result<_, _>>().with_context(|| format!("{to}{path}: unexpected line"))
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,1 +1,38 @@
-//! Placeholder.
+//! Stand-ins that the daemons are tested against: target, packet fabric, fault-injecting proxy, load
+//! generator and a local deployment. All of them listen on loopback addresses.
+
+pub mod checks;
+pub mod echo;
+pub mod fabric;
+pub mod flow_load;
+pub mod http;
+pub mod lifetime;
+pub mod load;
+pub mod packet;
+pub mod plot;
+pub mod proxy;
+pub mod proxy_control;
+pub mod report;
+pub mod request_load;
+pub mod runlog;
+pub mod scenario;
+pub mod service_time;
+pub mod target;
+pub mod target_http;
+pub mod target_tasks;
+pub mod up;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Locks a mutex. A panic of another holder does not make the data unreadable.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Wall-clock time in microseconds since the Unix epoch, comparable between processes of a machine.
+#[must_use]
+pub fn wall_us() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/lab/src/lifetime.rs
@@ -0,0 +1,92 @@
+//! Start and stop of the stand-in processes.
+
+use anyhow::{Context as _, Result};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::io::{Read as _, Write as _};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Longest run of a stand-in when no limit is given, so that none outlives a failed test for long.
+pub const DEFAULT_RUN_LIMIT: Duration = Duration::from_secs(900);
+
+/// The JSON line that a process prints to standard output once it serves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartLine {
+    /// Name of the program or command.
+    pub program: String,
+    /// Process id.
+    pub pid: u32,
+    /// Bound addresses by purpose, such as `http` and `packets`.
+    pub addresses: BTreeMap<String, SocketAddr>,
+}
+
+impl StartLine {
+    /// Describes this process.
+    #[must_use]
+    pub fn new(program: &str, addresses: &[(&str, SocketAddr)]) -> Self {
+        let addresses = addresses.iter().map(|(name, addr)| ((*name).to_owned(), *addr)).collect();
+        Self { program: program.to_owned(), pid: std::process::id(), addresses }
+    }
+
+    /// Prints the line to standard output.
+    ///
+    /// # Errors
+    /// Standard output can't be written.
+    pub fn print(&self) -> Result<()> {
+        let line = serde_json::to_string(self)?;
+        let mut out = std::io::stdout().lock();
+        writeln!(out, "{line}")?;
+        out.flush()?;
+        Ok(())
+    }
+
+    /// Address bound for a purpose.
+    ///
+    /// # Errors
+    /// The process names no such address.
+    pub fn address(&self, purpose: &str) -> Result<SocketAddr> {
+        let found = self.addresses.get(purpose).copied();
+        found.with_context(|| format!("{} names no {purpose} address", self.program))
+    }
+}
+
+/// Why a process stops.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopReason {
+    /// SIGTERM or SIGINT.
+    Signal,
+    /// The run limit has passed.
+    RunLimit,
+    /// Standard input was closed, which happens when the parent ends.
+    InputClosed,
+}
+
+/// Waits until the process is to stop. `watch_input` also stops it when standard input is closed.
+///
+/// # Errors
+/// The signal handlers can't be installed.
+pub async fn wait_for_stop(limit: Duration, watch_input: bool) -> Result<StopReason> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    let input = input_closed(watch_input);
+    Ok(tokio::select! {
+        _ = term.recv() => StopReason::Signal,
+        _ = int.recv() => StopReason::Signal,
+        () = input => StopReason::InputClosed,
+        () = tokio::time::sleep(limit) => StopReason::RunLimit,
+    })
+}
+
+async fn input_closed(watch: bool) {
+    if !watch {
+        return std::future::pending().await;
+    }
+    let (tx, rx) = tokio::sync::oneshot::channel();
+    std::thread::spawn(move || {
+        let _ = std::io::stdin().read_to_end(&mut Vec::new());
+        let _ = tx.send(());
+    });
+    let _ = rx.await;
+}
--- /dev/null
+++ b/crates/lab/src/proxy_control.rs
@@ -0,0 +1,35 @@
+//! HTTP control endpoint of the fault-injecting proxy.
+
+use crate::http::{self, Reply, json, text};
+use crate::proxy::{Faults, ProxyHandle};
+use anyhow::Result;
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use tokio::net::TcpListener;
+
+pub(crate) async fn serve(handle: ProxyHandle, listener: TcpListener) {
+    http::serve(listener, move |request| {
+        let handle = handle.clone();
+        async move {
+            let reply = control(&handle, request).await;
+            reply.unwrap_or_else(|e| text(StatusCode::BAD_REQUEST, e.to_string()))
+        }
+    })
+    .await;
+}
+
+async fn control(handle: &ProxyHandle, request: Request<Incoming>) -> Result<Reply> {
+    let method = request.method().clone();
+    let path = request.uri().path().to_owned();
+    match (method, path.as_str()) {
+        (Method::GET, "/proxy") => {}
+        (Method::PUT, "/proxy/faults") => {
+            let faults: Faults = http::read_json(request).await?;
+            handle.set_faults(faults);
+        }
+        (Method::POST, "/proxy/silence") => handle.silence(),
+        (Method::POST, "/proxy/close") => handle.close(),
+        _ => return Ok(text(StatusCode::NOT_FOUND, "no such control endpoint")),
+    }
+    Ok(json(&handle.report()))
+}
--- /dev/null
+++ b/crates/lab/src/request_load.rs
@@ -0,0 +1,203 @@
+//! Request part of the load: sends, resends and the outcome of each request as its caller sees it.
+
+use crate::http::{Client, Sent};
+use crate::load::{LoadSettings, RequestKind, arrivals, part_seed};
+use crate::target_http::{Answer, SERVICE_HEADER};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response};
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::time::Duration;
+use strum::Display;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// Code of a key whose first attempt is still running; the answer may come later.
+const KEY_IN_USE: u16 = 2003;
+
+const KEY_IN_USE_PAUSE: Duration = Duration::from_millis(200);
+
+/// How a request ended for its caller.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Display,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Outcome {
+    /// A whole answer to this request came.
+    Completed,
+    /// A refusal came that says that the request was not run, and no earlier send was lost.
+    Refused,
+    /// It may have run.
+    Unknown,
+    /// No entry could be connected to; nothing was written.
+    NotSent,
+    /// A successful answer came that is not whole, or belongs to another request.
+    WrongAnswer,
+}
+
+/// One request as its caller sees it.
+#[derive(Clone, Debug)]
+pub struct RequestResult {
+    /// Index of its kind.
+    pub kind: usize,
+    /// Path, unique per request of a run.
+    pub path: String,
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// Intended start, from the start of the load.
+    pub intended: Duration,
+    /// Time from the intended start to the outcome.
+    pub latency: Duration,
+    /// Outcome.
+    pub outcome: Outcome,
+    /// Result code of the last answer.
+    pub code: Option<u16>,
+    /// Number of sends.
+    pub sends: u8,
+}
+
+struct Plan {
+    kind: usize,
+    index: usize,
+    at: Duration,
+    first_entry: usize,
+}
+
+/// Sends all requests on their schedule, and waits for their outcomes.
+pub async fn drive(settings: LoadSettings) -> Vec<RequestResult> {
+    let plans = plan(&settings);
+    let settings = Arc::new(settings);
+    let client = Arc::new(Client::default());
+    let start = Instant::now();
+    let mut sending = JoinSet::new();
+    for plan in plans {
+        tokio::time::sleep_until(start + plan.at).await;
+        sending.spawn(send(Arc::clone(&settings), Arc::clone(&client), plan, start));
+    }
+    sending.join_all().await
+}
+
+fn plan(settings: &LoadSettings) -> Vec<Plan> {
+    let mut plans = Vec::new();
+    for (kind, spec) in settings.kinds.iter().enumerate() {
+        let seed = part_seed(settings.seed, "requests", kind);
+        let mut rng = StdRng::seed_from_u64(seed.wrapping_add(1));
+        let times = arrivals(spec.rate_per_s, settings.duration(), seed);
+        plans.extend(times.into_iter().enumerate().map(|(index, at)| {
+            let first_entry = rng.random_range(0..settings.entries.len());
+            Plan { kind, index, at, first_entry }
+        }));
+    }
+    plans.sort_by_key(|plan| (plan.at, plan.kind));
+    plans
+}
+
+async fn send(
+    settings: Arc<LoadSettings>,
+    client: Arc<Client>,
+    plan: Plan,
+    start: Instant,
+) -> RequestResult {
+    let kind = &settings.kinds[plan.kind];
+    let path = format!("/{}/{}-{}", kind.name, settings.seed, plan.index);
+    let key = kind.keyed.then(|| format!("{}-{}-{}", kind.name, settings.seed, plan.index));
+    let mut result = RequestResult {
+        kind: plan.kind,
+        path,
+        key,
+        intended: plan.at,
+        latency: Duration::ZERO,
+        outcome: Outcome::NotSent,
+        code: None,
+        sends: 0,
+    };
+    result.outcome = send_until_known(&settings, &client, plan.first_entry, &mut result).await;
+    result.latency = start.elapsed().saturating_sub(plan.at);
+    result
+}
+
+async fn send_until_known(
+    settings: &LoadSettings,
+    client: &Client,
+    first_entry: usize,
+    result: &mut RequestResult,
+) -> Outcome {
+    let kind = &settings.kinds[result.kind];
+    let limit = Duration::from_millis(settings.answer_timeout_ms);
+    let mut may_have_run = false;
+    for n in 0..settings.max_sends {
+        let entry = settings.entries[(first_entry + usize::from(n)) % settings.entries.len()];
+        let Some(request) = build(kind, result) else { return Outcome::NotSent };
+        result.sends += 1;
+        match client.send(entry, request, limit).await {
+            Sent::NotWritten(_) => continue,
+            Sent::Lost(_) => may_have_run = true,
+            Sent::Answered(response) => {
+                result.code = code(&response);
+                let outcome = classify(kind, &result.path, &response);
+                if result.code != Some(KEY_IN_USE) {
+                    return known(outcome, may_have_run);
+                }
+                may_have_run = true;
+                tokio::time::sleep(KEY_IN_USE_PAUSE).await;
+            }
+        }
+        if !kind.resendable() {
+            break;
+        }
+    }
+    if may_have_run { Outcome::Unknown } else { Outcome::NotSent }
+}
+
+/// A refusal is about its own send; an earlier lost one may still have run.
+fn known(outcome: Outcome, may_have_run: bool) -> Outcome {
+    match outcome {
+        Outcome::Refused if may_have_run => Outcome::Unknown,
+        other => other,
+    }
+}
+
+fn build(kind: &RequestKind, result: &RequestResult) -> Option<Request<Full<Bytes>>> {
+    let mut builder = Request::builder()
+        .method(kind.method.as_str())
+        .uri(&result.path)
+        .header("host", &kind.service)
+        .header(SERVICE_HEADER, &kind.service);
+    if let Some(key) = &result.key {
+        builder = builder.header("idempotency-key", key);
+    }
+    if let Some(ms) = kind.timeout_ms {
+        builder = builder.header("x-request-timeout-ms", ms);
+    }
+    let body = Bytes::from(vec![b'b'; kind.body_bytes]);
+    builder.body(Full::new(body)).ok()
+}
+
+fn code(response: &Response<Bytes>) -> Option<u16> {
+    response.headers().get("x-result-code")?.to_str().ok()?.parse().ok()
+}
+
+fn classify(kind: &RequestKind, path: &str, response: &Response<Bytes>) -> Outcome {
+    let not_executed = response.headers().get("x-request-executed").is_some_and(|v| v == "false");
+    match code(response) {
+        Some(1_000..=1_999) => Outcome::Refused,
+        Some(2_000..=2_999) => Outcome::Unknown,
+        None if response.status() == 503 && not_executed => Outcome::Refused,
+        None | Some(0) if response.status().is_success() => whole_answer(kind, path, response),
+        _ => Outcome::Unknown,
+    }
+}
+
+fn whole_answer(kind: &RequestKind, path: &str, response: &Response<Bytes>) -> Outcome {
+    let answer = serde_json::from_slice::<Answer>(response.body());
+    let right = answer.is_ok_and(|answer| {
+        answer.path == path
+            && answer.service == kind.service
+            && answer.body_bytes == kind.body_bytes
+    });
+    if right { Outcome::Completed } else { Outcome::WrongAnswer }
+}
--- /dev/null
+++ b/crates/lab/src/scenario.rs
@@ -0,0 +1,168 @@
+//! Pieces of scenario tests: child processes that are ended by their id, and waiting for conditions.
+
+use crate::lifetime::StartLine;
+use anyhow::{Context as _, Result, bail};
+use std::ffi::OsStr;
+use std::fs::File;
+use std::future::Future;
+use std::path::{Path, PathBuf};
+use std::process::{ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncBufReadExt as _, BufReader};
+use tokio::process::{Child, Command};
+
+/// Limit for conditions that hold within a second on an idle machine.
+pub const WAIT_LIMIT: Duration = Duration::from_secs(30);
+
+const POLL_PERIOD: Duration = Duration::from_millis(20);
+
+/// A child process of a scenario. It is killed when dropped.
+pub struct Process {
+    name: String,
+    child: Child,
+    log: PathBuf,
+    start: StartLine,
+}
+
+impl Process {
+    /// Starts a program and waits for its start line. Its standard error goes to `NAME.log` in the
+    /// folder.
+    ///
+    /// # Errors
+    /// The program can't be started, ends early, or prints no start line within the limit.
+    pub async fn start<S: AsRef<OsStr>>(
+        name: &str,
+        program: &Path,
+        args: impl IntoIterator<Item = S>,
+        folder: &Path,
+    ) -> Result<Self> {
+        let log = folder.join(format!("{name}.log"));
+        let stderr = File::create(&log).with_context(|| format!("create {}", log.display()))?;
+        let mut child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(stderr)
+            .kill_on_drop(true)
+            .spawn()
+            .with_context(|| format!("start {}", program.display()))?;
+        let stdout = child.stdout.take().context("standard output is not piped")?;
+        let mut lines = BufReader::new(stdout).lines();
+        let first = tokio::time::timeout(WAIT_LIMIT, lines.next_line()).await;
+        let Ok(Ok(Some(line))) = first else {
+            let _ = child.start_kill();
+            bail!("{name} printed no start line; its log ends with:\n{}", tail(&log));
+        };
+        let start = serde_json::from_str(&line)
+            .with_context(|| format!("{name} printed no valid start line: {line}"))?;
+        // Further output is read, so that the process never blocks on a full pipe.
+        tokio::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
+        Ok(Self { name: name.to_owned(), child, log, start })
+    }
+
+    /// The start line that it printed.
+    #[must_use]
+    pub fn start_line(&self) -> &StartLine {
+        &self.start
+    }
+
+    /// Name given at the start.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Process id while it runs.
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
+    /// File that its standard error goes to.
+    #[must_use]
+    pub fn log(&self) -> &Path {
+        &self.log
+    }
+
+    /// Sends a signal such as `TERM`, `STOP` or `CONT`.
+    ///
+    /// # Errors
+    /// The process has ended, or the signal can't be sent.
+    pub async fn signal(&self, signal: &str) -> Result<()> {
+        let id = self.id().with_context(|| format!("{} has ended", self.name))?;
+        let args = [format!("-{signal}"), id.to_string()];
+        let status = Command::new("kill").args(args).status().await?;
+        if !status.success() {
+            bail!("signal {signal} to {} failed: {status}", self.name);
+        }
+        Ok(())
+    }
+
+    /// Asks the process to stop, and waits for its end.
+    ///
+    /// # Errors
+    /// It does not end within the limit; it is then killed.
+    pub async fn terminate(&mut self, limit: Duration) -> Result<ExitStatus> {
+        if let Some(status) = self.child.try_wait()? {
+            return Ok(status);
+        }
+        self.signal("TERM").await?;
+        match tokio::time::timeout(limit, self.child.wait()).await {
+            Ok(status) => Ok(status?),
+            Err(_) => {
+                self.child.kill().await?;
+                bail!("{} did not stop within {limit:?} and was killed", self.name)
+            }
+        }
+    }
+
+    /// Kills the process without letting it stop, as a crash does.
+    ///
+    /// # Errors
+    /// The process can't be killed.
+    pub async fn kill(&mut self) -> Result<()> {
+        Ok(self.child.kill().await?)
+    }
+}
+
+fn tail(log: &Path) -> String {
+    let text = std::fs::read_to_string(log).unwrap_or_default();
+    let lines: Vec<&str> = text.lines().collect();
+    lines[lines.len().saturating_sub(10)..].join("\n")
+}
+
+/// Polls until the condition gives a value.
+///
+/// # Errors
+/// It gives none within the limit.
+pub async fn wait_for<T, Fut>(
+    what: &str,
+    limit: Duration,
+    mut condition: impl FnMut() -> Fut,
+) -> Result<T>
+where
+    Fut: Future<Output = Option<T>>,
+{
+    let end = Instant::now() + limit;
+    loop {
+        if let Some(value) = condition().await {
+            return Ok(value);
+        }
+        if Instant::now() >= end {
+            bail!("{what}: not within {limit:?}");
+        }
+        tokio::time::sleep(POLL_PERIOD).await;
+    }
+}
+
+/// Polls until the condition holds.
+///
+/// # Errors
+/// It does not hold within the limit.
+pub async fn wait_until(
+    what: &str,
+    limit: Duration,
+    mut condition: impl FnMut() -> bool,
+) -> Result<()> {
+    wait_for(what, limit, || std::future::ready(condition().then_some(()))).await
+}
--- /dev/null
+++ b/crates/lab/src/target_http.rs
@@ -0,0 +1,199 @@
+//! HTTP side of a target: requests to its service and the control endpoints under `/lab/`.
+
+use crate::http::{self, Reply, json, text};
+use crate::lock;
+use crate::runlog::{RunOutcome, RunRecord};
+use crate::target::{Admission, Arrival, Shared};
+use crate::wall_us;
+use anyhow::Result;
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// Header that names the service a request was sent to, for detecting misdelivery.
+pub const SERVICE_HEADER: &str = "x-lab-service";
+
+/// Body of a successful response. The path identifies the request that it belongs to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Path of the request.
+    pub path: String,
+    /// Service of the target.
+    pub service: String,
+    /// Address of the target.
+    pub target: String,
+    /// Bytes of the request's body.
+    pub body_bytes: usize,
+    /// Filler that gives the response its size.
+    pub filler: String,
+}
+
+/// Body of `POST /lab/cold`.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdRequest {
+    /// Time until warm, in milliseconds; the target's setting when missing.
+    pub duration_ms: Option<u64>,
+}
+
+/// Body of `POST /lab/drain` and `POST /lab/pause`.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Switch {
+    /// On when missing.
+    pub on: Option<bool>,
+}
+
+pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    http::serve(listener, move |request| {
+        let shared = Arc::clone(&shared);
+        async move { handle(&shared, request).await }
+    })
+    .await;
+}
+
+async fn handle(shared: &Arc<Shared>, request: Request<Incoming>) -> Reply {
+    if request.uri().path().starts_with("/lab/") {
+        let reply = control(shared, request).await;
+        return reply.unwrap_or_else(|e| text(StatusCode::BAD_REQUEST, e.to_string()));
+    }
+    run(shared, request).await
+}
+
+async fn control(shared: &Shared, request: Request<Incoming>) -> Result<Reply> {
+    let method = request.method().clone();
+    let path = request.uri().path().to_owned();
+    match (method, path.as_str()) {
+        (Method::GET, "/lab/runs") => Ok(json_lines(&lock(&shared.core).records)),
+        (Method::GET, "/lab/flows") => Ok(json_lines(lock(&shared.echo).flows())),
+        (Method::GET, "/lab/state") => Ok(json(&shared.report())),
+        (Method::POST, "/lab/drain") => {
+            let switch: Switch = http::read_json(request).await?;
+            shared.set_draining(switch.on.unwrap_or(true));
+            Ok(json(&shared.report()))
+        }
+        (Method::POST, "/lab/cold") => {
+            let cold: ColdRequest = http::read_json(request).await?;
+            let ms = cold.duration_ms.unwrap_or(shared.settings.cold.duration_ms);
+            shared.set_cold(Duration::from_millis(ms));
+            Ok(json(&shared.report()))
+        }
+        (Method::POST, "/lab/pause") => {
+            let switch: Switch = http::read_json(request).await?;
+            shared.paused.send_replace(switch.on.unwrap_or(true));
+            Ok(json(&shared.report()))
+        }
+        _ => Ok(text(StatusCode::NOT_FOUND, "no such control endpoint")),
+    }
+}
+
+fn json_lines<T: Serialize>(records: impl IntoIterator<Item = T>) -> Reply {
+    let mut body = Vec::new();
+    for record in records {
+        if serde_json::to_writer(&mut body, &record).is_ok() {
+            body.push(b'\n');
+        }
+    }
+    text(StatusCode::OK, body)
+}
+
+async fn run(shared: &Arc<Shared>, request: Request<Incoming>) -> Reply {
+    let arrival = arrival(shared, &request);
+    let mut waiting = Waiting { shared, record: Some(arrival.record) };
+    // The body is read first: a connection that closes later is then noticed, and ends the run.
+    let Ok(body) = request.into_body().collect().await else {
+        return text(StatusCode::BAD_REQUEST, "incomplete body");
+    };
+    let _ = shared.paused.subscribe().wait_for(|paused| !paused).await;
+    let Some(record) = waiting.record.take() else {
+        return text(StatusCode::INTERNAL_SERVER_ERROR, "record missing");
+    };
+    let path = record.path.clone();
+    let (index, time) = match shared.admit(record) {
+        Admission::Run { index, time } => (index, time),
+        Admission::Refuse(outcome) => return refusal(outcome),
+    };
+    let mut running = Running { shared, index, outcome: RunOutcome::Cancelled };
+    let deadline = arrival.deadline.unwrap_or(Duration::MAX);
+    tokio::time::sleep(time.min(deadline)).await;
+    let _ = shared.paused.subscribe().wait_for(|paused| !paused).await;
+    if time > deadline {
+        running.outcome = RunOutcome::Deadline;
+        return text(StatusCode::GATEWAY_TIMEOUT, "deadline exceeded while running");
+    }
+    running.outcome = RunOutcome::Completed;
+    json(&answer(shared, path, body.to_bytes().len()))
+}
+
+fn arrival(shared: &Shared, request: &Request<Incoming>) -> Arrival {
+    let headers = request.headers();
+    let named_service = header(headers, SERVICE_HEADER);
+    let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
+    let record = RunRecord {
+        request_id: header(headers, "x-request-id"),
+        key: header(headers, "idempotency-key"),
+        method: request.method().to_string(),
+        path: path.to_owned(),
+        start_us: wall_us(),
+        end_us: None,
+        outcome: RunOutcome::Running,
+        running: 0,
+        over_slots: false,
+        wrong_service: named_service.is_some_and(|name| name != shared.settings.service),
+    };
+    let deadline = header(headers, "x-request-timeout-ms").and_then(|ms| ms.parse().ok());
+    Arrival { record, deadline: deadline.map(Duration::from_millis) }
+}
+
+fn header(headers: &HeaderMap<HeaderValue>, name: &str) -> Option<String> {
+    headers.get(name)?.to_str().ok().map(str::to_owned)
+}
+
+fn refusal(outcome: RunOutcome) -> Reply {
+    let mut reply = text(StatusCode::SERVICE_UNAVAILABLE, outcome.to_string());
+    reply.headers_mut().insert("x-request-executed", HeaderValue::from_static("false"));
+    reply
+}
+
+fn answer(shared: &Shared, path: String, body_bytes: usize) -> Answer {
+    Answer {
+        path,
+        service: shared.settings.service.clone(),
+        target: shared.address.to_string(),
+        body_bytes,
+        filler: "x".repeat(shared.settings.response_bytes),
+    }
+}
+
+/// A request that has not started. Dropping it with its record means that the caller left.
+struct Waiting<'a> {
+    shared: &'a Shared,
+    record: Option<RunRecord>,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let Some(mut record) = self.record.take() else { return };
+        record.outcome = RunOutcome::CancelledBeforeStart;
+        record.end_us = Some(wall_us());
+        lock(&self.shared.core).records.push(record);
+    }
+}
+
+/// A request that is running. Dropping it records the outcome.
+struct Running<'a> {
+    shared: &'a Shared,
+    index: usize,
+    outcome: RunOutcome,
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.shared.finish(self.index, self.outcome);
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/target.rs
@@ -0,0 +1,238 @@
+//! The target: admission, refusals, cancellation, announcements and the packet echo.
+
+mod common;
+
+use comfreyhold_lab::echo::Echo;
+use comfreyhold_lab::http::{self, Client, Sent, json, text};
+use comfreyhold_lab::lock;
+use comfreyhold_lab::packet::{self, Content, TcpFields};
+use comfreyhold_lab::runlog::{RunOutcome, RunRecord};
+use comfreyhold_lab::scenario::{Process, wait_until};
+use comfreyhold_lab::service_time::ServiceTime;
+use comfreyhold_lab::target::{ColdStart, Target, TargetReport, TargetSettings};
+use comfreyhold_lab::target_tasks::Announcement;
+use comfreyhold_types::prelude::*;
+use common::{LIMIT, loopback, program};
+use hyper::{Method, StatusCode};
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+/// Long enough that a request is still running whenever a test looks.
+const LONG: ServiceTime = ServiceTime::Constant(30_000.0);
+
+fn post(target: SocketAddr, path: &'static str) -> JoinHandle<Sent> {
+    tokio::spawn(async move {
+        let request = http::request(Method::POST, target, path, "body").expect("request");
+        Client::default().send(target, request, LIMIT).await
+    })
+}
+
+fn status(sent: &Sent) -> Option<(StatusCode, bool)> {
+    let Sent::Answered(answer) = sent else { return None };
+    let not_executed = answer.headers().get("x-request-executed").is_some_and(|v| v == "false");
+    Some((answer.status(), not_executed))
+}
+
+async fn long_target(settings: TargetSettings) -> Target {
+    Target::start(TargetSettings { service_time: LONG, ..settings }).await.expect("target")
+}
+
+fn orders() -> TargetSettings {
+    TargetSettings::builder().service("orders").service_time(ServiceTime::Constant(1.0)).build()
+}
+
+/// Guards against a process that does not report its address, or does not stop when asked to.
+#[tokio::test]
+async fn binary_serves_and_stops_on_request() {
+    let folder = tempfile::tempdir().unwrap();
+    let args = ["target", "--service", "orders", "--service-time", "constant:1"];
+    let mut process = Process::start("target", program(), args, folder.path()).await.unwrap();
+    let address = process.start_line().address("http").unwrap();
+    assert_eq!(status(&post(address, "/order/1").await.unwrap()), Some((StatusCode::OK, false)));
+    let runs: Vec<RunRecord> = http::get_json_lines(address, "/lab/runs").await.unwrap();
+    assert_eq!(runs.len(), 1);
+    assert_eq!((runs[0].path.as_str(), runs[0].outcome), ("/order/1", RunOutcome::Completed));
+    assert!(process.terminate(LIMIT).await.unwrap().success());
+}
+
+/// Guards against stand-ins that outlive their limit.
+#[tokio::test]
+async fn binary_stops_by_itself() {
+    let folder = tempfile::tempdir().unwrap();
+    let args = ["target", "--service", "orders", "--run-limit-ms", "1"];
+    let process = Process::start("target", program(), args, folder.path()).await.unwrap();
+    let log = process.log().to_owned();
+    let stopped = || std::fs::read_to_string(&log).is_ok_and(|text| text.contains("RunLimit"));
+    wait_until("stop at the run limit", LIMIT, stopped).await.unwrap();
+}
+
+/// Guards against a refusal that is not marked as not run, or that ran.
+#[tokio::test]
+async fn full_target_sheds_before_running() {
+    let target = long_target(TargetSettings { shed_above: Some(1), ..orders() }).await;
+    let address = SocketAddr::from(target.address());
+    let first = post(address, "/order/1");
+    wait_until("first runs", LIMIT, || target.report().running == 1).await.unwrap();
+    let second = post(address, "/order/2").await.unwrap();
+    assert_eq!(status(&second), Some((StatusCode::SERVICE_UNAVAILABLE, true)));
+    let shed = target.runs().into_iter().find(|run| run.path == "/order/2").unwrap();
+    assert_eq!(shed.outcome, RunOutcome::RefusedShed);
+    assert_eq!(target.report().started, 1);
+    first.abort();
+}
+
+/// Guards against overload by an entry going unnoticed.
+#[tokio::test]
+async fn starts_beyond_the_slots_are_counted() {
+    let target = long_target(TargetSettings { slots: 1, ..orders() }).await;
+    let address = SocketAddr::from(target.address());
+    let running = [post(address, "/order/1"), post(address, "/order/2")];
+    wait_until("both run", LIMIT, || target.report().running == 2).await.unwrap();
+    assert_eq!(target.report().over_slots, 1);
+    running.iter().for_each(JoinHandle::abort);
+}
+
+/// Guards against a cancelled request that keeps its slot or is logged as completed.
+#[tokio::test]
+async fn closed_connection_cancels_the_run() {
+    let target = long_target(orders()).await;
+    let caller = post(target.address().into(), "/order/1");
+    wait_until("request runs", LIMIT, || target.report().running == 1).await.unwrap();
+    caller.abort();
+    wait_until("run ends", LIMIT, || target.report().running == 0).await.unwrap();
+    assert_eq!(target.runs()[0].outcome, RunOutcome::Cancelled);
+}
+
+/// Guards against a run that ignores the deadline of its request.
+#[tokio::test]
+async fn deadline_ends_the_run() {
+    let target = long_target(orders()).await;
+    let address = SocketAddr::from(target.address());
+    let mut request = http::request(Method::POST, address, "/order/1", "").unwrap();
+    request.headers_mut().insert("x-request-timeout-ms", 20.into());
+    let sent = Client::default().send(address, request, LIMIT).await;
+    assert_eq!(status(&sent), Some((StatusCode::GATEWAY_TIMEOUT, false)));
+    assert_eq!(target.runs()[0].outcome, RunOutcome::Deadline);
+}
+
+/// Guards against a cold target that takes more than it bears, and one that never gets warm.
+#[tokio::test]
+async fn cold_target_refuses_more_than_it_bears() {
+    let cold = ColdStart::builder().bears_per_s(1).build();
+    let target = Target::start(TargetSettings { cold, ..orders() }).await.unwrap();
+    let address = SocketAddr::from(target.address());
+    http::call(Method::POST, address, "/lab/cold", b"{\"duration_ms\":60000}".to_vec())
+        .await
+        .unwrap();
+    let first = post(address, "/order/1").await.unwrap();
+    assert_eq!(status(&first), Some((StatusCode::OK, false)));
+    let mut refused = false;
+    for _ in 0..3 {
+        let sent = post(address, "/order/2").await.unwrap();
+        refused |= status(&sent) == Some((StatusCode::SERVICE_UNAVAILABLE, true));
+    }
+    assert!(refused);
+    target.make_cold(Duration::ZERO);
+    assert!(!target.report().cold);
+    let warm = post(address, "/order/3").await.unwrap();
+    assert_eq!(status(&warm), Some((StatusCode::OK, false)));
+}
+
+/// Guards against a paused target that answers, and a resumed one that has lost the request.
+#[tokio::test]
+async fn paused_target_answers_after_it_resumes() {
+    let target = Target::start(orders()).await.unwrap();
+    let address = SocketAddr::from(target.address());
+    http::call(Method::POST, address, "/lab/pause", Vec::new()).await.unwrap();
+    let waiting = post(address, "/order/1");
+    let report: TargetReport = http::get_json(address, "/lab/state").await.unwrap();
+    assert!(report.paused);
+    assert_eq!(report.started, 0);
+    target.pause(false);
+    assert_eq!(status(&waiting.await.unwrap()), Some((StatusCode::OK, false)));
+}
+
+/// Guards against announcements that stop at an entry that does not answer, and against a drain that
+/// is announced only with the next period.
+#[tokio::test]
+async fn announcements_reach_another_entry_and_tell_a_drain_at_once() {
+    let unserved = TcpListener::bind(loopback()).await.unwrap();
+    let silent = unserved.local_addr().unwrap();
+    let listener = TcpListener::bind(loopback()).await.unwrap();
+    let entry = listener.local_addr().unwrap();
+    let received: Arc<Mutex<Vec<Announcement>>> = Arc::default();
+    let received_tx = Arc::clone(&received);
+    let server = tokio::spawn(http::serve(listener, move |request| {
+        let received = Arc::clone(&received_tx);
+        async move {
+            assert_eq!(request.uri().path(), "/v1/targets");
+            let value: serde_json::Value = http::read_json(request).await.expect("json");
+            let Ok(announcement) = serde_json::from_value(value) else {
+                return text(StatusCode::BAD_REQUEST, "unexpected announcement");
+            };
+            lock(&received).push(announcement);
+            json(&())
+        }
+    }));
+    // The period is far longer than the limit of the wait below.
+    let lease = Duration::from_secs(600);
+    let settings = TargetSettings { entries: vec![silent, entry], lease, ..orders() };
+    let target = Target::start(settings).await.unwrap();
+    wait_until("announcement", LIMIT, || !lock(&received).is_empty()).await.unwrap();
+    http::call(Method::POST, target.address().into(), "/lab/drain", Vec::new()).await.unwrap();
+    let drained = || lock(&received).iter().any(|a| a.state == TargetState::Draining);
+    wait_until("drain announced", LIMIT, drained).await.unwrap();
+    let announced = lock(&received).clone();
+    assert_eq!(announced[0].address, target.address().into());
+    assert_eq!(announced[0].state, TargetState::Serving);
+    assert!(announced.windows(2).all(|pair| pair[0].sequence < pair[1].sequence));
+    server.abort();
+}
+
+const CALLER: SocketAddrV4 = SocketAddrV4::new(std::net::Ipv4Addr::new(10, 9, 0, 1), 4_000);
+const TARGET: SocketAddrV4 = SocketAddrV4::new(std::net::Ipv4Addr::LOCALHOST, 5_000);
+
+fn answer(echo: &mut Echo, fields: TcpFields, payload: &[u8]) -> Option<(TcpFields, Vec<u8>)> {
+    let bytes = echo.handle(&packet::tcp(CALLER, TARGET, fields, payload), 1)?;
+    let packet = packet::parse(&bytes).expect("answer");
+    assert!(packet.checksums_ok);
+    assert_eq!((packet.source, packet.destination), (TARGET, CALLER));
+    let Content::Tcp(fields, payload) = packet.content else { return None };
+    Some((fields, payload.to_vec()))
+}
+
+/// Guards against an echo that accepts data of a flow that it never opened, which would hide a
+/// broken flow.
+#[test]
+fn tcp_echo_answers_its_own_flows_and_resets_others() {
+    let mut echo = Echo::new("orders", TARGET);
+    let stray = TcpFields { seq: 7, ack: Some(9), ..TcpFields::default() };
+    let (reset, _) = answer(&mut echo, stray, b"orders;x").unwrap();
+    assert!(reset.rst);
+    let syn = TcpFields { seq: 100, syn: true, ..TcpFields::default() };
+    let (opened, _) = answer(&mut echo, syn, b"").unwrap();
+    assert!(opened.syn && opened.ack == Some(101));
+    let data = TcpFields { seq: 101, ack: Some(opened.seq + 1), ..TcpFields::default() };
+    let (echoed, payload) = answer(&mut echo, data, b"orders;hello").unwrap();
+    assert_eq!(payload, b"orders;hello");
+    assert_eq!((echoed.ack, echoed.seq), (Some(113), opened.seq + 1));
+    let counters = echo.counters();
+    assert_eq!((counters.flows_seen, counters.flows_reset), (1, 1));
+}
+
+/// Guards against packets that pass with a wrong checksum, address or service.
+#[test]
+fn misdelivered_packets_are_counted() {
+    let mut echo = Echo::new("orders", TARGET);
+    let mut corrupt = packet::udp(CALLER, TARGET, b"orders;1");
+    *corrupt.last_mut().unwrap() ^= 1;
+    assert_eq!(echo.handle(&corrupt, 1), None);
+    assert_eq!(echo.handle(&packet::udp(CALLER, CALLER, b"orders;1"), 1), None);
+    assert!(echo.handle(&packet::udp(CALLER, TARGET, b"catalogue;1"), 1).is_some());
+    let counters = echo.counters();
+    let seen = (counters.bad_checksums, counters.wrong_address, counters.wrong_service);
+    assert_eq!(seen, (1, 1, 1));
+}
