--- a/crates/lab/src/http.rs
+++ b/crates/lab/src/http.rs
@@ -25,6 +25,10 @@
 /// Limit for control requests between the stand-ins.
 pub const CONTROL_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Limit for opening a connection; shorter than any answer limit, so that a refusal to connect is
+/// told from a lost answer.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Idle connections kept per address by [`Client`].
 const MAX_IDLE: usize = 64;
 
@@ -119,42 +123,59 @@
         request: Request<Full<Bytes>>,
         limit: Duration,
     ) -> Sent {
-        let opened = tokio::time::timeout(limit, self.connection(to)).await;
-        let mut connection = match opened {
-            Ok(Ok(connection)) => connection,
-            Ok(Err(error)) => return Sent::NotWritten(error.to_string()),
-            Err(_) => return Sent::NotWritten("connect timed out".to_owned()),
-        };
-        let exchange = async {
-            let (parts, body) = connection.send_request(request).await?.into_parts();
-            let body = body.collect().await?.to_bytes();
-            Ok::<_, hyper::Error>(Response::from_parts(parts, body))
-        };
-        match tokio::time::timeout(limit, exchange).await {
-            Ok(Ok(response)) => {
-                self.keep(to, connection);
-                Sent::Answered(response)
-            }
-            Ok(Err(error)) => Sent::Lost(error.to_string()),
+        match tokio::time::timeout(limit, self.exchange(to, request)).await {
+            Ok(sent) => sent,
             Err(_) => Sent::Lost("no answer within the limit".to_owned()),
         }
     }
 
-    async fn connection(&self, to: SocketAddr) -> Result<SendRequest<Full<Bytes>>> {
+    async fn exchange(&self, to: SocketAddr, mut request: Request<Full<Bytes>>) -> Sent {
+        // An idle connection may have been closed by the server; hyper returns the request then.
         while let Some(mut idle) = self.take_idle(to) {
-            if idle.ready().await.is_ok() {
-                return Ok(idle);
+            if idle.ready().await.is_err() {
+                continue;
             }
+            match self.exchange_on(to, idle, request).await {
+                Ok(sent) => return sent,
+                Err((unwritten, _)) => request = unwritten,
+            }
+        }
+        let opened = match tokio::time::timeout(CONNECT_TIMEOUT, connect(to)).await {
+            Ok(Ok(opened)) => opened,
+            Ok(Err(error)) => return Sent::NotWritten(error.to_string()),
+            Err(_) => return Sent::NotWritten("connect timed out".to_owned()),
+        };
+        match self.exchange_on(to, opened, request).await {
+            Ok(sent) => sent,
+            Err((_, error)) => Sent::NotWritten(error),
         }
-        let stream = TcpStream::connect(to).await?;
-        stream.set_nodelay(true)?;
-        let (sender, connection) = handshake(TokioIo::new(stream)).await?;
-        tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!("client connection ended: {error}");
+    }
+
+    /// Gives the request back, with the reason, when nothing of it was written.
+    async fn exchange_on(
+        &self,
+        to: SocketAddr,
+        mut connection: SendRequest<Full<Bytes>>,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Sent, (Request<Full<Bytes>>, String)> {
+        let response = match connection.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut error) => {
+                let reason = error.error().to_string();
+                return match error.take_message() {
+                    Some(unwritten) => Err((unwritten, reason)),
+                    None => Ok(Sent::Lost(reason)),
+                };
+            }
+        };
+        let (parts, body) = response.into_parts();
+        match body.collect().await {
+            Ok(body) => {
+                self.keep(to, connection);
+                Ok(Sent::Answered(Response::from_parts(parts, body.to_bytes())))
             }
-        });
-        Ok(sender)
+            Err(error) => Ok(Sent::Lost(error.to_string())),
+        }
     }
 
     fn take_idle(&self, to: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
@@ -170,6 +191,18 @@
     }
 }
 
+async fn connect(to: SocketAddr) -> Result<SendRequest<Full<Bytes>>> {
+    let stream = TcpStream::connect(to).await?;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("client connection ended: {error}");
+        }
+    });
+    Ok(sender)
+}
+
 /// Builds a request with a body, and the address as its host.
 ///
 /// # Errors
--- a/crates/lab/src/proxy.rs
+++ b/crates/lab/src/proxy.rs
@@ -104,6 +104,8 @@
     pub connections: u64,
     /// Connections up to this number are silent.
     pub silent_up_to: u64,
+    /// TCP chunks that had to wait for a cut to end, or wait for good on a silent connection.
+    pub held: u64,
     /// Chunks or datagrams passed on.
     pub passed: u64,
     /// Datagrams lost on purpose or in a cut.
@@ -359,7 +361,10 @@
     let write = async move {
         while let Some((due, mut chunk)) = chunk_rx.recv().await {
             tokio::time::sleep_until(due).await;
-            shared.passes(number, direction).await;
+            if !shared.switches.borrow().passes(number, direction) {
+                lock(&shared.core).counts.held += 1;
+                shared.passes(number, direction).await;
+            }
             if chunk.is_empty() {
                 break;
             }
@@ -390,7 +395,7 @@
         }
         let Some((number, upstream)) = clients.get(&client) else { continue };
         let bytes = buffer[..length].to_vec();
-        forward(&shared, *number, Direction::ToUpstream, bytes, upstream, shared.upstream);
+        forward(&shared, *number, Direction::ToUpstream, bytes, upstream, shared.upstream).await;
     }
 }
 
@@ -409,11 +414,11 @@
     loop {
         let Ok((length, _)) = upstream.recv_from(&mut buffer).await else { continue };
         let bytes = buffer[..length].to_vec();
-        forward(&shared, number, Direction::ToClient, bytes, &socket, client);
+        forward(&shared, number, Direction::ToClient, bytes, &socket, client).await;
     }
 }
 
-fn forward(
+async fn forward(
     shared: &Arc<Shared>,
     number: u64,
     direction: Direction,
@@ -443,8 +448,9 @@
     }
     shared.corrupt(&mut bytes);
     if delay.is_zero() {
-        // A full socket buffer loses the datagram, as a network would.
-        (0..copies).for_each(|_| drop(socket.try_send_to(&bytes, to)));
+        for _ in 0..copies {
+            let _ = socket.send_to(&bytes, to).await;
+        }
         return;
     }
     let socket = Arc::clone(socket);
--- a/crates/lab/src/target.rs
+++ b/crates/lab/src/target.rs
@@ -125,6 +125,8 @@
     pub running: u16,
     /// Most requests that ran at once.
     pub most_running: u16,
+    /// Requests that arrived.
+    pub arrived: u64,
     /// Requests started.
     pub started: u64,
     /// Requests started while all slots were in use.
--- a/crates/lab/src/target_http.rs
+++ b/crates/lab/src/target_http.rs
@@ -131,6 +131,7 @@
 }
 
 fn arrival(shared: &Shared, request: &Request<Incoming>) -> Arrival {
+    lock(&shared.core).report.arrived += 1;
     let headers = request.headers();
     let named_service = header(headers, SERVICE_HEADER);
     let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
--- /dev/null
+++ b/crates/lab/tests/fabric.rs
@@ -0,0 +1,187 @@
+//! The fabric: spraying over entries, registration, and control at run time.
+
+mod common;
+
+use comfreyhold_lab::fabric::{EntryChange, Fabric, FabricReport, FabricSettings, PathSettings};
+use comfreyhold_lab::flow_load::FlowEnd;
+use comfreyhold_lab::http;
+use comfreyhold_lab::load::{self, LoadSettings};
+use comfreyhold_lab::packet;
+use comfreyhold_lab::scenario::{Process, wait_until};
+use comfreyhold_lab::target::{Target, TargetSettings};
+use common::{LIMIT, loopback, packet_forwarder, program, service_address};
+use hyper::Method;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::{Arc, Mutex};
+use tokio::net::UdpSocket;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, timeout};
+
+fn caller(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 9, 0, 1), port)
+}
+
+async fn socket() -> UdpSocket {
+    UdpSocket::bind(loopback()).await.expect("bind")
+}
+
+async fn receive(socket: &UdpSocket) -> Vec<u8> {
+    let mut buffer = vec![0; 2_048];
+    let received = timeout(LIMIT, socket.recv(&mut buffer)).await.expect("a datagram");
+    buffer.truncate(received.expect("receive"));
+    buffer
+}
+
+async fn to_entry_counts(seed: u64) -> Vec<u64> {
+    let entries = [socket().await, socket().await, socket().await];
+    let addresses: Vec<_> = entries.iter().map(|e| e.local_addr().expect("address")).collect();
+    let settings = FabricSettings::builder().entries(addresses.clone()).seed(seed).build();
+    let fabric = Fabric::start(settings).await.expect("fabric");
+    let sender = socket().await;
+    let packet = packet::udp(caller(1), service_address(), b"x");
+    for _ in 0..60 {
+        sender.send_to(&packet, fabric.packets()).await.expect("send");
+    }
+    let total = || fabric.report().to_entry.values().sum::<u64>() == 60;
+    wait_until("all packets sprayed", LIMIT, total).await.expect("spray");
+    addresses.iter().map(|a| fabric.report().to_entry[a]).collect()
+}
+
+/// Guards against a fabric that favours an entry, or whose choices can't be repeated.
+#[tokio::test]
+async fn spraying_reaches_all_entries_and_follows_the_seed() {
+    let first = to_entry_counts(7).await;
+    assert!(first.iter().all(|count| *count > 5), "{first:?}");
+    assert_eq!(first, to_entry_counts(7).await);
+    assert_ne!(first, to_entry_counts(8).await);
+}
+
+/// Guards against packets from an entry that reach another endpoint than the registered one.
+#[tokio::test]
+async fn packets_from_entries_reach_the_registered_endpoint() {
+    let (entry, endpoint) = (socket().await, socket().await);
+    let settings = FabricSettings::builder().entries(vec![entry.local_addr().unwrap()]).build();
+    let fabric = Fabric::start(settings).await.unwrap();
+    let registration = format!("register {}", caller(2));
+    endpoint.send_to(registration.as_bytes(), fabric.packets()).await.unwrap();
+    assert_eq!(receive(&endpoint).await, b"ok");
+    let unknown = packet::udp(service_address(), caller(3), b"x");
+    let known = packet::udp(service_address(), caller(2), b"y");
+    entry.send_to(&unknown, fabric.packets()).await.unwrap();
+    entry.send_to(&known, fabric.packets()).await.unwrap();
+    assert_eq!(receive(&endpoint).await, known);
+    assert_eq!(fabric.report().unregistered, 1);
+}
+
+/// Guards against a removed entry that still gets packets, with the real process and its endpoint.
+#[tokio::test]
+async fn entries_are_added_and_removed_at_run_time() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut process = Process::start("fabric", program(), ["fabric"], folder.path()).await.unwrap();
+    let control = process.start_line().address("http").unwrap();
+    let packets = process.start_line().address("packets").unwrap();
+    let (old, new) = (socket().await, socket().await);
+    let change = |entry: &UdpSocket| {
+        let entries = vec![entry.local_addr().unwrap()];
+        serde_json::to_vec(&EntryChange { entries }).unwrap()
+    };
+    http::call(Method::POST, control, "/fabric/entries", change(&old)).await.unwrap();
+    http::call(Method::POST, control, "/fabric/entries", change(&new)).await.unwrap();
+    http::call(Method::DELETE, control, "/fabric/entries", change(&old)).await.unwrap();
+    let packet = packet::udp(caller(1), service_address(), b"x");
+    for _ in 0..10 {
+        socket().await.send_to(&packet, packets).await.unwrap();
+        assert_eq!(receive(&new).await, packet);
+    }
+    let report: FabricReport = http::get_json(control, "/fabric").await.unwrap();
+    assert_eq!(report.to_entry.get(&old.local_addr().unwrap()), None);
+    assert!(process.terminate(LIMIT).await.unwrap().success());
+}
+
+/// Guards against a delay setting without effect.
+#[tokio::test]
+async fn delay_applies_to_each_packet() {
+    let entry = socket().await;
+    let settings = FabricSettings::builder().entries(vec![entry.local_addr().unwrap()]).build();
+    let fabric = Fabric::start(settings).await.unwrap();
+    let path = PathSettings { delay_us: 50_000, ..PathSettings::default() };
+    let body = serde_json::to_vec(&path).unwrap();
+    http::call(Method::PUT, fabric.control(), "/fabric/path", body).await.unwrap();
+    let packet = packet::udp(caller(1), service_address(), b"x");
+    let sent = Instant::now();
+    socket().await.send_to(&packet, fabric.packets()).await.unwrap();
+    assert_eq!(receive(&entry).await, packet);
+    assert!(sent.elapsed().as_micros() >= 50_000);
+}
+
+struct FlowScene {
+    tasks: JoinSet<()>,
+    fabric: Fabric,
+    targets: [Target; 2],
+    route: common::Route,
+}
+
+async fn flow_scene() -> FlowScene {
+    let mut tasks = JoinSet::new();
+    let fabric = Fabric::start(FabricSettings::builder().build()).await.expect("fabric");
+    let settings = || TargetSettings::builder().service("orders").fabric(fabric.packets()).build();
+    let targets = [
+        Target::start(settings()).await.expect("target"),
+        Target::start(settings()).await.expect("target"),
+    ];
+    let route: common::Route = Arc::new(Mutex::new(targets[0].address()));
+    for _ in 0..2 {
+        let entry = packet_forwarder(&mut tasks, fabric.packets(), Arc::clone(&route)).await;
+        fabric.add_entry(entry);
+    }
+    let registered = || fabric.report().endpoints == 2;
+    wait_until("targets register", LIMIT, registered).await.expect("registration");
+    FlowScene { tasks, fabric, targets, route }
+}
+
+fn flow_load(fabric: SocketAddr, hold_ms: u64, duration_ms: u64) -> LoadSettings {
+    let text = format!(
+        "{{seed: 3, duration_ms: {duration_ms}, flows: [\
+         {{fabric: '{fabric}', service: orders, address: '{address}', protocol: tcp, \
+         opens_per_s: 100, hold_ms: {hold_ms}, send_every_ms: 20, echo_limit_ms: 10000}}, \
+         {{fabric: '{fabric}', service: orders, address: '{address}', protocol: udp, \
+         caller: 10.201.0.1, opens_per_s: 100, hold_ms: {hold_ms}, send_every_ms: 20, \
+         echo_limit_ms: 10000}}]}}",
+        address = service_address()
+    );
+    serde_yaml_ng::from_str(&text).expect("settings")
+}
+
+/// Guards against flows that the load reports as broken though each packet was delivered.
+#[tokio::test]
+async fn undisturbed_flows_are_not_broken() {
+    let scene = flow_scene().await;
+    let mut settings = flow_load(scene.fabric.packets(), 200, 500);
+    settings.targets = scene.targets.iter().map(|t| t.address().into()).collect();
+    let report = load::run(&settings, "test").await.unwrap();
+    assert_eq!(report.broken_flows(), 0, "{}", report.table());
+    assert!(report.flow_end(FlowEnd::Closed) > 50, "{}", report.table());
+    assert!(report.flows.iter().all(|flow| flow.echo.count > 0 && flow.bad_checksums == 0));
+    assert_eq!(report.checks.flows_on_several_targets, 0);
+    assert!(report.checks.holds());
+}
+
+/// Guards against a load that does not notice flows which were moved to another target.
+#[tokio::test]
+async fn moved_flows_are_noticed() {
+    let mut scene = flow_scene().await;
+    let mut settings = flow_load(scene.fabric.packets(), 60_000, 1_500);
+    settings.targets = scene.targets.iter().map(|t| t.address().into()).collect();
+    let (first, second) = (&scene.targets[0], scene.targets[1].address());
+    let load = tokio::spawn(async move { load::run(&settings, "test").await });
+    wait_until("flows open", LIMIT, || first.flows().len() >= 20).await.unwrap();
+    *comfreyhold_lab::lock(&scene.route) = second;
+    let report = load.await.unwrap().unwrap();
+    assert!(report.flow_end(FlowEnd::Reset) > 0, "{}", report.table());
+    assert_eq!(report.flow_end(FlowEnd::Silent), 0, "{}", report.table());
+    let udp = &report.flows[1];
+    assert_eq!(udp.broken.count, 0, "{}", report.table());
+    let tcp_resets = report.flow_end(FlowEnd::Reset);
+    assert!(report.checks.flows_on_several_targets > tcp_resets, "{}", report.table());
+    scene.tasks.shutdown().await;
+}
--- /dev/null
+++ b/crates/lab/tests/load.rs
@@ -0,0 +1,252 @@
+//! The load: outcomes as callers see them, resends, and the comparison with the targets' logs.
+
+mod common;
+
+use comfreyhold_lab::checks::imbalance;
+use comfreyhold_lab::http::{self, json};
+use comfreyhold_lab::load::{self, LoadSettings, RequestKind, arrivals, part_seed};
+use comfreyhold_lab::report::Report;
+use comfreyhold_lab::request_load::Outcome;
+use comfreyhold_lab::scenario::wait_until;
+use comfreyhold_lab::service_time::ServiceTime;
+use comfreyhold_lab::target::{Target, TargetSettings};
+use common::{Behaviour, LIMIT, forwarder, loopback, program};
+use std::net::{SocketAddr, SocketAddrV4};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::process::Command;
+use tokio::task::JoinSet;
+
+async fn target(refuse_percent: u8) -> Target {
+    let settings = TargetSettings::builder()
+        .service("orders")
+        .service_time(ServiceTime::Constant(1.0))
+        .refuse_percent(refuse_percent)
+        .build();
+    Target::start(settings).await.expect("target")
+}
+
+fn kind(name: &str, method: &str, keyed: bool) -> RequestKind {
+    RequestKind {
+        name: name.to_owned(),
+        service: "orders".to_owned(),
+        method: method.to_owned(),
+        keyed,
+        rate_per_s: 100.0,
+        timeout_ms: Some(5_000),
+        body_bytes: 10,
+    }
+}
+
+fn settings(entries: Vec<SocketAddr>, target: SocketAddrV4) -> LoadSettings {
+    LoadSettings {
+        seed: 11,
+        duration_ms: 300,
+        entries,
+        kinds: vec![kind("reserve", "POST", true), kind("feed", "GET", false)],
+        flows: Vec::new(),
+        targets: vec![target.into()],
+        answer_timeout_ms: 20_000,
+        max_sends: 3,
+    }
+}
+
+async fn run(settings: &LoadSettings) -> Report {
+    load::run(settings, "test").await.expect("load")
+}
+
+/// An address whose connections are refused.
+async fn refusing() -> SocketAddr {
+    let listener = TcpListener::bind(loopback()).await.expect("bind");
+    listener.local_addr().expect("address")
+}
+
+/// Guards against a run whose counts don't agree though nothing went wrong.
+#[tokio::test]
+async fn undisturbed_load_completes_and_holds() {
+    let mut tasks = JoinSet::new();
+    let target = target(0).await;
+    let entry = forwarder(&mut tasks, target.address(), Behaviour::Pass).await;
+    let report = run(&settings(vec![entry], target.address())).await;
+    let requests: u64 = report.kinds.values().map(|kind| kind.requests).sum();
+    assert!(requests > 20, "{}", report.table());
+    assert_eq!(report.outcome(Outcome::Completed), requests, "{}", report.table());
+    assert!(report.checks.holds(), "{}", report.table());
+    assert_eq!(report.checks.runs_completed, requests);
+    assert_eq!(report.timeline.iter().map(|step| step.completed).sum::<u64>(), requests);
+}
+
+/// Guards against true refusals that are counted as unknown, or as a violation.
+#[tokio::test]
+async fn true_refusals_hold() {
+    let mut tasks = JoinSet::new();
+    let target = target(50).await;
+    let entry = forwarder(&mut tasks, target.address(), Behaviour::Pass).await;
+    let report = run(&settings(vec![entry], target.address())).await;
+    assert!(report.outcome(Outcome::Refused) > 0, "{}", report.table());
+    assert_eq!(report.outcome(Outcome::Unknown), 0, "{}", report.table());
+    assert!(report.checks.holds(), "{}", report.table());
+}
+
+/// Guards against a refused request that ran and is not reported.
+#[tokio::test]
+async fn false_refusals_are_found() {
+    let mut tasks = JoinSet::new();
+    let target = target(0).await;
+    let entry = forwarder(&mut tasks, target.address(), Behaviour::ClaimNotRun).await;
+    let report = run(&settings(vec![entry], target.address())).await;
+    assert!(report.checks.refused_but_ran.count > 0);
+    assert_eq!(report.checks.refused_but_ran.count, report.outcome(Outcome::Refused));
+    assert!(!report.checks.holds());
+}
+
+/// Guards against a key that ran twice and is not reported. The forwarders don't know keys, so a
+/// resend after a lost answer runs again.
+#[tokio::test]
+async fn second_runs_of_a_key_are_found() {
+    let mut tasks = JoinSet::new();
+    let target = target(0).await;
+    let lossy = forwarder(&mut tasks, target.address(), Behaviour::LoseAnswer).await;
+    let entry = forwarder(&mut tasks, target.address(), Behaviour::Pass).await;
+    let mut settings = settings(vec![lossy, entry], target.address());
+    settings.answer_timeout_ms = 1_000;
+    let report = run(&settings).await;
+    assert!(report.checks.key_ran_twice.count > 0, "{}", report.table());
+    assert!(!report.checks.holds());
+    assert!(report.kinds["reserve"].sends > report.kinds["reserve"].requests);
+}
+
+/// Guards against a resend of a request that must not run twice, and a lost answer that is not
+/// counted as unknown.
+#[tokio::test]
+async fn unkeyed_posts_are_not_resent_after_a_lost_answer() {
+    let mut tasks = JoinSet::new();
+    let target = target(0).await;
+    let lossy = forwarder(&mut tasks, target.address(), Behaviour::LoseAnswer).await;
+    let mut settings = settings(vec![lossy], target.address());
+    settings.kinds = vec![kind("plain", "POST", false)];
+    settings.answer_timeout_ms = 200;
+    let report = run(&settings).await;
+    let plain = &report.kinds["plain"];
+    assert_eq!(plain.sends, plain.requests);
+    assert_eq!(report.outcome(Outcome::Unknown), plain.requests, "{}", report.table());
+    assert!(report.checks.holds(), "{}", report.table());
+}
+
+/// Guards against an entry that refuses connections making requests fail while others work.
+#[tokio::test]
+async fn unreachable_entry_is_passed_over() {
+    let mut tasks = JoinSet::new();
+    let target = target(0).await;
+    let entry = forwarder(&mut tasks, target.address(), Behaviour::Pass).await;
+    let mut settings = settings(vec![refusing().await, entry], target.address());
+    settings.kinds.push(kind("plain", "POST", false));
+    let report = run(&settings).await;
+    let requests: u64 = report.kinds.values().map(|kind| kind.requests).sum();
+    assert_eq!(report.outcome(Outcome::Completed), requests, "{}", report.table());
+    assert!(report.checks.holds(), "{}", report.table());
+}
+
+/// Guards against an answer to another request that counts as completed.
+#[tokio::test]
+async fn crossed_answers_are_found() {
+    let mut tasks = JoinSet::new();
+    let target = target(0).await;
+    let entry = forwarder(&mut tasks, target.address(), Behaviour::Cross).await;
+    let report = run(&settings(vec![entry], target.address())).await;
+    assert_eq!(report.outcome(Outcome::Completed), 0, "{}", report.table());
+    assert!(report.checks.wrong_answers.count > 0 && !report.checks.holds());
+}
+
+/// Guards against answers that no target ran, as a cache or a wrong service would give.
+#[tokio::test]
+async fn answers_without_a_run_are_found() {
+    let mut tasks = JoinSet::new();
+    let target = target(0).await;
+    let listener = TcpListener::bind(loopback()).await.unwrap();
+    let entry = listener.local_addr().unwrap();
+    tasks.spawn(http::serve(listener, |request| async move {
+        let path = request.uri().path().to_owned();
+        json(&serde_json::json!({
+            "path": path, "service": "orders", "target": "", "body_bytes": 10, "filler": ""
+        }))
+    }));
+    let report = run(&settings(vec![entry], target.address())).await;
+    let completed = report.outcome(Outcome::Completed);
+    assert!(completed > 0);
+    assert_eq!(report.checks.answered_but_not_completed.count, completed);
+}
+
+/// Guards against arrivals that wait for answers, and latencies that start with the send instead of
+/// the schedule.
+#[tokio::test]
+async fn arrivals_do_not_wait_for_answers() {
+    let mut tasks = JoinSet::new();
+    let target = target(0).await;
+    let entry = forwarder(&mut tasks, target.address(), Behaviour::Pass).await;
+    target.pause(true);
+    let settings = settings(vec![entry], target.address());
+    let scheduled = |index: usize| {
+        let seed = part_seed(settings.seed, "requests", index);
+        arrivals(100.0, settings.duration(), seed).len() as u64
+    };
+    let scheduled = scheduled(0) + scheduled(1);
+    let load = tokio::spawn(async move { load::drive(&settings).await });
+    let all_arrived = || target.report().arrived == scheduled;
+    wait_until("all requests arrive unanswered", LIMIT, all_arrived).await.unwrap();
+    assert_eq!(target.report().started, 0);
+    target.pause(false);
+    let results = load.await.unwrap().unwrap();
+    let last = results.requests.iter().map(|r| r.intended).max().unwrap();
+    assert!(results.requests.iter().all(|r| r.intended + r.latency >= last));
+}
+
+/// Guards against arrivals off their rate, or that can't be repeated.
+#[test]
+fn arrivals_follow_rate_and_seed() {
+    let times = arrivals(100.0, Duration::from_secs(10), 1);
+    assert!((800..1_200).contains(&times.len()), "{}", times.len());
+    assert!(times.is_sorted());
+    assert_eq!(times, arrivals(100.0, Duration::from_secs(10), 1));
+    assert_ne!(times, arrivals(100.0, Duration::from_secs(10), 2));
+}
+
+/// Guards against an imbalance that is not the highest count over the mean.
+#[test]
+fn imbalance_is_most_over_mean() {
+    assert!((imbalance(&[2, 2, 2]) - 1.0).abs() < 1e-9);
+    assert!((imbalance(&[3, 1, 2]) - 1.5).abs() < 1e-9);
+    assert!((imbalance(&[]) - 1.0).abs() < 1e-9);
+}
+
+/// Guards against a command that writes incomplete results, and a refusal of settings that does not
+/// name the field.
+#[tokio::test]
+async fn binary_writes_table_json_and_plot() {
+    let mut tasks = JoinSet::new();
+    let target = target(0).await;
+    let entry = forwarder(&mut tasks, target.address(), Behaviour::Pass).await;
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("load.yaml");
+    let settings = settings(vec![entry], target.address());
+    std::fs::write(&file, serde_yaml_ng::to_string(&settings).unwrap()).unwrap();
+    let command = |file: &std::path::Path| {
+        let mut command = Command::new(program());
+        command.args(["load", "--revision", "r1", "--settings"]).arg(file);
+        command.arg("--out").arg(folder.path());
+        command
+    };
+    let output = tokio::time::timeout(LIMIT, command(&file).output()).await.unwrap().unwrap();
+    assert!(output.status.success(), "{output:?}");
+    let table = std::fs::read(folder.path().join("load.txt")).unwrap();
+    assert_eq!(output.stdout, table);
+    let json = std::fs::read(folder.path().join("load.json")).unwrap();
+    let report: Report = serde_json::from_slice(&json).unwrap();
+    assert_eq!((report.revision.as_str(), report.settings), ("r1", settings));
+    let plot = std::fs::read_to_string(folder.path().join("load.svg")).unwrap();
+    assert!(plot.contains("<svg") && plot.contains("broken flows"));
+    std::fs::write(&file, "{seed: 1, duration_ms: 1, max_sends: 0}").unwrap();
+    let refused = command(&file).output().await.unwrap();
+    assert!(!refused.status.success());
+    assert!(String::from_utf8_lossy(&refused.stderr).contains("max_sends"));
+}
