--- a/crates/consensus/src/node/mod.rs
+++ b/crates/consensus/src/node/mod.rs
@@ -16,7 +16,7 @@
 use crate::log::Log;
 use crate::message::{Body, LogEntry, Marks, Message, Starts};
 use comfreyhold_types::codes::ResultCode;
-use comfreyhold_types::declarations::{Declarations, Voter};
+use comfreyhold_types::declarations::{Command, Declarations, Voter};
 use comfreyhold_types::keys::{InstanceId, Revision, Term};
 use leader::Leader;
 use rand::RngExt;
@@ -164,6 +164,12 @@
         &self.state
     }
 
+    /// The command at a revision, while the log still holds it.
+    #[must_use]
+    pub fn command(&self, revision: Revision) -> Option<&Command> {
+        self.log.get(revision).map(|entry| &entry.command)
+    }
+
     /// Current term.
     #[must_use]
     pub fn term(&self) -> Term {
--- /dev/null
+++ b/crates/daemon/src/admin.rs
@@ -0,0 +1,75 @@
+//! Endpoints that every process has: health, readiness, metrics, time line and status.
+
+use crate::context::Context;
+use crate::reply;
+use comfreyhold_types::api::StatusReply;
+use comfreyhold_types::prelude::ResultCode;
+use gotham::helpers::http::Body;
+use gotham::hyper::{Method, Response, Uri};
+use gotham::state::{FromState, State};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use std::collections::BTreeMap;
+
+/// Largest body of an operator's or target's request, in bytes.
+pub const MAX_ADMIN_BODY: usize = 256 * 1024;
+
+/// Installs the process's metrics recorder.
+///
+/// # Errors
+/// A recorder is already installed.
+pub fn install_metrics() -> anyhow::Result<PrometheusHandle> {
+    Ok(PrometheusBuilder::new().install_recorder()?)
+}
+
+/// Method, path and query of a request.
+pub struct Target {
+    /// Method.
+    pub method: Method,
+    /// Path without the query.
+    pub path: String,
+    /// Query parameters.
+    pub query: BTreeMap<String, String>,
+}
+
+impl Target {
+    /// Reads them from a request's state.
+    #[must_use]
+    pub fn of(state: &State) -> Self {
+        let uri = Uri::borrow_from(state);
+        let pairs = uri.query().unwrap_or_default().split('&');
+        let query = pairs.filter_map(|pair| pair.split_once('='));
+        Self {
+            method: Method::borrow_from(state).clone(),
+            path: uri.path().to_owned(),
+            query: query.map(|(name, value)| (name.to_owned(), value.to_owned())).collect(),
+        }
+    }
+}
+
+/// Answers the common endpoints; `None` when the path is not one of them.
+pub fn common(
+    target: &Target,
+    cx: &Context,
+    metrics: &PrometheusHandle,
+    status: impl Fn() -> StatusReply,
+) -> Option<Response<Body>> {
+    if target.method != Method::GET {
+        return None;
+    }
+    let response = match target.path.as_str() {
+        "/healthz" => reply::text("ok\n"),
+        "/metrics" => reply::text(metrics.render()),
+        "/readyz" if status().ready => reply::text("ready\n"),
+        "/readyz" => reply::result(ResultCode::Stopping, "not ready"),
+        "/v1/status" => reply::json(ResultCode::Ok, &status()),
+        "/v1/timeline" => reply::json(ResultCode::Ok, &cx.timeline()),
+        _ => return None,
+    };
+    Some(response)
+}
+
+/// The answer to a path that doesn't exist.
+pub fn not_found(target: &Target) -> Response<Body> {
+    let message = format!("{} {} does not exist", target.method, target.path);
+    reply::result(ResultCode::UnknownName, &message)
+}
--- /dev/null
+++ b/crates/daemon/src/control_run.rs
@@ -0,0 +1,138 @@
+//! Start and stop of the control daemon.
+
+use crate::admin;
+use crate::context::Context;
+use crate::control::{Control, PersistJob};
+use crate::control_api::ControlApi;
+use crate::control_counts::{CountStore, WRITE_INTERVAL};
+use crate::http_server::{self, InFlight};
+use crate::process::{self, Ticker};
+use crate::settings::{Role, Settings};
+use crate::{logging, settings};
+use anyhow::Context as _;
+use comfreyhold_consensus::disk::{DataFolder, Store, StoreError};
+use comfreyhold_consensus::node::{Node, Settings as NodeSettings};
+use comfreyhold_types::clock::SystemClock;
+use comfreyhold_types::declarations::Voter;
+use comfreyhold_types::prelude::*;
+use comfreyhold_wire::transport::Inbox;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::path::Path;
+use std::sync::{Arc, mpsc};
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// Longest wait for requests in flight at a graceful stop.
+const DRAIN_LIMIT: Duration = Duration::from_secs(10);
+
+/// Threads of the HTTP runtime.
+const HTTP_THREADS: usize = 2;
+
+/// Runs a control daemon until it is told to stop.
+///
+/// # Errors
+/// The settings, the data folder or a socket can't be used.
+pub fn run(path: &Path) -> anyhow::Result<()> {
+    let settings = Settings::load(path)?;
+    let member = settings.own()?.clone();
+    anyhow::ensure!(member.role == settings::Role::Control, "{} is no control daemon", member.name);
+    logging::install(&settings.log, &member.name)?;
+    let metrics = admin::install_metrics()?;
+    let folder = settings.data_folder.clone().context("data_folder is not set")?;
+    let cx = Context::new(settings, member, Arc::new(SystemClock));
+    let store = open_store(&folder.join("log"))?;
+    let node = start_node(&cx, &store)?;
+    let counts = Arc::new(CountStore::open(&folder)?);
+    let (tx, rx) = mpsc::channel();
+    let control = Control::new(Arc::clone(&cx), node, Arc::clone(&counts), tx);
+    spawn_storage(Arc::clone(&control), store, rx)?;
+    spawn_count_writer(counts)?;
+    let transport = process::start_transport(&cx, Arc::clone(&control) as Arc<dyn Inbox>)?;
+    let ticking = Arc::clone(&control);
+    let ticker = Ticker::start(move || ticking.tick())?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(HTTP_THREADS)
+        .enable_all()
+        .build()?;
+    cx.record(EventKind::Started, &[("role", "control".to_owned())]);
+    runtime.block_on(serve(Arc::clone(&control), metrics))?;
+    drop(ticker);
+    drop(transport);
+    Ok(())
+}
+
+async fn serve(
+    control: Arc<Control>,
+    metrics: metrics_exporter_prometheus::PrometheusHandle,
+) -> anyhow::Result<()> {
+    let cx = Arc::clone(control.context());
+    let listener = process::into_tokio(process::bind(cx.member.admin)?)?;
+    let in_flight = InFlight::default();
+    let api = ControlApi::new(Arc::clone(&control), metrics, in_flight.clone());
+    let (stop, stopped) = watch::channel(false);
+    let server = tokio::spawn(http_server::serve(listener, api, stopped));
+    process::print_started(&cx, &[("admin", cx.member.admin)]);
+    process::stop_signal().await?;
+    cx.record(EventKind::Stopping, &[]);
+    stop.send_replace(true);
+    server.await?;
+    if !in_flight.idle(DRAIN_LIMIT).await {
+        log::warn!("{} requests were still in flight", in_flight.count());
+    }
+    control.leave();
+    control.counts().write()
+}
+
+fn open_store(folder: &Path) -> anyhow::Result<Store<DataFolder>> {
+    let opened = DataFolder::open(folder).and_then(|files| {
+        let mut rng: StdRng = rand::make_rng();
+        Store::open(files, &mut rng)
+    });
+    opened.map_err(|error| describe(&error, folder))
+}
+
+fn describe(error: &StoreError, folder: &Path) -> anyhow::Error {
+    anyhow::anyhow!("{} {}: {error}", error.code().number(), folder.display())
+}
+
+fn start_node(cx: &Context, store: &Store<DataFolder>) -> anyhow::Result<Node> {
+    let me = Voter { instance: cx.instance(), disk: store.disk_id() };
+    let members = cx.settings.with_role(Role::Control).into_keys().collect();
+    let mut cfg = NodeSettings::new(me, cx.incarnation, members);
+    cfg.form = cx.settings.bootstrap;
+    let rng = StdRng::seed_from_u64(cx.seed(2));
+    Ok(Node::new(cfg, store.content().clone(), rng, cx.now())?)
+}
+
+/// Writes batches in order, each synced before it is confirmed. After a fault nothing more is written.
+fn spawn_storage(
+    control: Arc<Control>,
+    mut store: Store<DataFolder>,
+    jobs: mpsc::Receiver<PersistJob>,
+) -> anyhow::Result<()> {
+    std::thread::Builder::new().name("storage".to_owned()).spawn(move || {
+        for job in jobs {
+            match store.persist(&job.batch) {
+                Ok(()) => control.persisted(job.seq),
+                Err(error) => {
+                    control.storage_fault(error.code(), &error.to_string());
+                    return;
+                }
+            }
+        }
+    })?;
+    Ok(())
+}
+
+fn spawn_count_writer(counts: Arc<CountStore>) -> anyhow::Result<()> {
+    std::thread::Builder::new().name("counts".to_owned()).spawn(move || {
+        loop {
+            std::thread::sleep(WRITE_INTERVAL);
+            if let Err(error) = counts.write() {
+                log::error!("{error:#}");
+            }
+        }
+    })?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/entry.rs
@@ -0,0 +1,430 @@
+//! The entry daemon: drives failure detection, the target registry and the installation of revisions,
+//! and passes what they find on to the request and packet sides.
+
+use crate::context::{Context, lock};
+use crate::entry_counts::EntryCounts;
+use crate::entry_keys::Keys;
+use crate::entry_requests::Requests;
+use crate::entry_roles::Roles;
+use crate::entry_view::View;
+use crate::peers;
+use crate::upstream::Pool;
+use comfreyhold_membership::counters::CounterMessage;
+use comfreyhold_membership::detector::{self, Change, Detector, DetectorMessage};
+use comfreyhold_membership::installer::{InstallAction, Installer};
+use comfreyhold_membership::members::Role as MemberRole;
+use comfreyhold_membership::messages::InstallMessage;
+use comfreyhold_membership::registry::{
+    Announcement, AnnouncementError, Registry, RegistryAction, RegistryMessage,
+};
+use comfreyhold_request::message::Message as RequestMessage;
+use comfreyhold_types::declarations::DomainState;
+use comfreyhold_types::prelude::*;
+use comfreyhold_wire::envelope::{Envelope, Topic, decode_body};
+use comfreyhold_wire::error::WireError;
+use comfreyhold_wire::transport::Inbox;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+
+/// A dead entry's hearings of targets are dropped this much later, so that its targets can announce
+/// themselves to another entry: the default lease of targets.
+const ENTRY_LOST_DELAY: Duration = Duration::from_secs(3);
+
+struct Members {
+    detector: Detector,
+    registry: Registry,
+    installer: Installer,
+    lost_entries: BTreeMap<InstanceId, Instant>,
+    left: BTreeSet<InstanceId>,
+    /// Last announcement of each target taken in here.
+    sequences: BTreeMap<SocketAddr, (Incarnation, u64)>,
+    /// Whether this process saw the idempotency register before it was opened.
+    seen_closed: bool,
+    /// Whether something changed that the request and packet sides must know.
+    changed: bool,
+}
+
+/// One entry.
+pub struct Entry {
+    /// The shared context.
+    pub cx: Arc<Context>,
+    /// The request side.
+    pub requests: Requests,
+    /// The idempotency register.
+    pub keys: Keys,
+    /// The counters.
+    pub counts: EntryCounts,
+    /// Connections to targets.
+    pub pool: Pool,
+    members: Mutex<Members>,
+    view: RwLock<Arc<View>>,
+    stopping: AtomicBool,
+}
+
+/// State of an entry for operators.
+#[derive(Clone, Debug)]
+pub struct EntryStatus {
+    /// Newest term known.
+    pub term: Term,
+    /// Leader of that term.
+    pub leader: Option<InstanceId>,
+    /// Revision in effect.
+    pub revision: Revision,
+    /// Whether the lease runs.
+    pub leased: bool,
+    /// Whether the state is new enough to serve.
+    pub recovered: bool,
+    /// Live entries and control daemons beside this one.
+    pub live: usize,
+}
+
+impl Entry {
+    /// Creates an entry that has just started.
+    #[must_use]
+    pub fn new(cx: Arc<Context>) -> Arc<Self> {
+        let now = cx.now();
+        let identity = (cx.instance(), cx.incarnation);
+        let seeds = cx.settings.members.iter().map(|member| member.instance);
+        let role = (MemberRole::Entry, cx.member.domain);
+        let entries = cx.settings.with_role(crate::settings::Role::Entry);
+        let neighbours =
+            entries.iter().filter(|(_, at)| **at == cx.member.domain).map(|(id, _)| *id);
+        let members = Members {
+            detector: Detector::new(now, identity, role, seeds, cx.seed(1)),
+            registry: Registry::new(identity, cx.member.domain, allowed_domains(&cx)),
+            installer: Installer::new(now, cx.instance(), neighbours, cx.seed(2)),
+            lost_entries: BTreeMap::new(),
+            left: BTreeSet::new(),
+            sequences: BTreeMap::new(),
+            seen_closed: false,
+            changed: true,
+        };
+        Arc::new(Self {
+            requests: Requests::new(Arc::clone(&cx)),
+            keys: Keys::new(Arc::clone(&cx)),
+            counts: EntryCounts::new(Arc::clone(&cx)),
+            pool: Pool::default(),
+            members: Mutex::new(members),
+            view: RwLock::default(),
+            stopping: AtomicBool::new(false),
+            cx,
+        })
+    }
+
+    /// What the entry currently knows.
+    #[must_use]
+    pub fn view(&self) -> Arc<View> {
+        Arc::clone(&self.view.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Whether a graceful stop has begun.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Whether new work is taken.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && lock(&self.members).installer.is_recovered()
+    }
+
+    /// State for operators.
+    #[must_use]
+    pub fn status(&self) -> EntryStatus {
+        let members = lock(&self.members);
+        EntryStatus {
+            term: members.installer.term(),
+            leader: members.installer.leader(),
+            revision: members.installer.progress().active,
+            leased: members.installer.has_lease(self.cx.now()),
+            recovered: members.installer.is_recovered(),
+            live: members.detector.live().count(),
+        }
+    }
+
+    /// Targets as known here, with whether their lease runs.
+    #[must_use]
+    pub fn announced(&self) -> Vec<(TargetRecord, bool)> {
+        let members = lock(&self.members);
+        let known = members.registry.targets().iter();
+        known.map(|target| (target.record.clone(), target.is_heard())).collect()
+    }
+
+    /// Takes in a target's announcement.
+    ///
+    /// # Errors
+    /// A 4xxx code when it is refused.
+    pub fn announce(
+        &self,
+        announcement: &Announcement,
+        sequence: u64,
+    ) -> Result<(), AnnouncementError> {
+        let mut members = lock(&self.members);
+        let record = &announcement.record;
+        let last = members.sequences.get(&record.address).copied().unwrap_or_default();
+        let position = (record.incarnation, sequence);
+        if position < last {
+            // An announcement that was delayed on the way must not undo a newer one.
+            let reason = format!("{} was announced later with sequence {}", record.address, last.1);
+            return Err(AnnouncementError { code: ResultCode::OldIncarnation, reason });
+        }
+        let declared = Arc::clone(members.installer.prepared());
+        let actions = members.registry.announce(self.cx.now(), announcement, &declared)?;
+        members.sequences.insert(record.address, position);
+        self.on_registry(&mut members, actions);
+        self.refresh(&mut members);
+        Ok(())
+    }
+
+    /// Begins the graceful stop: nothing new is taken, and the dispatchers of this entry end.
+    pub fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+        self.requests.stop_dispatching();
+    }
+
+    /// Tells the others that this entry is gone. Comes after its last request has ended, so that a new
+    /// dispatcher need not wait for its grants.
+    pub fn leave(&self) {
+        let mut members = lock(&self.members);
+        let actions = members.detector.leave();
+        self.on_detector(&mut members, actions);
+    }
+
+    /// Handles all timers.
+    pub fn tick(&self) {
+        let now = self.cx.now();
+        let mut members = lock(&self.members);
+        if now >= members.detector.next_wake() {
+            let actions = members.detector.tick(now);
+            self.on_detector(&mut members, actions);
+        }
+        let actions = members.installer.tick(now);
+        self.on_installer(&mut members, actions);
+        let actions = members.registry.tick(now);
+        self.on_registry(&mut members, actions);
+        self.drop_lost_entries(&mut members, now);
+        self.start_keys(&mut members, now);
+        self.refresh(&mut members);
+        drop(members);
+        self.requests.tick();
+        self.keys.tick();
+        self.counts.tick();
+    }
+
+    fn drop_lost_entries(&self, members: &mut Members, now: Instant) {
+        let due: Vec<_> =
+            members.lost_entries.iter().filter(|(_, at)| **at <= now).map(|(id, _)| *id).collect();
+        for entry in due {
+            members.lost_entries.remove(&entry);
+            let Members { registry, sequences, .. } = members;
+            sequences.retain(|address, _| registry.targets().get(*address).is_some());
+            let actions = members.registry.entry_lost(now, entry);
+            self.on_registry(members, actions);
+        }
+    }
+
+    /// Starts the key replicas once the register is open. Those of an entry that was running before have
+    /// never voted and have nothing to copy.
+    fn start_keys(&self, members: &mut Members, now: Instant) {
+        let installer = &members.installer;
+        if !installer.is_recovered() || !installer.is_current(now) {
+            return;
+        }
+        if installer.active().register_open {
+            self.keys.start_replica(members.seen_closed);
+        } else {
+            members.seen_closed = true;
+        }
+    }
+
+    fn on_detector(&self, members: &mut Members, actions: Vec<detector::Action>) {
+        for action in actions {
+            match action {
+                detector::Action::Send { to, message } => {
+                    self.cx.send(to, Topic::Detector, &message);
+                }
+                detector::Action::Changed { change, member } => {
+                    peers::record_change(&self.cx, change, &member);
+                    self.on_change(members, change, member.id);
+                }
+                detector::Action::Superseded(newer) => peers::superseded(&self.cx, newer),
+            }
+        }
+    }
+
+    fn on_change(&self, members: &mut Members, change: Change, id: InstanceId) {
+        members.changed = true;
+        match change {
+            Change::Alive | Change::Restarted => {
+                members.lost_entries.remove(&id);
+                members.left.remove(&id);
+            }
+            Change::Dead => {
+                members.lost_entries.insert(id, self.cx.now() + ENTRY_LOST_DELAY);
+            }
+            Change::Left => {
+                members.left.insert(id);
+                members.lost_entries.insert(id, self.cx.now() + ENTRY_LOST_DELAY);
+            }
+            Change::Suspected => {}
+        }
+    }
+
+    fn on_registry(&self, members: &mut Members, actions: Vec<RegistryAction>) {
+        for action in actions {
+            match action {
+                RegistryAction::Send { to, message } => self.cx.send(to, Topic::Registry, &message),
+                RegistryAction::Changed(kind, target) => {
+                    members.changed = true;
+                    peers::record_target(&self.cx, kind, &target);
+                }
+            }
+        }
+    }
+
+    fn on_installer(&self, members: &mut Members, actions: Vec<InstallAction>) {
+        for action in actions {
+            match action {
+                InstallAction::Send { to, message } => self.cx.send(to, Topic::Rollout, &message),
+                InstallAction::Prepare(state) => {
+                    self.cx
+                        .record(EventKind::Prepared, &[("revision", state.revision.0.to_string())]);
+                }
+                InstallAction::Activate(state) => self.on_activate(members, &state),
+                InstallAction::Recovered => members.changed = true,
+                InstallAction::LeaseRegained => {
+                    members.changed = true;
+                    self.cx.record(EventKind::LeaseRegained, &[]);
+                }
+                InstallAction::LeaseLost => {
+                    members.changed = true;
+                    self.cx.record(EventKind::LeaseLost, &[]);
+                }
+            }
+        }
+    }
+
+    fn on_activate(&self, members: &mut Members, state: &Arc<Declarations>) {
+        members.changed = true;
+        self.cx.set_position(members.installer.term(), state.revision);
+        metrics::gauge!("comfreyhold_revision").set(state.revision.0 as f64);
+        self.cx.record(EventKind::Activated, &[("revision", state.revision.0.to_string())]);
+        let before = self.view();
+        for domain in self.cx.settings.domains.keys() {
+            let now_state = state.domains.get(domain).copied().unwrap_or_default();
+            if before.domain_state(*domain) != now_state {
+                let kind = match now_state {
+                    DomainState::Out => EventKind::DomainOut,
+                    DomainState::In => EventKind::DomainIn,
+                };
+                self.cx.record(kind, &[("domain", domain.to_string())]);
+            }
+        }
+        // Responses to the leader depend on the new state being in effect for requests.
+        self.refresh(members);
+    }
+
+    /// Passes the current view and live entries on, when they changed.
+    fn refresh(&self, members: &mut Members) {
+        if !std::mem::take(&mut members.changed) {
+            return;
+        }
+        let roles = self.roles(members);
+        let declared = Arc::clone(members.installer.active());
+        let view = Arc::new(View::new(declared, members.registry.targets().iter()));
+        *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::clone(&view);
+        members.registry.set_peers(registry_peers(&roles, members.installer.leader()));
+        self.pool.retain(|target| view.has_target(target));
+        self.requests.update(&roles, &view);
+    }
+
+    fn roles(&self, members: &Members) -> Roles {
+        let entries = members.detector.live().filter(|member| member.role == MemberRole::Entry);
+        let mut live: BTreeMap<InstanceId, DomainId> =
+            entries.map(|member| (member.id, member.domain)).collect();
+        live.insert(self.cx.instance(), self.cx.member.domain);
+        Roles {
+            own: self.cx.instance(),
+            own_domain: self.cx.member.domain,
+            live,
+            left: members.left.clone(),
+            isolated: !members.installer.has_lease(self.cx.now()),
+        }
+    }
+
+    fn on_envelope(&self, envelope: &Envelope) -> Result<(), WireError> {
+        let now = self.cx.now();
+        let from = envelope.from;
+        match envelope.topic {
+            Topic::Request => {
+                let message: RequestMessage = decode_body(&envelope.body)?;
+                match message {
+                    RequestMessage::Key(message) => self.keys.on_message(from, message),
+                    message => self.requests.on_message(from, message),
+                }
+            }
+            Topic::Detector => {
+                let message: DetectorMessage = decode_body(&envelope.body)?;
+                let mut members = lock(&self.members);
+                let actions = members.detector.on_message(now, from, message);
+                self.on_detector(&mut members, actions);
+                self.refresh(&mut members);
+            }
+            Topic::Registry => {
+                let message: RegistryMessage = decode_body(&envelope.body)?;
+                let mut members = lock(&self.members);
+                let actions = members.registry.on_message(now, from, message);
+                self.on_registry(&mut members, actions);
+                self.refresh(&mut members);
+            }
+            Topic::Rollout => {
+                let message: InstallMessage = decode_body(&envelope.body)?;
+                let mut members = lock(&self.members);
+                let actions = members.installer.on_message(now, from, message);
+                self.on_installer(&mut members, actions);
+                self.refresh(&mut members);
+            }
+            Topic::Counters => {
+                let message: CounterMessage = decode_body(&envelope.body)?;
+                self.counts.on_message(from, &message);
+            }
+            Topic::Flow => {}
+            Topic::Consensus => {
+                let reason = "consensus messages are for control daemons".to_owned();
+                return Err(WireError::BadFrame(reason));
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Inbox for Entry {
+    fn deliver(&self, envelope: Envelope) {
+        if !self.cx.accept(&envelope) {
+            return;
+        }
+        if let Err(error) = self.on_envelope(&envelope) {
+            log::warn!("{} from {}: {error}", error.code().number(), envelope.from);
+        }
+    }
+
+    fn connection_closed(&self, peer: InstanceId, reason: &str) {
+        peers::connection_closed(&self.cx, peer, reason);
+    }
+}
+
+fn allowed_domains(cx: &Context) -> BTreeSet<DomainId> {
+    let named = cx.settings.entry.as_ref().map(|entry| entry.allowed_domains.clone());
+    let named = named.unwrap_or_default();
+    if named.is_empty() { cx.settings.domains.keys().copied().collect() } else { named }
+}
+
+/// The live entries of the own domain and the leader.
+fn registry_peers(roles: &Roles, leader: Option<InstanceId>) -> BTreeSet<InstanceId> {
+    let neighbours = roles.live.iter().filter(|(_, domain)| **domain == roles.own_domain);
+    neighbours.map(|(id, _)| *id).chain(leader).collect()
+}
--- /dev/null
+++ b/crates/daemon/src/entry_counts.rs
@@ -0,0 +1,91 @@
+//! Counters of one entry, and their way to the control instances' disks.
+
+use crate::context::{Context, lock};
+use crate::settings::Role;
+use comfreyhold_membership::counters::{CounterMessage, LocalCounters};
+use comfreyhold_types::prelude::*;
+use comfreyhold_wire::envelope::Topic;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Time between two reports; a crash loses at most the counts since the last one.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+struct Core {
+    /// One per receiver, since each confirms by itself.
+    by_receiver: BTreeMap<InstanceId, LocalCounters>,
+    next_report: Instant,
+}
+
+/// The counters of one entry.
+pub struct EntryCounts {
+    cx: Arc<Context>,
+    core: Mutex<Core>,
+}
+
+impl EntryCounts {
+    /// Creates empty counters for this start.
+    #[must_use]
+    pub fn new(cx: Arc<Context>) -> Self {
+        let receivers = cx.settings.with_role(Role::Control).into_keys();
+        let counters =
+            receivers.map(|id| (id, LocalCounters::new(cx.instance(), cx.incarnation))).collect();
+        let core = Core { by_receiver: counters, next_report: cx.now() };
+        Self { cx, core: Mutex::new(core) }
+    }
+
+    /// Counts a finished request.
+    pub fn add(&self, service: ServiceId, code: ResultCode) {
+        let label: &'static str = code.into();
+        metrics::counter!(
+            "comfreyhold_requests_total",
+            "service" => service.0.to_string(),
+            "result" => label
+        )
+        .increment(1);
+        let mut core = lock(&self.core);
+        for counters in core.by_receiver.values_mut() {
+            counters.add(service, code, 1);
+        }
+    }
+
+    /// Marks the graceful stop and reports at once.
+    pub fn stop(&self) {
+        let mut core = lock(&self.core);
+        core.by_receiver.values_mut().for_each(LocalCounters::stop);
+        self.report(&mut core);
+    }
+
+    /// Whether at least one control instance has confirmed everything.
+    #[must_use]
+    pub fn is_confirmed(&self) -> bool {
+        lock(&self.core).by_receiver.values().any(LocalCounters::is_confirmed)
+    }
+
+    /// Takes in a confirmation.
+    pub fn on_message(&self, from: InstanceId, message: &CounterMessage) {
+        let CounterMessage::Confirm { number } = message else { return };
+        if let Some(counters) = lock(&self.core).by_receiver.get_mut(&from) {
+            counters.confirm(*number);
+        }
+    }
+
+    /// Sends reports that are due.
+    pub fn tick(&self) {
+        let now = self.cx.now();
+        let mut core = lock(&self.core);
+        if now >= core.next_report {
+            core.next_report = now + REPORT_INTERVAL;
+            self.report(&mut core);
+        }
+    }
+
+    fn report(&self, core: &mut Core) {
+        for (to, counters) in &mut core.by_receiver {
+            if let Some(report) = counters.report() {
+                self.cx.send(*to, Topic::Counters, &CounterMessage::Report(report));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry_requests.rs
@@ -0,0 +1,437 @@
+//! Drives the request side's cores of one entry: the client and the dispatchers that run here.
+
+use crate::context::{Context, lock};
+use crate::entry_roles::Roles;
+use crate::entry_view::View;
+use comfreyhold_membership::rollout::FENCE;
+use comfreyhold_request::budget::Budget;
+use comfreyhold_request::client::{self, Client};
+use comfreyhold_request::client_event::NewRequest;
+use comfreyhold_request::dispatcher::{self, Dispatcher, DispatcherConfig};
+use comfreyhold_request::message::{AttemptId, Message, Pool, RequestId};
+use comfreyhold_types::prelude::*;
+use comfreyhold_types::profile::RetryRule;
+use comfreyhold_wire::envelope::Topic;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc;
+
+/// What a request's task is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Connect to the target and write the request.
+    Start {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The target.
+        target: SocketAddr,
+        /// Time left to pass on.
+        remaining: Duration,
+    },
+    /// Close the connection of the attempt.
+    Abort(AttemptId),
+    /// The final result.
+    Finish(ResultCode),
+}
+
+struct Core {
+    client: Client,
+    dispatchers: BTreeMap<Pool, Dispatcher>,
+    assigned: BTreeMap<Pool, InstanceId>,
+    /// Pools of whose dispatcher a load report has arrived since this process started.
+    reported: BTreeSet<Pool>,
+    /// When this process first saw a target's incarnation.
+    first_seen: BTreeMap<(SocketAddr, Incarnation), Instant>,
+    waiting: BTreeMap<RequestId, mpsc::UnboundedSender<Order>>,
+    retry_rules: BTreeMap<ServiceId, RetryRule>,
+    /// Targets last passed to each dispatcher.
+    given: BTreeMap<Pool, Vec<TargetRecord>>,
+    epoch: u64,
+    /// Whether this entry takes the role of a dispatcher.
+    dispatching: bool,
+    roles: Roles,
+    view: Arc<View>,
+}
+
+/// The request side of one entry.
+pub struct Requests {
+    cx: Arc<Context>,
+    core: Mutex<Core>,
+}
+
+/// Work caused by an event, carried out until nothing is left.
+type Work = VecDeque<(InstanceId, Message)>;
+
+impl Requests {
+    /// Creates the request side without any service.
+    #[must_use]
+    pub fn new(cx: Arc<Context>) -> Self {
+        let client = Client::new(cx.instance(), cx.incarnation, cx.member.domain);
+        let core = Core {
+            client,
+            dispatchers: BTreeMap::new(),
+            assigned: BTreeMap::new(),
+            reported: BTreeSet::new(),
+            first_seen: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            retry_rules: BTreeMap::new(),
+            given: BTreeMap::new(),
+            epoch: 0,
+            dispatching: true,
+            roles: Roles::default(),
+            view: Arc::default(),
+        };
+        Self { cx, core: Mutex::new(core) }
+    }
+
+    /// Begins a request. Its orders arrive on the returned channel.
+    pub fn begin(&self, new: NewRequest) -> (RequestId, mpsc::UnboundedReceiver<Order>) {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let mut core = lock(&self.core);
+        let mut actions = Vec::new();
+        let id = core.client.begin(self.cx.now(), new, &mut actions);
+        core.waiting.insert(id, tx);
+        self.on_client(&mut core, actions);
+        (id, rx)
+    }
+
+    /// Asks whether the first byte of an attempt may be written.
+    #[must_use]
+    pub fn may_write(&self, attempt: AttemptId) -> bool {
+        lock(&self.core).client.may_write(self.cx.now(), attempt)
+    }
+
+    /// Passes an event of a request's task to the client.
+    pub fn event(&self, event: client::Event) {
+        let mut core = lock(&self.core);
+        let actions = core.client.handle(self.cx.now(), event);
+        self.on_client(&mut core, actions);
+    }
+
+    /// The caller of a request left. Returns the result that the request is counted as.
+    pub fn cancel(&self, request: RequestId) -> ResultCode {
+        let mut core = lock(&self.core);
+        let orders = core.waiting.remove(&request);
+        let now = self.cx.now();
+        let actions = core.client.handle(now, client::Event::Cancelled(request));
+        let finished = actions.iter().find_map(|action| match action {
+            client::Action::Finish(id, code) if *id == request => Some(*code),
+            _ => None,
+        });
+        drop(orders);
+        self.on_client(&mut core, actions);
+        finished.unwrap_or(ResultCode::CancelledWhileRunning)
+    }
+
+    /// Handles a message of another entry.
+    pub fn on_message(&self, from: InstanceId, message: Message) {
+        let mut core = lock(&self.core);
+        let mut work = Work::new();
+        self.route(&mut core, from, message, &mut work);
+        self.run(&mut core, work);
+    }
+
+    /// Handles all timers that are due.
+    pub fn tick(&self) {
+        let now = self.cx.now();
+        let mut core = lock(&self.core);
+        if core.client.next_wake().is_some_and(|at| at <= now) {
+            let actions = core.client.handle(now, client::Event::Tick);
+            self.on_client(&mut core, actions);
+        }
+        let due = core.dispatchers.iter().filter(|(_, d)| d.next_wake() <= now);
+        let due: Vec<Pool> = due.map(|(pool, _)| *pool).collect();
+        for pool in due {
+            self.dispatch(&mut core, pool, dispatcher::Event::Tick);
+        }
+    }
+
+    /// Takes in a new view of the declarations, targets and live entries.
+    pub fn update(&self, roles: &Roles, view: &Arc<View>) {
+        let now = self.cx.now();
+        let mut core = lock(&self.core);
+        let old_live = std::mem::replace(&mut core.roles, roles.clone()).live;
+        core.view = Arc::clone(view);
+        self.update_budgets(&mut core, now);
+        self.note_targets(&mut core, now);
+        self.update_dispatchers(&mut core, now);
+        for entry in old_live.keys().filter(|id| !roles.live.contains_key(id)) {
+            self.dispatch_all(&mut core, |_| dispatcher::Event::EntryFailed(*entry));
+        }
+        let events = [
+            client::Event::Isolated(roles.isolated),
+            client::Event::DomainsOut(view.domains_out()),
+            client::Event::Dispatchers(core.assigned.clone()),
+        ];
+        for event in events {
+            let actions = core.client.handle(now, event);
+            self.on_client(&mut core, actions);
+        }
+    }
+
+    /// Ends the dispatchers of this entry. Requests that wait at them are sent elsewhere by their entries.
+    pub fn stop_dispatching(&self) {
+        let mut core = lock(&self.core);
+        self.dispatch_all(&mut core, |_| dispatcher::Event::Stop);
+        core.dispatchers.clear();
+        core.given.clear();
+        core.dispatching = false;
+    }
+
+    /// Refuses what still waits for a slot; requests that are running go on.
+    pub fn stop_waiting(&self) {
+        self.event(client::Event::Stopping);
+    }
+
+    /// Requests that have not ended.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        lock(&self.core).client.open_requests()
+    }
+
+    /// Pools dispatched here, and how many of them grant slots.
+    #[must_use]
+    pub fn dispatching(&self) -> (usize, usize) {
+        let core = lock(&self.core);
+        (core.dispatchers.len(), core.dispatchers.values().filter(|d| d.is_active()).count())
+    }
+
+    fn update_budgets(&self, core: &mut Core, now: Instant) {
+        let view = Arc::clone(&core.view);
+        for (service, profile) in view.profiles() {
+            if core.retry_rules.get(&service) != Some(&profile.retry) {
+                core.retry_rules.insert(service, profile.retry.clone());
+                core.client.set_budget(service, Budget::new(profile.retry.clone(), now));
+            }
+        }
+    }
+
+    fn note_targets(&self, core: &mut Core, now: Instant) {
+        let view = Arc::clone(&core.view);
+        let known: BTreeSet<_> =
+            view.usable_targets().map(|target| (target.address, target.incarnation)).collect();
+        core.first_seen.retain(|target, _| known.contains(target));
+        for target in known {
+            core.first_seen.entry(target).or_insert(now);
+        }
+    }
+
+    fn update_dispatchers(&self, core: &mut Core, now: Instant) {
+        let wanted = core.roles.dispatchers(&core.view.pools());
+        let before = std::mem::replace(&mut core.assigned, wanted.clone());
+        let own = self.cx.instance();
+        let ended: Vec<Pool> = core
+            .dispatchers
+            .keys()
+            .filter(|pool| wanted.get(pool) != Some(&own))
+            .copied()
+            .collect();
+        for pool in ended {
+            self.dispatch(core, pool, dispatcher::Event::Stop);
+            core.dispatchers.remove(&pool);
+            core.given.remove(&pool);
+        }
+        if !core.dispatching {
+            return;
+        }
+        let mine: Vec<Pool> =
+            wanted.iter().filter(|(_, id)| **id == own).map(|(pool, _)| *pool).collect();
+        for pool in mine {
+            if core.dispatchers.contains_key(&pool) {
+                self.refresh_dispatcher(core, pool);
+            } else {
+                self.take_over(core, pool, before.get(&pool).copied(), now);
+            }
+        }
+    }
+
+    fn refresh_dispatcher(&self, core: &mut Core, pool: Pool) {
+        let targets = core.view.targets_of(pool);
+        let Some(profile) = core.view.profile(pool.service).cloned() else { return };
+        let state = core.view.domain_state(pool.domain);
+        if core.given.get(&pool) != Some(&targets) {
+            core.given.insert(pool, targets.clone());
+            self.dispatch(core, pool, dispatcher::Event::Targets(targets));
+        }
+        self.dispatch(core, pool, dispatcher::Event::Profile(Box::new(profile)));
+        self.dispatch(core, pool, dispatcher::Event::Domain(state));
+    }
+
+    fn take_over(&self, core: &mut Core, pool: Pool, before: Option<InstanceId>, now: Instant) {
+        let Some(profile) = core.view.profile(pool.service).cloned() else { return };
+        core.epoch = self.cx.epoch().max(core.epoch + 1);
+        let cold = cold_targets(core, pool, &profile, now);
+        let cfg =
+            DispatcherConfig { pool, instance: self.cx.instance(), epoch: core.epoch, profile };
+        core.dispatchers.insert(pool, Dispatcher::new(cfg, now));
+        self.refresh_dispatcher(core, pool);
+        // An entry that stopped gracefully has ended its dispatchers; any other may grant until its
+        // lease ends.
+        let left = before.is_some_and(|id| core.roles.left.contains(&id));
+        let lease_ends = if left { now } else { now + FENCE };
+        let live: BTreeSet<InstanceId> = core.roles.live.keys().copied().collect();
+        let configured = self.cx.settings.with_role(crate::settings::Role::Entry);
+        let gone = |id: &InstanceId| !live.contains(id) && !core.roles.left.contains(id);
+        let failed = configured.into_keys().filter(gone).collect();
+        self.cx.record(
+            EventKind::DispatcherTakeover,
+            &[
+                ("service", pool.service.to_string()),
+                ("domain", pool.domain.to_string()),
+                ("from", before.map_or_else(|| "none".to_owned(), |id| id.to_string())),
+            ],
+        );
+        let event = dispatcher::Event::Takeover { lease_ends, live, failed, cold };
+        self.dispatch(core, pool, event);
+    }
+
+    fn route(&self, core: &mut Core, from: InstanceId, message: Message, work: &mut Work) {
+        let now = self.cx.now();
+        match &message {
+            Message::Acquire { pool, .. }
+            | Message::Release { pool, .. }
+            | Message::Cancel { pool, .. }
+            | Message::HeldGrants { pool, .. } => {
+                let pool = *pool;
+                match core.dispatchers.get_mut(&pool) {
+                    Some(dispatcher) => {
+                        let event = dispatcher::Event::Message(from, message);
+                        let actions = dispatcher.handle(now, event);
+                        self.on_dispatcher(core, actions, work);
+                    }
+                    None => work.extend(
+                        answer_without_dispatcher(from, &message).map(|reply| (from, reply)),
+                    ),
+                }
+            }
+            Message::Load(report) => {
+                core.reported.insert(report.pool);
+                let pools: Vec<Pool> = core.dispatchers.keys().copied().collect();
+                for pool in pools.into_iter().filter(|p| p.service == report.pool.service) {
+                    let event = dispatcher::Event::Message(from, message.clone());
+                    let actions = core.dispatchers.get_mut(&pool).map(|d| d.handle(now, event));
+                    self.on_dispatcher(core, actions.unwrap_or_default(), work);
+                }
+                let actions = core.client.handle(now, client::Event::Message(from, message));
+                self.queue_client(core, actions, work);
+            }
+            Message::Grant { .. }
+            | Message::Refuse { .. }
+            | Message::Released { .. }
+            | Message::ReportGrants { .. } => {
+                let actions = core.client.handle(now, client::Event::Message(from, message));
+                self.queue_client(core, actions, work);
+            }
+            Message::Key(_) => log::error!("a key message reached the request core"),
+        }
+    }
+
+    /// Delivers messages to this entry itself until none is left; others go to the transport.
+    fn run(&self, core: &mut Core, mut work: Work) {
+        let own = self.cx.instance();
+        while let Some((to, message)) = work.pop_front() {
+            if to == own {
+                self.route(core, own, message, &mut work);
+            } else {
+                self.cx.send(to, Topic::Request, &message);
+            }
+        }
+    }
+
+    fn on_client(&self, core: &mut Core, actions: Vec<client::Action>) {
+        let mut work = Work::new();
+        self.queue_client(core, actions, &mut work);
+        self.run(core, work);
+    }
+
+    fn queue_client(&self, core: &mut Core, actions: Vec<client::Action>, work: &mut Work) {
+        for action in actions {
+            match action {
+                client::Action::Send(to, message) => work.push_back((to, message)),
+                client::Action::Start { attempt, target, remaining, .. } => {
+                    let order = Order::Start { attempt, target, remaining };
+                    tell(core, attempt.request, order);
+                }
+                client::Action::Abort(attempt) => {
+                    tell(core, attempt.request, Order::Abort(attempt));
+                }
+                client::Action::Finish(request, code) => {
+                    tell(core, request, Order::Finish(code));
+                    core.waiting.remove(&request);
+                }
+            }
+        }
+    }
+
+    fn dispatch(&self, core: &mut Core, pool: Pool, event: dispatcher::Event) {
+        let now = self.cx.now();
+        let Some(dispatcher) = core.dispatchers.get_mut(&pool) else { return };
+        let actions = dispatcher.handle(now, event);
+        let mut work = Work::new();
+        self.on_dispatcher(core, actions, &mut work);
+        self.run(core, work);
+    }
+
+    fn dispatch_all(&self, core: &mut Core, event: impl Fn(Pool) -> dispatcher::Event) {
+        let pools: Vec<Pool> = core.dispatchers.keys().copied().collect();
+        for pool in pools {
+            self.dispatch(core, pool, event(pool));
+        }
+    }
+
+    fn on_dispatcher(&self, core: &Core, actions: Vec<dispatcher::Action>, work: &mut Work) {
+        for action in actions {
+            match action {
+                dispatcher::Action::Send(to, message) => work.push_back((to, message)),
+                dispatcher::Action::Broadcast(message) => {
+                    work.extend(core.roles.live.keys().map(|id| (*id, message.clone())));
+                }
+                dispatcher::Action::TargetCold(address) => {
+                    self.cx.record(EventKind::TargetCold, &[("address", address.to_string())]);
+                }
+            }
+        }
+    }
+}
+
+/// Answers a message for a dispatcher that doesn't run here.
+fn answer_without_dispatcher(from: InstanceId, message: &Message) -> Option<Message> {
+    match message {
+        Message::Acquire { attempt, .. } => Some(Message::Refuse {
+            attempt: *attempt,
+            code: ResultCode::NoDispatcher,
+            elsewhere: true,
+        }),
+        // The grants of an ended dispatcher are known to its successor from the entries' reports.
+        Message::Release { grant, .. } => Some(Message::Released { grant: *grant }),
+        _ => {
+            log::debug!("message of {from} for a dispatcher that doesn't run here");
+            None
+        }
+    }
+}
+
+/// Targets to treat as cold at a takeover: those that the last dispatcher reported cold and those that
+/// appeared within the ramp. Without any report every target counts as cold.
+fn cold_targets(core: &Core, pool: Pool, profile: &Profile, now: Instant) -> BTreeSet<SocketAddr> {
+    let targets = core.view.targets_of(pool);
+    if !core.reported.contains(&pool) {
+        return targets.iter().map(|target| target.address).collect();
+    }
+    let ramp = Duration::from_millis(profile.cold.ramp_ms);
+    let is_new = |target: &&TargetRecord| {
+        let seen = core.first_seen.get(&(target.address, target.incarnation));
+        seen.is_none_or(|at| now.saturating_duration_since(*at) < ramp)
+    };
+    let new = targets.iter().filter(is_new).map(|target| target.address);
+    new.chain(core.client.directory().cold_targets(pool).iter().copied()).collect()
+}
+
+fn tell(core: &Core, request: RequestId, order: Order) {
+    if let Some(waiting) = core.waiting.get(&request) {
+        // The task may have ended with its caller's connection.
+        let _ = waiting.send(order);
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,8 +1,28 @@
 //! The daemons: settings, logging, HTTP, and the drivers that bind the decision cores to sockets,
 //! threads and files.
 
+pub mod admin;
+pub mod context;
+pub mod control;
+pub mod control_api;
+pub mod control_counts;
+pub mod control_run;
+pub mod control_targets;
+pub mod entry;
+pub mod entry_admin;
+mod entry_body;
+pub mod entry_counts;
+mod entry_exchange;
+pub mod entry_http;
+pub mod entry_keys;
+pub mod entry_requests;
+pub mod entry_roles;
+pub mod entry_run;
+pub mod entry_view;
 pub mod http_server;
 pub mod logging;
+pub mod peers;
+pub mod process;
 pub mod reply;
 pub mod settings;
 pub mod upstream;
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,44 @@
+//! Events of the time line that entries and control daemons record alike.
+
+use crate::context::Context;
+use comfreyhold_membership::detector::Change;
+use comfreyhold_membership::members::Update;
+use comfreyhold_types::prelude::*;
+
+/// Records that a member's state changed.
+pub fn record_change(cx: &Context, change: Change, member: &Update) {
+    let kind = match change {
+        Change::Alive | Change::Restarted => EventKind::PeerAlive,
+        Change::Suspected => EventKind::PeerSuspected,
+        Change::Dead | Change::Left => EventKind::PeerDead,
+    };
+    let fields = [("peer", member.id.to_string()), ("change", format!("{change:?}"))];
+    cx.record(kind, &fields);
+}
+
+/// Records that a target joined, changed or was lost.
+pub fn record_target(cx: &Context, kind: EventKind, target: &TargetRecord) {
+    let fields = [
+        ("service", target.service.clone()),
+        ("address", target.address.to_string()),
+        ("incarnation", target.incarnation.0.to_string()),
+        ("state", target.state.to_string()),
+    ];
+    cx.record(kind, &fields);
+}
+
+/// Records that a connection was found silent or broken.
+pub fn connection_closed(cx: &Context, peer: InstanceId, reason: &str) {
+    cx.record(
+        EventKind::ConnectionSilent,
+        &[("peer", peer.to_string()), ("reason", reason.to_owned())],
+    );
+}
+
+/// Another process runs under this instance number and started later.
+pub fn superseded(cx: &Context, newer: Incarnation) {
+    log::error!(
+        "instance {} was started again as {newer}; this process is outdated",
+        cx.instance()
+    );
+}
--- /dev/null
+++ b/crates/daemon/src/process.rs
@@ -0,0 +1,108 @@
+//! Start and stop of a daemon: sockets, the transport, the timer thread and signals.
+
+use crate::context::Context;
+use crate::settings::Settings;
+use anyhow::Context as _;
+use comfreyhold_types::prelude::*;
+use comfreyhold_wire::transport::{Inbox, Transport, TransportConfig};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Interval of the timer thread.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Binds a TCP listener.
+///
+/// # Errors
+/// Names the address.
+pub fn bind(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address).with_context(|| format!("can't listen on {address}"))
+}
+
+/// Makes a listener usable by the HTTP server.
+///
+/// # Errors
+/// The socket can't be switched to non-blocking mode.
+pub fn into_tokio(listener: TcpListener) -> anyhow::Result<tokio::net::TcpListener> {
+    listener.set_nonblocking(true)?;
+    Ok(tokio::net::TcpListener::from_std(listener)?)
+}
+
+/// Starts the transport and connects the context to it.
+///
+/// # Errors
+/// The peer address can't be bound, or the thread can't be started.
+pub fn start_transport(cx: &Context, inbox: Arc<dyn Inbox>) -> anyhow::Result<Transport> {
+    let peers = peer_addresses(&cx.settings);
+    let listener = bind(cx.member.peer)?;
+    let cfg = TransportConfig { local: cx.instance(), listener, peers };
+    let transport = Transport::start(cfg, inbox)?;
+    cx.connect(transport.sender());
+    Ok(transport)
+}
+
+fn peer_addresses(settings: &Settings) -> std::collections::BTreeMap<InstanceId, SocketAddr> {
+    settings.members.iter().map(|member| (member.instance, member.peer)).collect()
+}
+
+/// A thread that calls a function at short intervals until it is dropped.
+pub struct Ticker {
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Ticker {
+    /// Starts the thread.
+    ///
+    /// # Errors
+    /// The thread can't be started.
+    pub fn start(mut tick: impl FnMut() + Send + 'static) -> std::io::Result<Self> {
+        let stop = Arc::new(AtomicBool::new(false));
+        let stopped = Arc::clone(&stop);
+        let thread = std::thread::Builder::new().name("ticker".to_owned()).spawn(move || {
+            while !stopped.load(Ordering::Acquire) {
+                tick();
+                std::thread::sleep(TICK);
+            }
+        })?;
+        Ok(Self { stop, thread: Some(thread) })
+    }
+}
+
+impl Drop for Ticker {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Release);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Waits for SIGTERM or SIGINT.
+///
+/// # Errors
+/// The signals can't be watched.
+pub async fn stop_signal() -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Prints the line that tells a starting program that this process is listening.
+pub fn print_started(cx: &Context, addresses: &[(&str, SocketAddr)]) {
+    let addresses: std::collections::BTreeMap<_, _> = addresses.iter().copied().collect();
+    let line = serde_json::json!({
+        "program": cx.member.name,
+        "pid": std::process::id(),
+        "addresses": addresses,
+    });
+    println!("{line}");
+}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -125,6 +125,10 @@
     /// Folder of the process's durable state; needed by a control daemon.
     #[serde(default)]
     pub data_folder: Option<PathBuf>,
+    /// Lets control daemons with empty data folders form the first set of voters. Turn it off once the
+    /// deployment has started, so that lost folders can't form a second, empty set.
+    #[serde(default)]
+    pub bootstrap: bool,
     /// Logging.
     #[serde(default)]
     pub log: LogSettings,
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -1,5 +1,5 @@
-//! The HTTP client towards targets. It knows whether a request's first byte was written, which decides
-//! between "not run" and "outcome unknown".
+//! The HTTP client towards targets. Connecting and sending are separate steps: until the second begins,
+//! the request was provably not run.
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -9,13 +9,9 @@
 use hyper_util::rt::TokioIo;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::task::{Context, Poll};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 use thiserror::Error;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 /// Longest time to connect to a target.
@@ -35,46 +31,9 @@
     Written(String),
 }
 
-/// A stream that records whether anything was written to it.
-struct WriteMark {
-    stream: TcpStream,
-    written: Arc<AtomicBool>,
-}
-
-impl AsyncRead for WriteMark {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
-
-impl AsyncWrite for WriteMark {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        // Set before the write: a byte may reach the target even if the call then fails.
-        self.written.store(true, Ordering::Release);
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
-
 /// A connection to a target. Dropping it closes the connection, which cancels a running request.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    written: Arc<AtomicBool>,
     driver: tokio::task::JoinHandle<()>,
 }
 
@@ -84,6 +43,19 @@
     }
 }
 
+impl Connection {
+    /// Sends a request and waits for the response's head.
+    ///
+    /// # Errors
+    /// The request may have been written.
+    pub async fn send(mut self, request: Request<Full<Bytes>>) -> Result<Exchange, UpstreamError> {
+        match self.sender.send_request(request).await {
+            Ok(response) => Ok(Exchange { response, connection: self }),
+            Err(error) => Err(UpstreamError::Written(error.to_string())),
+        }
+    }
+}
+
 /// A response whose body is still to be read from the connection.
 pub struct Exchange {
     /// Status, headers and body.
@@ -99,30 +71,21 @@
 }
 
 impl Pool {
-    /// Sends a request and waits for the response's head. A connection is reused only for idempotent
-    /// requests: a target may close an idle connection just as a request is written to it, and the
-    /// outcome of that request would be unknown.
+    /// Connects to a target. A connection is reused only for idempotent requests: a target may close an
+    /// idle connection just as a request is written to it, and the outcome of that request would be
+    /// unknown.
     ///
     /// # Errors
-    /// Tells whether anything was written.
-    pub async fn send(
+    /// The target can't be connected to; nothing was written.
+    pub async fn connect(
         &self,
         target: SocketAddr,
-        request: Request<Full<Bytes>>,
         may_reuse: bool,
-    ) -> Result<Exchange, UpstreamError> {
+    ) -> Result<Connection, UpstreamError> {
         let reused = if may_reuse { self.take_idle(target) } else { None };
-        let mut connection = match reused {
-            Some(connection) => connection,
-            None => connect(target).await?,
-        };
-        connection.written.store(false, Ordering::Release);
-        match connection.sender.send_request(request).await {
-            Ok(response) => Ok(Exchange { response, connection }),
-            Err(error) if connection.written.load(Ordering::Acquire) => {
-                Err(UpstreamError::Written(error.to_string()))
-            }
-            Err(error) => Err(UpstreamError::NotWritten(error.to_string())),
+        match reused {
+            Some(connection) => Ok(connection),
+            None => connect(target).await,
         }
     }
 
@@ -163,16 +126,15 @@
         .map_err(|_| not_written(format!("connect to {target} timed out")))?
         .map_err(|error| not_written(format!("connect to {target}: {error}")))?;
     stream.set_nodelay(true).map_err(|error| not_written(error.to_string()))?;
-    let written = Arc::new(AtomicBool::new(false));
-    let io = TokioIo::new(WriteMark { stream, written: Arc::clone(&written) });
-    let (sender, connection) =
-        http1::handshake(io).await.map_err(|error| not_written(error.to_string()))?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| not_written(error.to_string()))?;
     let driver = tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("connection to a target ended: {error}");
         }
     });
-    Ok(Connection { sender, written, driver })
+    Ok(Connection { sender, driver })
 }
 
 /// Whether a response tells its own length, so that a truncated one is noticed.
--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,216 @@
+//! A local deployment of the real daemons, for integration tests.
+
+#![allow(dead_code, clippy::unwrap_used, clippy::panic)]
+
+use comfreyhold_lab::daemon_settings;
+use comfreyhold_lab::fabric::PathSettings;
+use comfreyhold_lab::http;
+use comfreyhold_lab::scenario::wait_for;
+use comfreyhold_lab::up::{DaemonKind, Deployment, UpService, UpSettings};
+use comfreyhold_types::api::{ApplyReply, StatusReply};
+use hyper::{Method, Response};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+use tempfile::TempDir;
+
+/// Limit for conditions that hold within seconds on an idle machine.
+pub const LIMIT: Duration = Duration::from_secs(90);
+
+/// Profiles and services of most tests.
+pub const DECLARATIONS: &str = "
+kind: profile
+name: orders
+version: 1
+priority: high
+max_slots: 2
+---
+kind: profile
+name: catalogue
+version: 1
+priority: low
+max_slots: 2
+---
+kind: service
+version: 1
+name: orders
+address: 10.90.0.1:80
+profile: orders
+---
+kind: service
+version: 1
+name: catalogue
+address: 10.90.0.2:80
+profile: catalogue
+";
+
+/// A running deployment and its folder.
+pub struct Cluster {
+    /// Daemons, targets and fabric.
+    pub deployment: Deployment,
+    /// Settings, data and logs.
+    pub folder: TempDir,
+}
+
+/// Five entries over four failure domains, three control daemons, two services.
+pub fn settings() -> UpSettings {
+    let service = |name: &str, address: &str, targets| UpService {
+        name: name.to_owned(),
+        address: address.parse().unwrap(),
+        targets,
+        slots: 2,
+        service_time: "constant:20".to_owned(),
+    };
+    UpSettings {
+        entry_binary: PathBuf::from(env!("CARGO_BIN_EXE_comfreyhold-entry")),
+        control_binary: PathBuf::from(env!("CARGO_BIN_EXE_comfreyhold-control")),
+        domains: 4,
+        entries: 5,
+        controls: 3,
+        services: vec![
+            service("orders", "10.90.0.1:80", 4),
+            service("catalogue", "10.90.0.2:80", 2),
+        ],
+        seed: 7,
+        path: PathSettings::default(),
+    }
+}
+
+impl Cluster {
+    /// Starts a deployment, publishes [`DECLARATIONS`] and waits until requests are served.
+    pub async fn start(settings: UpSettings) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let deployment =
+            Deployment::start(settings, folder.path(), daemon_settings::render).await.unwrap();
+        let cluster = Self { deployment, folder };
+        cluster.publish(DECLARATIONS).await;
+        cluster.wait_serving().await;
+        cluster
+    }
+
+    /// Admin addresses of the control daemons.
+    pub fn controls(&self) -> Vec<SocketAddr> {
+        self.deployment.plan.of(DaemonKind::Control).map(|daemon| daemon.http).collect()
+    }
+
+    /// Admin addresses of the entries.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.deployment.plan.of(DaemonKind::Entry).map(|daemon| daemon.http).collect()
+    }
+
+    /// Addresses of the entries for callers.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.deployment.plan.of(DaemonKind::Entry).map(|daemon| daemon.callers).collect()
+    }
+
+    /// Position of a daemon in the deployment's list.
+    pub fn index(&self, name: &str) -> usize {
+        self.deployment.plan.daemons.iter().position(|daemon| daemon.name == name).unwrap()
+    }
+
+    /// Kills a daemon as a crash does.
+    pub async fn kill(&mut self, name: &str) {
+        let index = self.index(name);
+        self.deployment.daemons[index].kill().await.unwrap();
+    }
+
+    /// Starts a daemon that has ended, with its settings and data.
+    pub async fn restart(&mut self, name: &str) {
+        let index = self.index(name);
+        let plan = self.deployment.plan.daemons[index].clone();
+        let process = self.deployment.start_daemon(&plan, self.folder.path()).await.unwrap();
+        self.deployment.daemons[index] = process;
+    }
+
+    /// Publishes documents through whichever control daemon leads; repeats until one answers.
+    pub async fn publish(&self, documents: &str) -> ApplyReply {
+        wait_for("a leader accepts the publication", LIMIT, || async {
+            for control in self.controls() {
+                let path = "/v1/declarations?operator=test";
+                let body = documents.as_bytes().to_vec();
+                let answer = http::call(Method::POST, control, path, body).await;
+                let reply = answer.ok().and_then(|text| serde_json::from_slice(&text).ok());
+                if let Some(reply) = reply {
+                    return Some(reply);
+                }
+            }
+            None
+        })
+        .await
+        .unwrap()
+    }
+
+    /// Status of a process.
+    pub async fn status(&self, address: SocketAddr) -> Option<StatusReply> {
+        http::get_json(address, "/v1/status").await.ok()
+    }
+
+    /// Waits until each service answers through each entry.
+    pub async fn wait_serving(&self) {
+        for caller in self.callers() {
+            for service in ["orders", "catalogue"] {
+                wait_for("the service answers", LIMIT, || async {
+                    let response = get(caller, service, "/ready").await?;
+                    (result_code(&response) == Some(0)).then_some(())
+                })
+                .await
+                .unwrap();
+            }
+        }
+        for entry in self.entries() {
+            wait_for("the key replicas vote", LIMIT, || async {
+                let status = self.status(entry).await?;
+                (status.details.get("keys_vote")? == "true").then_some(())
+            })
+            .await
+            .unwrap();
+        }
+    }
+
+    /// Requests that the targets of a service have run with this key.
+    pub async fn runs_with_key(&self, key: &str) -> usize {
+        let mut runs = 0;
+        for target in &self.deployment.targets {
+            let log = target.runs();
+            runs += log.iter().filter(|run| run.key.as_deref() == Some(key)).count();
+        }
+        runs
+    }
+}
+
+/// A response read whole.
+pub type Answer = Response<bytes::Bytes>;
+
+/// Sends a GET request; `None` when no whole response came.
+pub async fn get(to: SocketAddr, service: &str, path: &str) -> Option<Answer> {
+    send(to, service, Method::GET, path, None, "").await
+}
+
+/// Sends a POST request under an idempotency key.
+pub async fn post(to: SocketAddr, service: &str, key: &str, body: &str) -> Option<Answer> {
+    send(to, service, Method::POST, "/order", Some(key), body).await
+}
+
+async fn send(
+    to: SocketAddr,
+    service: &str,
+    method: Method,
+    path: &str,
+    key: Option<&str>,
+    body: &str,
+) -> Option<Answer> {
+    let mut request = http::request(method, to, path, body.as_bytes().to_vec()).unwrap();
+    request.headers_mut().insert(hyper::header::HOST, service.parse().unwrap());
+    if let Some(key) = key {
+        request.headers_mut().insert("idempotency-key", key.parse().unwrap());
+    }
+    match http::Client::default().send(to, request, LIMIT).await {
+        http::Sent::Answered(response) => Some(response),
+        http::Sent::NotWritten(_) | http::Sent::Lost(_) => None,
+    }
+}
+
+/// The numbered result of a response.
+pub fn result_code(response: &Answer) -> Option<u16> {
+    response.headers().get("x-result-code")?.to_str().ok()?.parse().ok()
+}
--- a/crates/lab/src/cmd/up.rs
+++ b/crates/lab/src/cmd/up.rs
@@ -6,8 +6,9 @@
 use super::{Lifetime, lifetime};
 use anyhow::{Context as _, Result};
 use bpaf::Bpaf;
+use comfreyhold_lab::daemon_settings;
 use comfreyhold_lab::lifetime::StartLine;
-use comfreyhold_lab::up::{Deployment, UpSettings, render_settings};
+use comfreyhold_lab::up::{Deployment, UpSettings};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -28,7 +29,7 @@
         .with_context(|| format!("read {}", args.settings.display()))?;
     let settings: UpSettings = serde_yaml_ng::from_str(&text)
         .with_context(|| format!("settings file {}", args.settings.display()))?;
-    let deployment = Deployment::start(settings, &args.folder, render_settings).await?;
+    let deployment = Deployment::start(settings, &args.folder, daemon_settings::render).await?;
     let fabric = &deployment.fabric;
     let mut addresses = vec![("packets", fabric.packets()), ("fabric", fabric.control())];
     addresses.extend(deployment.plan.daemons.iter().map(|d| (d.name.as_str(), d.http)));
--- /dev/null
+++ b/crates/lab/src/daemon_settings.rs
@@ -0,0 +1,59 @@
+//! Settings files of the daemons of a local deployment.
+
+use crate::up::{DaemonKind, DaemonPlan, Plan};
+use anyhow::Result;
+use comfreyhold_daemon::settings::{EntrySettings, LogSettings, Member, Role, Settings};
+use comfreyhold_types::prelude::DomainId;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Flow secret of local deployments.
+const FLOW_SECRET: &str = "local deployment, no secret";
+
+/// Renders the settings file of a daemon as YAML.
+///
+/// # Errors
+/// The settings can't be serialized.
+pub fn render(plan: &Plan, daemon: &DaemonPlan) -> Result<String> {
+    Ok(serde_yaml_ng::to_string(&settings(plan, daemon))?)
+}
+
+/// The settings of a daemon.
+#[must_use]
+pub fn settings(plan: &Plan, daemon: &DaemonPlan) -> Settings {
+    let entry = (daemon.kind == DaemonKind::Entry).then(|| EntrySettings {
+        http: daemon.callers,
+        packets: daemon.packets,
+        fabric: plan.fabric,
+        streams: Vec::new(),
+        packet_threads: 1,
+        allowed_domains: BTreeSet::new(),
+        flow_secret: FLOW_SECRET.to_owned(),
+    });
+    Settings {
+        instance: daemon.instance,
+        domains: domains(plan),
+        members: plan.daemons.iter().map(member).collect(),
+        entry,
+        data_folder: (daemon.kind == DaemonKind::Control).then(|| daemon.data.clone()),
+        bootstrap: true,
+        log: LogSettings::default(),
+    }
+}
+
+fn domains(plan: &Plan) -> BTreeMap<DomainId, String> {
+    (1..=plan.settings.domains).map(|id| (DomainId(id), format!("domain-{id}"))).collect()
+}
+
+fn member(daemon: &DaemonPlan) -> Member {
+    Member {
+        instance: daemon.instance,
+        name: daemon.name.clone(),
+        role: match daemon.kind {
+            DaemonKind::Entry => Role::Entry,
+            DaemonKind::Control => Role::Control,
+        },
+        domain: daemon.domain,
+        peer: daemon.peer,
+        admin: daemon.http,
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 //! generator and a local deployment. All of them listen on loopback addresses.
 
 pub mod checks;
+pub mod daemon_settings;
 pub mod echo;
 pub mod fabric;
 pub mod flow_load;
--- a/crates/lab/src/up.rs
+++ b/crates/lab/src/up.rs
@@ -6,6 +6,8 @@
 use crate::target::{Target, TargetSettings};
 use anyhow::{Context as _, Result, bail};
 use comfreyhold_types::prelude::*;
+use rand::RngExt as _;
+use rand::rngs::StdRng;
 use serde::{Deserialize, Serialize};
 use std::ffi::OsString;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, UdpSocket};
@@ -80,8 +82,10 @@
     pub domain: DomainId,
     /// TCP address for other daemons.
     pub peer: SocketAddr,
-    /// TCP address for HTTP.
+    /// TCP address for operators, announcements and metrics.
     pub http: SocketAddr,
+    /// TCP address for callers' requests; control daemons don't use it.
+    pub callers: SocketAddr,
     /// UDP address for packets; control daemons don't use it.
     pub packets: SocketAddr,
     /// Data folder.
@@ -111,22 +115,6 @@
 /// Renders the settings file of a daemon.
 pub type Render = fn(&Plan, &DaemonPlan) -> Result<String>;
 
-/// Renders a settings file as YAML: the daemon's own plan, its peers and the fabric.
-///
-/// # Errors
-/// The settings can't be serialized.
-pub fn render_settings(plan: &Plan, daemon: &DaemonPlan) -> Result<String> {
-    #[derive(Serialize)]
-    struct Settings<'a> {
-        #[serde(flatten)]
-        own: &'a DaemonPlan,
-        fabric: SocketAddr,
-        seeds: &'a [DaemonPlan],
-    }
-    let settings = Settings { own: daemon, fabric: plan.fabric, seeds: &plan.daemons };
-    Ok(serde_yaml_ng::to_string(&settings)?)
-}
-
 /// A running local deployment.
 pub struct Deployment {
     /// Places and addresses.
@@ -263,7 +251,7 @@
 fn plan_daemons(settings: &UpSettings, folder: &Path) -> Result<Vec<DaemonPlan>> {
     let controls = (0..settings.controls).map(|i| (DaemonKind::Control, i));
     let entries = (0..settings.entries).map(|i| (DaemonKind::Entry, i));
-    let mut ports = Ports::default();
+    let mut ports = Ports::new();
     let mut daemons = Vec::new();
     for (number, (kind, index)) in (1..).zip(controls.chain(entries)) {
         let name = format!("{kind}-{}", index + 1);
@@ -273,6 +261,7 @@
             domain: domain(settings, index),
             peer: ports.tcp()?,
             http: ports.tcp()?,
+            callers: ports.tcp()?,
             packets: ports.udp()?,
             data: folder.join(&name),
             name,
@@ -282,23 +271,30 @@
 }
 
 /// Free ports taken from the system. The sockets stay bound until all ports are chosen, so that no
-/// port is given twice.
-#[derive(Default)]
+/// port is given twice. The address is a random one of the loopback network: on 127.0.0.1, an outgoing
+/// connection of another program could take a port before its daemon binds it.
 struct Ports {
+    ip: Ipv4Addr,
     tcp: Vec<TcpListener>,
     udp: Vec<UdpSocket>,
 }
 
 impl Ports {
+    fn new() -> Self {
+        let [a, b, c] = rand::make_rng::<StdRng>().random::<[u8; 3]>();
+        let ip = Ipv4Addr::new(127, a.clamp(1, 254), b, c.clamp(1, 254));
+        Self { ip, tcp: Vec::new(), udp: Vec::new() }
+    }
+
     fn tcp(&mut self) -> Result<SocketAddr> {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let listener = TcpListener::bind((self.ip, 0))?;
         let address = listener.local_addr()?;
         self.tcp.push(listener);
         Ok(address)
     }
 
     fn udp(&mut self) -> Result<SocketAddr> {
-        let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let socket = UdpSocket::bind((self.ip, 0))?;
         let address = socket.local_addr()?;
         self.udp.push(socket);
         Ok(address)
--- a/crates/lab/tests/up.rs
+++ b/crates/lab/tests/up.rs
@@ -2,8 +2,9 @@
 
 mod common;
 
+use comfreyhold_lab::daemon_settings::render;
 use comfreyhold_lab::scenario::{Process, wait_for, wait_until};
-use comfreyhold_lab::up::{DaemonKind, Deployment, Plan, UpService, UpSettings, render_settings};
+use comfreyhold_lab::up::{DaemonKind, Deployment, Plan, UpService, UpSettings};
 use common::{LIMIT, program};
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
@@ -38,7 +39,7 @@
 #[tokio::test]
 async fn deployment_starts_and_stops_all_parts() {
     let folder = tempfile::tempdir().unwrap();
-    let deployment = Deployment::start(settings(), folder.path(), render_settings).await.unwrap();
+    let deployment = Deployment::start(settings(), folder.path(), render).await.unwrap();
     assert_eq!(deployment.daemons.len(), 4);
     assert_eq!(deployment.targets.len(), 2);
     let daemons = &deployment.plan.daemons;
@@ -58,8 +59,7 @@
 #[tokio::test]
 async fn killed_daemon_starts_again() {
     let folder = tempfile::tempdir().unwrap();
-    let mut deployment =
-        Deployment::start(settings(), folder.path(), render_settings).await.unwrap();
+    let mut deployment = Deployment::start(settings(), folder.path(), render).await.unwrap();
     let first = deployment.daemons[1].id().unwrap();
     deployment.daemons[1].kill().await.unwrap();
     let plan = deployment.plan.daemons[1].clone();
@@ -74,7 +74,7 @@
 async fn failed_start_names_the_daemon_and_its_log() {
     let folder = tempfile::tempdir().unwrap();
     let settings = UpSettings { control_binary: script("broken.sh"), ..settings() };
-    let failed = Deployment::start(settings, folder.path(), render_settings).await;
+    let failed = Deployment::start(settings, folder.path(), render).await;
     let error = failed.err().expect("a refusal").to_string();
     assert!(error.contains("control-1") && error.contains("no such field"), "{error}");
 }
--- a/crates/membership/src/installer.rs
+++ b/crates/membership/src/installer.rs
@@ -145,6 +145,14 @@
         self.recovery.is_none()
     }
 
+    /// Whether the newest revision that the leader has in effect is also in effect here, and the lease
+    /// runs.
+    #[must_use]
+    pub fn is_current(&self, now: Instant) -> bool {
+        let reached = |goal: Goal| goal.revision == self.active.revision;
+        self.has_lease(now) && self.goal.is_some_and(reached)
+    }
+
     /// Whether the lease runs. Without it, only targets of the own failure domain may be used.
     #[must_use]
     pub fn has_lease(&self, now: Instant) -> bool {
--- a/crates/types/src/codes.rs
+++ b/crates/types/src/codes.rs
@@ -7,7 +7,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Family {
-    /// 0: done.
+    /// 0xxx: done.
     Done,
     /// 1xxx: the request was provably not run.
     NotRun,
@@ -45,6 +45,8 @@
 pub enum ResultCode {
     /// The work is done.
     Ok = 0,
+    /// The recorded response of an earlier attempt with the same key; the request was not run again.
+    Replayed = 1,
     /// No service has this name or address.
     NoSuchService = 1001,
     /// No target of the service takes new work.
@@ -162,7 +164,7 @@
     #[must_use]
     pub fn http_status(self) -> u16 {
         match self {
-            Self::Ok => 200,
+            Self::Ok | Self::Replayed => 200,
             Self::NoSuchService | Self::UnknownName | Self::ServiceNotDeclared => 404,
             Self::RequestTooLarge | Self::DocumentTooLarge => 413,
             Self::BadRequest | Self::BadDocument | Self::BadField | Self::BadAnnouncement => 400,
--- a/crates/types/src/declarations.rs
+++ b/crates/types/src/declarations.rs
@@ -133,6 +133,9 @@
     Targets(TargetBatch),
     /// The new set of voters.
     Voters(BTreeSet<Voter>),
+    /// Opens the idempotency register, once in the life of a deployment. Before it, no replica has ever
+    /// voted, so replicas that are running then have no records to copy.
+    OpenRegister,
 }
 
 /// What applying an entry came to.
@@ -214,6 +217,8 @@
     pub voters: BTreeSet<Voter>,
     /// Holders of version numbers, by subject and version.
     pub versions: BTreeMap<String, BTreeMap<u64, VersionRecord>>,
+    /// Whether the idempotency register has been opened.
+    pub register_open: bool,
 }
 
 impl Declarations {
@@ -231,6 +236,10 @@
                 self.voters.clone_from(voters);
                 Outcome::Accepted(revision)
             }
+            Command::OpenRegister => {
+                self.register_open = true;
+                Outcome::Accepted(revision)
+            }
         }
     }
 
--- a/crates/wire/src/envelope.rs
+++ b/crates/wire/src/envelope.rs
@@ -11,7 +11,7 @@
 pub const PROTOCOL_VERSION: u16 = 1;
 
 /// Largest message body, in bytes.
-pub const MAX_BODY_BYTES: usize = 256 * 1024;
+pub const MAX_BODY_BYTES: usize = 1024 * 1024;
 
 /// Which core a message is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Display, FromRepr)]
