--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -57,6 +57,7 @@
     own: Update,
     seeds: BTreeSet<InstanceId>,
     known: BTreeMap<InstanceId, Known>,
+    suspected: BTreeSet<InstanceId>,
     gossip: Gossip,
     flights: BTreeMap<u32, Flight>,
     rotation: Vec<InstanceId>,
@@ -86,6 +87,7 @@
             own,
             seeds: seeds.into_iter().filter(|other| *other != id).collect(),
             known: BTreeMap::new(),
+            suspected: BTreeSet::new(),
             gossip: Gossip::default(),
             flights: BTreeMap::new(),
             rotation: Vec::new(),
@@ -128,7 +130,8 @@
     #[must_use]
     pub fn next_wake(&self) -> Instant {
         let flights = self.flights.values().map(|flight| flight.next);
-        let suspicions = self.known.values().filter_map(|known| known.suspect_until);
+        let suspected = self.suspected.iter().filter_map(|id| self.known.get(id));
+        let suspicions = suspected.filter_map(|known| known.suspect_until);
         flights.chain(suspicions).fold(self.next_round, Instant::min)
     }
 
@@ -260,7 +263,9 @@
             let restarted = old.update.rank.incarnation < update.rank.incarnation;
             known.heard = if restarted { None } else { old.heard };
         }
+        self.suspected.remove(&update.id);
         if update.state == MemberState::Suspect {
+            self.suspected.insert(update.id);
             known.accused_here = accused_here;
             known.suspect_until = Some(now + self.suspicion(accused_here));
         }
@@ -386,7 +391,8 @@
 
     fn end_suspicions(&mut self, now: Instant) {
         let is_due = |known: &&Known| known.suspect_until.is_some_and(|until| until <= now);
-        let due: Vec<Known> = self.known.values().filter(is_due).copied().collect();
+        let suspected = self.suspected.iter().filter_map(|id| self.known.get(id));
+        let due: Vec<Known> = suspected.filter(is_due).copied().collect();
         for known in due {
             if known.heard_since(Some(known.since)) {
                 self.clear_suspicion(known.update);
@@ -401,6 +407,7 @@
     /// member's refutation reaches them.
     fn clear_suspicion(&mut self, update: Update) {
         let member = Update { state: MemberState::Alive, ..update };
+        self.suspected.remove(&update.id);
         if let Some(known) = self.known.get_mut(&update.id) {
             known.update = member;
             known.suspect_until = None;
--- a/crates/membership/src/groups.rs
+++ b/crates/membership/src/groups.rs
@@ -1,7 +1,7 @@
 //! Which entries the leader contacts directly and which through a relay.
 
 use crate::messages::RelayMembers;
-use crate::rollout::{DIRECT_ENTRIES, RELAY_TIMEOUT};
+use crate::rollout::RELAY_TIMEOUT;
 use comfreyhold_types::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
@@ -22,19 +22,31 @@
 }
 
 /// All groups of a term.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Groups {
+    direct_limit: usize,
     groups: BTreeMap<(DomainId, InstanceId), Group>,
     version: u32,
 }
 
 impl Groups {
+    /// Creates no groups yet. Up to `direct_limit` entries are contacted directly.
+    #[must_use]
+    pub fn new(direct_limit: usize) -> Self {
+        Self { direct_limit, groups: BTreeMap::new(), version: 0 }
+    }
+
+    /// Changes the limit; it applies to the groups formed next.
+    pub fn set_direct_limit(&mut self, direct_limit: usize) {
+        self.direct_limit = direct_limit;
+    }
+
     /// Forms one group per failure domain, or one per entry when there are few. A relay that is still
     /// in its group keeps the role.
     pub fn form(&mut self, now: Instant, entries: impl Iterator<Item = (InstanceId, DomainId)>) {
         self.version += 1;
         let entries: BTreeMap<InstanceId, DomainId> = entries.collect();
-        let is_direct = entries.len() <= DIRECT_ENTRIES;
+        let is_direct = entries.len() <= self.direct_limit;
         let mut by_key: BTreeMap<(DomainId, InstanceId), Vec<InstanceId>> = BTreeMap::new();
         for (id, domain) in entries {
             let single = if is_direct { id } else { InstanceId::default() };
--- a/crates/membership/src/rollout.rs
+++ b/crates/membership/src/rollout.rs
@@ -117,7 +117,7 @@
             store: Store::new(state),
             pending: VecDeque::new(),
             entries: BTreeMap::new(),
-            groups: Groups::default(),
+            groups: Groups::new(DIRECT_ENTRIES),
             ungranted: BTreeMap::new(),
             last_report: BTreeMap::new(),
             effects: Effects::default(),
@@ -131,6 +131,12 @@
         rollout
     }
 
+    /// Changes up to how many entries are contacted directly (`DIRECT_ENTRIES` by default).
+    pub fn set_direct_limit(&mut self, now: Instant, direct_limit: usize) {
+        self.groups.set_direct_limit(direct_limit);
+        self.form_groups(now);
+    }
+
     /// The term.
     #[must_use]
     pub fn term(&self) -> Term {
--- a/crates/membership/tests/rollout.rs
+++ b/crates/membership/tests/rollout.rs
@@ -1,8 +1,8 @@
 //! Installations over a lossy network: two phases, leases, relays and restarts.
 
-mod support;
 #[path = "support/fleet.rs"]
 mod fleet;
+mod support;
 
 use comfreyhold_membership::messages::{Goal, InstallMessage, Phase};
 use comfreyhold_membership::rollout::RolloutAction;
--- a/crates/membership/tests/support/fleet.rs
+++ b/crates/membership/tests/support/fleet.rs
@@ -1,12 +1,13 @@
 //! A leader with entries on the lossy network, with the invariants of installations checked after
 //! each step.
+#![allow(clippy::unwrap_used)]
 
 use super::support::{Faults, Net, ms};
 use comfreyhold_membership::installer::{InstallAction, Installer};
 use comfreyhold_membership::messages::{InstallMessage, Progress};
 use comfreyhold_membership::rollout::{Rollout, RolloutAction};
-use comfreyhold_types::declarations::{Content, DomainState};
 use comfreyhold_types::declarations::Publication;
+use comfreyhold_types::declarations::{Content, DomainState};
 use comfreyhold_types::prelude::*;
 use rand::RngExt;
 use std::collections::BTreeMap;
@@ -141,7 +142,8 @@
         while let Some((from, to, message)) = self.net.receive(self.now) {
             self.deliver(from, to, message);
         }
-        let wake = self.leader.as_ref().is_some_and(|leader| leader.next_wake(self.now) <= self.now);
+        let wake =
+            self.leader.as_ref().is_some_and(|leader| leader.next_wake(self.now) <= self.now);
         if wake {
             let actions = self.leader.as_mut().unwrap().tick(self.now);
             self.perform_leader(actions);
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -24,6 +24,8 @@
     pub faults: Faults,
     pub cuts: BTreeSet<(InstanceId, InstanceId)>,
     pub link: Duration,
+    /// Greatest random addition to the link time, in milliseconds.
+    pub jitter_ms: u64,
     pub sent: u64,
     queue: BTreeMap<(Instant, u64), (InstanceId, InstanceId, M)>,
     number: u64,
@@ -36,6 +38,7 @@
             faults,
             cuts: BTreeSet::new(),
             link: ms(2),
+            jitter_ms: 10,
             sent: 0,
             queue: BTreeMap::new(),
             number: 0,
@@ -50,7 +53,7 @@
         let copies = 1 + usize::from(self.rng.random_bool(self.faults.duplicates));
         for _ in 0..copies {
             let is_late = self.rng.random_bool(self.faults.late);
-            let spread = if is_late { 3_000 } else { 10 };
+            let spread = if is_late { 3_000 } else { self.jitter_ms };
             let at = now + self.link + ms(self.rng.random_range(0..=spread));
             self.number += 1;
             self.queue.insert((at, self.number), (from, to, message.clone()));
