--- a/crates/membership/tests/support/fleet.rs
+++ b/crates/membership/tests/support/fleet.rs
@@ -1,5 +1,6 @@
 //! A leader with entries on the lossy network, with the invariants of installations checked after
 //! each step.
+#![allow(clippy::unwrap_used)]
 
 use super::support::{Faults, Net, ms};
 use comfreyhold_membership::installer::{InstallAction, Installer};
