--- /dev/null
+++ b/crates/request/examples/compare.rs
@@ -0,0 +1,389 @@
+//! Compares ways to allocate target slots, in virtual time with an open-loop load.
+//!
+//! 5 entries in 4 failure domains, 15 targets with 2 slots; messages take 1 ms within a domain and
+//! 1.5 ms between domains. One entry, which is dispatcher of its domain, dies halfway through.
+
+use comfreyhold_request::admission::{Admission, Ask, Layout, Note, Step};
+use comfreyhold_request::baselines::{LocalChoice, LocalRule, SplitShares};
+use comfreyhold_request::message::SlotOutcome;
+use comfreyhold_request::sole::SoleDispatcher;
+use comfreyhold_types::prelude::*;
+use hdrhistogram::Histogram;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp, LogNormal};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+const DOMAINS: [u16; 5] = [1, 1, 2, 3, 4];
+const TARGETS: u16 = 15;
+const SLOTS: u16 = 2;
+const MEAN_SERVICE_MS: f64 = 50.0;
+const SERVICE_SIGMA: f64 = 0.5;
+const RUN: Duration = Duration::from_secs(60);
+const WARM_UP: Duration = Duration::from_secs(5);
+const DEATH: Duration = Duration::from_secs(30);
+/// Suspicion timeout of the membership protocol.
+const DETECTION: Duration = Duration::from_millis(2_000);
+/// Lease and 10% for clock drift.
+const LEASE: Duration = Duration::from_millis(2_750);
+const TICK: Duration = Duration::from_millis(5);
+/// Entry that dies: the only one of its domain, so that the role moves to another domain.
+const DEAD_ENTRY: usize = 2;
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+enum Happening {
+    Arrival,
+    Deliver { from: usize, to: usize, note: Note },
+    AtTarget { entry: usize, request: u64, target: usize },
+    Served { entry: usize, request: u64, target: usize, took: Duration },
+    AtEntry { entry: usize, request: u64, outcome: SlotOutcome },
+    Tick,
+    Death,
+    DeathFound,
+}
+
+/// Figures of one run.
+struct Figures {
+    waiting: Histogram<u64>,
+    served: Vec<u64>,
+    overload: u64,
+    starts: u64,
+    refused: BTreeMap<ResultCode, u64>,
+    arrivals: u64,
+    lost_with_entry: u64,
+    answered: u64,
+    /// Time from the death to the next start in the dead entry's domain after detection, or the
+    /// longest gap between such starts.
+    longest_gap: Duration,
+    answered_after_death: u64,
+    answered_before_death: u64,
+}
+
+impl Figures {
+    fn new() -> Self {
+        let waiting = Histogram::new_with_bounds(1, 60_000_000, 3).expect("valid bounds");
+        Self {
+            waiting,
+            served: vec![0; usize::from(TARGETS)],
+            overload: 0,
+            starts: 0,
+            refused: BTreeMap::new(),
+            arrivals: 0,
+            lost_with_entry: 0,
+            answered: 0,
+            longest_gap: Duration::ZERO,
+            answered_after_death: 0,
+            answered_before_death: 0,
+        }
+    }
+
+    fn imbalance(&self) -> f64 {
+        let sum: u64 = self.served.iter().sum();
+        let mean = sum as f64 / self.served.len() as f64;
+        self.served.iter().copied().max().unwrap_or(0) as f64 / mean
+    }
+}
+
+struct Simulation {
+    rng: StdRng,
+    start: Instant,
+    now: Instant,
+    admission: Box<dyn Admission>,
+    layout: Layout,
+    rate: f64,
+    with_death: bool,
+    agenda: BTreeMap<(Instant, u64), Happening>,
+    scheduled: u64,
+    alive: Vec<bool>,
+    running: Vec<u16>,
+    asks: BTreeMap<u64, (Ask, Instant, usize)>,
+    last_start: Instant,
+    figures: Figures,
+}
+
+impl Simulation {
+    fn schedule(&mut self, delay: Duration, happening: Happening) {
+        self.scheduled += 1;
+        self.agenda.insert((self.now + delay, self.scheduled), happening);
+    }
+
+    fn delay(&self, a: DomainId, b: DomainId) -> Duration {
+        Duration::from_micros(if a == b { 1_000 } else { 1_500 })
+    }
+
+    fn entry_delay(&self, from: usize, to: usize) -> Duration {
+        if from == to {
+            return Duration::ZERO;
+        }
+        self.delay(self.layout.entries[from].1, self.layout.entries[to].1)
+    }
+
+    fn target_delay(&self, entry: usize, target: usize) -> Duration {
+        self.delay(self.layout.entries[entry].1, self.layout.targets[target].domain)
+    }
+
+    fn measured(&self) -> bool {
+        self.now >= self.start + WARM_UP
+    }
+
+    fn run(mut self) -> Figures {
+        self.schedule(Duration::ZERO, Happening::Arrival);
+        self.schedule(Duration::ZERO, Happening::Tick);
+        if self.with_death {
+            self.schedule(DEATH, Happening::Death);
+        }
+        while let Some(((at, _), happening)) = self.agenda.pop_first() {
+            if at > self.start + RUN {
+                break;
+            }
+            self.now = at;
+            self.happen(happening);
+        }
+        self.figures
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        let steps = match happening {
+            Happening::Arrival => self.arrive(),
+            Happening::Deliver { to, .. } if !self.alive[to] => Vec::new(),
+            Happening::Deliver { from, to, note } => {
+                self.admission.deliver(self.now, from, to, note)
+            }
+            Happening::AtTarget { entry, request, target } => {
+                self.reach_target(entry, request, target);
+                Vec::new()
+            }
+            Happening::Served { entry, request, target, took } => {
+                self.running[target] -= 1;
+                let outcome = SlotOutcome::Answered { took };
+                let back = self.target_delay(entry, target);
+                self.schedule(back, Happening::AtEntry { entry, request, outcome });
+                Vec::new()
+            }
+            Happening::AtEntry { entry, request, outcome } => {
+                self.reach_entry(entry, request, outcome)
+            }
+            Happening::Tick => {
+                self.schedule(TICK, Happening::Tick);
+                self.admission.tick(self.now)
+            }
+            Happening::Death => {
+                self.alive[DEAD_ENTRY] = false;
+                self.admission.entry_died(self.now, DEAD_ENTRY);
+                let lost = self.asks.values().filter(|(_, _, entry)| *entry == DEAD_ENTRY).count();
+                self.figures.lost_with_entry = lost as u64;
+                self.schedule(DETECTION, Happening::DeathFound);
+                Vec::new()
+            }
+            Happening::DeathFound => {
+                let lease_ends = self.start + DEATH + LEASE;
+                self.admission.death_found(self.now, DEAD_ENTRY, lease_ends)
+            }
+        };
+        steps.into_iter().for_each(|step| self.perform(step));
+    }
+
+    fn arrive(&mut self) -> Vec<Step> {
+        let gap = Exp::new(self.rate).expect("a positive rate").sample(&mut self.rng);
+        self.schedule(Duration::from_secs_f64(gap), Happening::Arrival);
+        let living: Vec<_> = (0..self.alive.len()).filter(|entry| self.alive[*entry]).collect();
+        let entry = living[self.rng.random_range(0..living.len())];
+        self.figures.arrivals += 1;
+        let ask = Ask {
+            request: self.figures.arrivals,
+            deadline: self.now + self.layout.profile.deadline(),
+        };
+        self.asks.insert(ask.request, (ask, self.now, entry));
+        self.admission.acquire(self.now, entry, ask)
+    }
+
+    fn perform(&mut self, step: Step) {
+        match step {
+            Step::Start { entry, request, target } => self.begin(entry, request, target),
+            Step::End { request, code } => {
+                if self.asks.remove(&request).is_some() {
+                    *self.figures.refused.entry(code).or_default() += 1;
+                }
+            }
+            Step::Send { from, .. } if !self.alive[from] => {}
+            Step::Send { from, to, note } => {
+                let delay = self.entry_delay(from, to);
+                self.schedule(delay, Happening::Deliver { from, to, note });
+            }
+        }
+    }
+
+    fn begin(&mut self, entry: usize, request: u64, target: usize) {
+        let Some((_, arrived, _)) = self.asks.get(&request).copied() else { return };
+        if self.measured() {
+            let waited = (self.now - arrived).as_micros();
+            let waited = u64::try_from(waited).unwrap_or(u64::MAX).max(1);
+            self.figures.waiting.saturating_record(waited);
+            self.figures.starts += 1;
+        }
+        let after_death = self.with_death && self.now >= self.start + DEATH;
+        if self.layout.targets[target].domain == self.layout.entries[DEAD_ENTRY].1 {
+            if after_death {
+                self.figures.longest_gap = self.figures.longest_gap.max(self.now - self.last_start);
+            }
+            self.last_start = self.now;
+        }
+        let delay = self.target_delay(entry, target);
+        self.schedule(delay, Happening::AtTarget { entry, request, target });
+    }
+
+    /// A target with all slots in use refuses before running.
+    fn reach_target(&mut self, entry: usize, request: u64, target: usize) {
+        if self.running[target] >= SLOTS {
+            self.figures.overload += u64::from(self.measured());
+            let back = self.target_delay(entry, target);
+            let outcome = SlotOutcome::Refused;
+            self.schedule(back, Happening::AtEntry { entry, request, outcome });
+            return;
+        }
+        self.running[target] += 1;
+        self.figures.served[target] += u64::from(self.measured());
+        let mu = MEAN_SERVICE_MS.ln() - SERVICE_SIGMA * SERVICE_SIGMA / 2.0;
+        let service = LogNormal::new(mu, SERVICE_SIGMA).expect("a valid distribution");
+        let took = Duration::from_secs_f64(service.sample(&mut self.rng) / 1_000.0);
+        self.schedule(took, Happening::Served { entry, request, target, took });
+    }
+
+    fn reach_entry(&mut self, entry: usize, request: u64, outcome: SlotOutcome) -> Vec<Step> {
+        if !self.alive[entry] {
+            return Vec::new();
+        }
+        let Some((ask, _, _)) = self.asks.get(&request).copied() else { return Vec::new() };
+        if outcome != SlotOutcome::Refused {
+            self.asks.remove(&request);
+            self.count_answer();
+        }
+        self.admission.release(self.now, entry, ask, outcome)
+    }
+
+    fn count_answer(&mut self) {
+        self.figures.answered += u64::from(self.measured());
+        let death = self.start + DEATH;
+        let span = Duration::from_secs(5);
+        let before = self.now >= death - span && self.now < death;
+        let after = self.now >= death && self.now < death + span;
+        self.figures.answered_before_death += u64::from(before);
+        self.figures.answered_after_death += u64::from(after);
+    }
+}
+
+fn layout() -> Layout {
+    let entries = DOMAINS.iter().zip(1..);
+    let entries = entries.map(|(domain, id)| (InstanceId(id), DomainId(*domain))).collect();
+    let target = |number: u16| TargetRecord {
+        service: "orders".to_owned(),
+        address: SocketAddr::from(([10, 0, 0, 1], 1_000 + number)),
+        domain: DomainId(number % 4 + 1),
+        slots: SLOTS,
+        incarnation: Incarnation(1),
+        state: TargetState::Serving,
+    };
+    let profile = Profile::builder().name("orders").priority(Priority::High).build();
+    Layout { entries, targets: (0..TARGETS).map(target).collect(), profile }
+}
+
+fn simulate(name: &str, load: f64, with_death: bool, seed: u64) -> Figures {
+    let layout = layout();
+    let start = Instant::now();
+    let choice_rng = StdRng::seed_from_u64(seed + 1_000);
+    let admission: Box<dyn Admission> = match name {
+        "random" => Box::new(LocalChoice::new(LocalRule::Random, &layout, choice_rng)),
+        "least-loaded" => Box::new(LocalChoice::new(LocalRule::LeastLoaded, &layout, choice_rng)),
+        "split-shares" => Box::new(SplitShares::new(&layout)),
+        _ => Box::new(SoleDispatcher::new(&layout, start)),
+    };
+    let capacity = f64::from(TARGETS * SLOTS) / (MEAN_SERVICE_MS / 1_000.0);
+    let simulation = Simulation {
+        rng: StdRng::seed_from_u64(seed),
+        start,
+        now: start,
+        admission,
+        rate: capacity * load,
+        with_death,
+        agenda: BTreeMap::new(),
+        scheduled: 0,
+        alive: vec![true; layout.entries.len()],
+        running: vec![0; layout.targets.len()],
+        layout,
+        asks: BTreeMap::new(),
+        last_start: start,
+        figures: Figures::new(),
+    };
+    simulation.run()
+}
+
+fn print_row(name: &str, load: f64, with_death: bool, runs: &[Figures]) {
+    let mut waiting = runs[0].waiting.clone();
+    for run in &runs[1..] {
+        waiting.add(&run.waiting).expect("equal bounds");
+    }
+    let sum = |f: fn(&Figures) -> u64| runs.iter().map(f).sum::<u64>();
+    let worst = runs.iter().map(Figures::imbalance).fold(0.0, f64::max);
+    let gap = runs.iter().map(|run| run.longest_gap).max().unwrap_or_default();
+    let seconds = (RUN - WARM_UP).as_secs_f64() * runs.len() as f64;
+    let millis = |quantile| waiting.value_at_quantile(quantile) as f64 / 1_000.0;
+    let refused: u64 = runs.iter().flat_map(|run| run.refused.values()).sum();
+    let mut line = format!(
+        "{name:<13} {load:>4.2} {:>9.3} {:>8.2} {:>8.2} {:>8.1} {:>9} {:>8.3}% {:>8} {:>8.0}",
+        worst,
+        waiting.mean() / 1_000.0,
+        millis(0.5),
+        millis(0.99),
+        sum(|run| run.overload),
+        100.0 * sum(|run| run.overload) as f64 / sum(|run| run.starts).max(1) as f64,
+        refused,
+        sum(|run| run.answered) as f64 / seconds,
+    );
+    if with_death {
+        let before = sum(|run| run.answered_before_death);
+        let kept = 100.0 * sum(|run| run.answered_after_death) as f64 / before.max(1) as f64;
+        let lost = sum(|run| run.lost_with_entry);
+        line += &format!(" {:>8} {kept:>7.1}% {lost:>6}", gap.as_millis());
+    }
+    println!("{line}");
+}
+
+fn main() {
+    println!(
+        "{TARGETS} targets x {SLOTS} slots, mean service {MEAN_SERVICE_MS} ms, {} s, seeds {SEEDS:?}",
+        RUN.as_secs()
+    );
+    println!(
+        "imbalance: worst run; wait in ms; overload: starts beyond the slots; answered per second;"
+    );
+    println!("with a death: longest time without a start in its domain (ms), answers in the 5 s");
+    println!("after it relative to the 5 s before, requests lost with the entry");
+    for with_death in [false, true] {
+        println!("\nentry death: {with_death}");
+        println!(
+            "{:<13} {:>4} {:>9} {:>8} {:>8} {:>8} {:>9} {:>9} {:>8} {:>8} {:>8} {:>8} {:>6}",
+            "admission",
+            "load",
+            "imbalance",
+            "mean",
+            "p50",
+            "p99",
+            "overload",
+            "share",
+            "refused",
+            "answered",
+            "gap",
+            "kept",
+            "lost"
+        );
+        for load in [0.3, 0.6, 0.8, 0.95, 1.2] {
+            for name in ["random", "least-loaded", "split-shares", "dispatcher"] {
+                let run = |seed: &u64| simulate(name, load, with_death, *seed);
+                let runs: Vec<_> = SEEDS.iter().map(run).collect();
+                print_row(name, load, with_death, &runs);
+            }
+        }
+    }
+}
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -1,8 +1,10 @@
 //! Admission of requests: slots, queues, cold ramps, retries, deadlines and the idempotency register,
 //! as state machines without sockets, threads or clocks.
 
+pub mod admission;
 pub mod answers;
 pub mod attempt;
+pub mod baselines;
 pub mod budget;
 pub mod client;
 mod client_changes;
@@ -20,5 +22,6 @@
 pub mod queue;
 pub mod ramp;
 pub mod releases;
+pub mod sole;
 pub mod takeover;
 pub mod target_slots;
