Send load with every answer and grant only to entries heard of lately

Cause: load reports 200 ms old spread requests badly, and grants to requests of a dead entry blocked slots until their deadlines. Change: grants, refusals and confirmations carry the dispatcher's load; an entry with waiting requests is heard at least every 25 ms, and one silent for 80 ms gets no grants; reserved slots are not reported as capacity.

--- a/crates/request/src/answers.rs
+++ b/crates/request/src/answers.rs
@@ -1,6 +1,6 @@
 //! Answers that a dispatcher gave, kept so that a resent acquire gets the same one.
 
-use crate::message::{AttemptId, GrantId, Message, Pool};
+use crate::message::{AttemptId, Brief, GrantId, Message, Pool};
 use comfreyhold_types::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -34,12 +34,14 @@
 impl Answer {
     /// The message that carries the answer.
     #[must_use]
-    pub fn message(self, attempt: AttemptId, pool: Pool) -> Message {
+    pub fn message(self, attempt: AttemptId, pool: Pool, load: Brief) -> Message {
         match self {
             Self::Granted { grant, target, incarnation } => {
-                Message::Grant { attempt, pool, grant, target, incarnation }
+                Message::Grant { attempt, pool, grant, target, incarnation, load }
+            }
+            Self::Refused { code, elsewhere } => {
+                Message::Refuse { attempt, pool, code, elsewhere, load }
             }
-            Self::Refused { code, elsewhere } => Message::Refuse { attempt, code, elsewhere },
         }
     }
 }
--- a/crates/request/src/client.rs
+++ b/crates/request/src/client.rs
@@ -8,7 +8,7 @@
 pub use crate::client_event::{Action, Event, NewRequest};
 use crate::directory::Directory;
 use crate::message::{AttemptId, GrantId, Message, Pool, RequestId, SlotOutcome};
-use crate::open_request::{Request, Resend, Stage, unplaced};
+use crate::open_request::{Request, Resend, Stage, WaitingAt, unplaced};
 use crate::releases::Releases;
 use comfreyhold_types::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,6 +22,10 @@
 /// Longest time between resends.
 pub const RESEND_MAX: Duration = Duration::from_millis(480);
 
+/// While requests wait at a dispatcher, it hears from this entry at least this often, since it grants
+/// only to entries that it has heard of within [`crate::dispatcher::ENTRY_QUIET`].
+pub const KEEPALIVE: Duration = Duration::from_millis(25);
+
 /// The decision core of one entry.
 #[derive(Debug)]
 pub struct Client {
@@ -36,6 +40,8 @@
     /// Epochs of dispatchers that collected grants; grants of earlier ones must not be used.
     pub(crate) fences: BTreeMap<Pool, u64>,
     pub(crate) stopping: bool,
+    /// Requests that wait, by pool.
+    pub(crate) waiting: BTreeMap<Pool, WaitingAt>,
 }
 
 impl Client {
@@ -53,6 +59,7 @@
             releases: Releases::default(),
             fences: BTreeMap::new(),
             stopping: false,
+            waiting: BTreeMap::new(),
         }
     }
 
@@ -77,7 +84,8 @@
     #[must_use]
     pub fn next_wake(&self) -> Option<Instant> {
         let request = self.wakes.first().map(|(at, _)| *at);
-        request.into_iter().chain(self.releases.next_wake()).min()
+        let keepalive = self.waiting.values().map(|waiting| waiting.heard_until);
+        request.into_iter().chain(self.releases.next_wake()).chain(keepalive).min()
     }
 
     /// Begins a request.
@@ -165,14 +173,17 @@
 
     fn on_message(&mut self, now: Instant, from: InstanceId, msg: Message, out: &mut Vec<Action>) {
         match msg {
-            Message::Grant { attempt, pool, grant, target, incarnation } => {
+            Message::Grant { attempt, pool, grant, target, incarnation, load } => {
+                self.directory.on_brief(now, from, pool, load);
                 let used = self.on_grant(now, attempt, pool, (grant, target, incarnation), out);
                 self.return_unless(used, now, pool, grant, out);
             }
-            Message::Refuse { attempt, code, elsewhere } => {
+            Message::Refuse { attempt, pool, code, elsewhere, load } => {
+                self.directory.on_brief(now, from, pool, load);
                 self.on_refuse(now, attempt, code, elsewhere, out);
             }
-            Message::Released { grant } => {
+            Message::Released { pool, grant, load } => {
+                self.directory.on_brief(now, from, pool, load);
                 self.releases.confirm(grant);
             }
             Message::Load(report) => self.directory.on_load(now, from, &report),
@@ -338,24 +349,21 @@
         request.last_attempt += 1;
         let attempt = AttemptId { request: id, number: request.last_attempt };
         request.stage = Stage::Queued(Attempt::new(attempt, pool), Resend::first(now));
-        self.send_acquire(now, request, out);
+        out.extend(self.acquire(now, request));
         Ok(())
     }
 
-    fn send_acquire(&self, now: Instant, request: &Request, out: &mut Vec<Action>) {
-        let Stage::Queued(queued, _) = &request.stage else { return };
-        let Some(to) = self.directory.instance(queued.pool) else { return };
-        let remaining = request.new.deadline.saturating_duration_since(now);
-        out.push(Action::Send(
-            to,
-            Message::Acquire {
-                attempt: queued.id,
-                pool: queued.pool,
-                priority: request.new.priority,
-                remaining,
-                may_redirect: request.tried.is_empty(),
-            },
-        ));
+    pub(crate) fn acquire(&self, now: Instant, request: &Request) -> Option<Action> {
+        let Stage::Queued(queued, _) = &request.stage else { return None };
+        let to = self.directory.instance(queued.pool)?;
+        let acquire = Message::Acquire {
+            attempt: queued.id,
+            pool: queued.pool,
+            priority: request.new.priority,
+            remaining: request.new.deadline.saturating_duration_since(now),
+            may_redirect: request.tried.is_empty(),
+        };
+        Some(Action::Send(to, acquire))
     }
 
     fn release(
@@ -432,6 +440,7 @@
             }
             self.wake(now, id, out);
         }
+        self.send_keepalives(now, out);
         for (pool, release) in self.releases.resend(now) {
             if let Some(to) = self.directory.instance(pool) {
                 out.push(Action::Send(to, release));
@@ -457,7 +466,7 @@
             resend.interval = (resend.interval * 2).min(RESEND_MAX);
             resend.at = now + resend.interval;
         }
-        self.send_acquire(now, &request, out);
+        out.extend(self.acquire(now, &request));
         self.store(id, request);
     }
 
@@ -470,11 +479,13 @@
     pub(crate) fn take(&mut self, id: RequestId) -> Option<Request> {
         let request = self.requests.remove(&id)?;
         self.wakes.remove(&(request.wake_at(), id));
+        self.forget_waiting(id, &request);
         Some(request)
     }
 
     pub(crate) fn store(&mut self, id: RequestId, request: Request) {
         self.wakes.insert((request.wake_at(), id));
+        self.note_waiting(id, &request);
         self.requests.insert(id, request);
     }
 }
--- a/crates/request/src/directory.rs
+++ b/crates/request/src/directory.rs
@@ -1,6 +1,6 @@
 //! What an entry knows about the dispatchers of its services, and which of them it asks.
 
-use crate::message::{LoadReport, Pool};
+use crate::message::{Brief, LoadReport, Pool};
 use comfreyhold_types::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -16,9 +16,7 @@
     instance: InstanceId,
     heard: Option<Instant>,
     epoch: u64,
-    free: u32,
-    capacity: u32,
-    queued: u32,
+    load: Brief,
     cold: Vec<SocketAddr>,
 }
 
@@ -72,9 +70,7 @@
         }
         view.heard = Some(now);
         view.epoch = report.epoch;
-        view.free = report.free;
-        view.capacity = report.capacity;
-        view.queued = report.queued;
+        view.load = report.load;
         view.cold.clone_from(&report.cold);
     }
 
@@ -82,9 +78,18 @@
     /// one dispatcher as a whole.
     pub fn on_asked(&mut self, pool: Pool) {
         let Some(view) = self.views.get_mut(&pool) else { return };
-        match view.free.checked_sub(1) {
-            Some(rest) => view.free = rest,
-            None => view.queued += 1,
+        match view.load.free.checked_sub(1) {
+            Some(rest) => view.load.free = rest,
+            None => view.load.queued += 1,
+        }
+    }
+
+    /// Takes in the load that came with an answer of the dispatcher.
+    pub fn on_brief(&mut self, now: Instant, from: InstanceId, pool: Pool, load: Brief) {
+        let Some(view) = self.views.get_mut(&pool) else { return };
+        if view.instance == from {
+            view.heard = Some(now);
+            view.load = load;
         }
     }
 
@@ -132,12 +137,13 @@
 
 impl View {
     fn new(instance: InstanceId) -> Self {
-        Self { instance, heard: None, epoch: 0, free: 0, capacity: 0, queued: 0, cold: Vec::new() }
+        Self { instance, heard: None, epoch: 0, load: Brief::default(), cold: Vec::new() }
     }
 
     /// Free slots less waiting requests, in millionths of the capacity; lowest without capacity.
     fn score(&self) -> i64 {
-        let surplus = i64::from(self.free) - i64::from(self.queued);
-        if self.capacity == 0 { i64::MIN } else { surplus * 1_000_000 / i64::from(self.capacity) }
+        let Brief { free, capacity, queued } = self.load;
+        let surplus = i64::from(free) - i64::from(queued);
+        if capacity == 0 { i64::MIN } else { surplus * 1_000_000 / i64::from(capacity) }
     }
 }
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -4,7 +4,7 @@
 use crate::answers::{Answer, Answers};
 pub use crate::dispatcher_event::{Action, DispatcherConfig, Event};
 use crate::grants::{Grant, Grants};
-use crate::message::{AttemptId, GrantId, HeldGrant, LoadReport, Message, SlotOutcome};
+use crate::message::{AttemptId, Brief, GrantId, HeldGrant, LoadReport, Message, SlotOutcome};
 use crate::queue::{Offer, Queue, Waiting};
 use crate::ramp::Feedback;
 use crate::takeover::Takeover;
@@ -25,6 +25,10 @@
 /// target notices.
 pub const GRANT_MARGIN: Duration = Duration::from_millis(250);
 
+/// Requests of an entry not heard of for this long wait: a grant to an entry that died would block its
+/// slot until the deadline. Three keepalives of a client may be lost.
+pub const ENTRY_QUIET: Duration = Duration::from_millis(80);
+
 /// Cold targets that a load report names.
 pub const MAX_COLD_REPORTED: usize = 32;
 
@@ -56,6 +60,7 @@
     reserved: Option<(Instant, BTreeSet<InstanceId>)>,
     mean_service: Option<Duration>,
     peers: BTreeMap<DomainId, (u32, Instant)>,
+    heard: BTreeMap<InstanceId, Instant>,
     next_grant: u64,
     next_load: Instant,
 }
@@ -76,6 +81,7 @@
             reserved: None,
             mean_service: None,
             peers: BTreeMap::new(),
+            heard: BTreeMap::new(),
             next_grant: 1,
             next_load: now,
             cfg,
@@ -139,6 +145,7 @@
     }
 
     fn on_message(&mut self, now: Instant, from: InstanceId, msg: Message, out: &mut Vec<Action>) {
+        self.heard.insert(from, now);
         match msg {
             Message::Acquire { attempt, pool, priority, remaining, may_redirect }
                 if pool == self.cfg.pool =>
@@ -149,7 +156,8 @@
             }
             Message::Release { pool, grant, outcome } if pool == self.cfg.pool => {
                 self.on_release(now, grant, outcome, out);
-                out.push(Action::Send(from, Message::Released { grant }));
+                let (pool, load) = (self.cfg.pool, self.brief());
+                out.push(Action::Send(from, Message::Released { pool, grant, load }));
             }
             Message::Cancel { pool, attempt } if pool == self.cfg.pool => {
                 self.on_cancel(now, from, attempt, out);
@@ -160,7 +168,7 @@
                 self.on_held(now, from, &grants);
             }
             Message::Load(report) if report.pool.service == self.cfg.pool.service => {
-                self.peers.insert(report.pool.domain, (report.free, now));
+                self.peers.insert(report.pool.domain, (report.load.free, now));
             }
             _ => {}
         }
@@ -171,7 +179,7 @@
             return;
         }
         if let Some(answer) = self.answers.get(w.attempt) {
-            out.push(Action::Send(w.entry, answer.message(w.attempt, self.cfg.pool)));
+            out.push(Action::Send(w.entry, answer.message(w.attempt, self.cfg.pool, self.brief())));
             return;
         }
         if let Some((code, elsewhere)) = self.refusal(now, &w, may_redirect) {
@@ -194,6 +202,9 @@
         if self.out || (self.is_active() && !self.targets.any_serving()) {
             return Some((ResultCode::NoTarget, true));
         }
+        if self.is_active() && self.targets.totals().usable == 0 {
+            return Some((ResultCode::Shed, true));
+        }
         if w.deadline <= now {
             return Some((ResultCode::DeadlineBeforeStart, false));
         }
@@ -231,7 +242,7 @@
     fn refuse(&mut self, w: &Waiting, code: ResultCode, elsewhere: bool, out: &mut Vec<Action>) {
         let answer = Answer::Refused { code, elsewhere };
         self.answers.insert(w.attempt, answer, w.deadline);
-        out.push(Action::Send(w.entry, answer.message(w.attempt, self.cfg.pool)));
+        out.push(Action::Send(w.entry, answer.message(w.attempt, self.cfg.pool, self.brief())));
     }
 
     fn on_cancel(
@@ -334,6 +345,7 @@
 
     fn on_entry_failed(&mut self, entry: InstanceId) {
         self.queue.remove_entry(entry);
+        self.heard.remove(&entry);
         if let Phase::Collecting(takeover) = &mut self.phase {
             takeover.fail(entry);
         }
@@ -390,7 +402,8 @@
         self.finish_takeover(now, out);
         self.expire(now, out);
         while self.is_active() && !self.queue.is_empty() && self.targets.ready(now) {
-            let Some(waiting) = self.queue.pop() else { break };
+            let heard = |entry| heard_lately(&self.heard, entry, now);
+            let Some(waiting) = self.queue.pop_where(heard) else { break };
             self.grant(now, &waiting, out);
         }
         if now >= self.next_load && !matches!(self.phase, Phase::Stopped) {
@@ -454,7 +467,10 @@
         self.grants.insert(id, Grant { target: key, started: now, expires });
         let answer = Answer::Granted { grant: id, target, incarnation };
         self.answers.insert(waiting.attempt, answer, waiting.deadline);
-        out.push(Action::Send(waiting.entry, answer.message(waiting.attempt, self.cfg.pool)));
+        out.push(Action::Send(
+            waiting.entry,
+            answer.message(waiting.attempt, self.cfg.pool, self.brief()),
+        ));
     }
 
     fn free_grant(&mut self, id: GrantId) {
@@ -463,15 +479,24 @@
         }
     }
 
-    fn load_report(&self) -> LoadReport {
+    /// A dispatcher that can't grant reports no capacity, so that entries prefer others.
+    fn brief(&self) -> Brief {
         let totals = self.targets.totals();
+        let (free, capacity) = if self.is_active() { (totals.free, totals.usable) } else { (0, 0) };
+        let queued = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        Brief { free, capacity, queued }
+    }
+
+    fn load_report(&self) -> LoadReport {
         LoadReport {
             pool: self.cfg.pool,
             epoch: self.cfg.epoch,
-            free: if self.is_active() { totals.free } else { 0 },
-            capacity: if self.out { 0 } else { totals.capacity },
-            queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            load: self.brief(),
             cold: self.targets.cold(MAX_COLD_REPORTED),
         }
     }
 }
+
+fn heard_lately(heard: &BTreeMap<InstanceId, Instant>, entry: InstanceId, now: Instant) -> bool {
+    heard.get(&entry).is_some_and(|at| now.saturating_duration_since(*at) <= ENTRY_QUIET)
+}
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod client;
 mod client_changes;
 pub mod client_event;
+mod client_keepalive;
 pub mod directory;
 pub mod dispatcher;
 pub mod dispatcher_event;
--- a/crates/request/src/message.rs
+++ b/crates/request/src/message.rs
@@ -117,15 +117,21 @@
         target: SocketAddr,
         /// Start number of the target that the slot was granted on.
         incarnation: Incarnation,
+        /// Load after the grant.
+        load: Brief,
     },
     /// Dispatcher to entry: the attempt gets no slot. Also confirms a cancellation.
     Refuse {
         /// The attempt.
         attempt: AttemptId,
+        /// Targets that were asked for.
+        pool: Pool,
         /// Why; always of family 1xxx.
         code: ResultCode,
         /// Whether another failure domain may have room.
         elsewhere: bool,
+        /// Load of the dispatcher.
+        load: Brief,
     },
     /// Entry to dispatcher: the slot is no longer used. Resent until confirmed.
     Release {
@@ -138,8 +144,12 @@
     },
     /// Dispatcher to entry: confirms a release.
     Released {
+        /// Targets that the slot belonged to.
+        pool: Pool,
         /// The grant.
         grant: GrantId,
+        /// Load after the release.
+        load: Brief,
     },
     /// Entry to dispatcher: the attempt no longer wants a slot and will not use one.
     Cancel {
@@ -171,19 +181,27 @@
     Key(KeyMessage),
 }
 
-/// Load of one dispatcher's targets.
+/// Load of one dispatcher's targets, as carried by its answers. Under load, entries learn of free slots
+/// far sooner from these than from the periodic reports.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Brief {
+    /// Slots that can be granted now.
+    pub free: u32,
+    /// Slots of serving targets that this dispatcher may allocate.
+    pub capacity: u32,
+    /// Requests that wait.
+    pub queued: u32,
+}
+
+/// Periodic report of one dispatcher.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
     /// The targets.
     pub pool: Pool,
     /// Epoch of the dispatcher.
     pub epoch: u64,
-    /// Slots that can be granted now.
-    pub free: u32,
-    /// Slots of all serving targets.
-    pub capacity: u32,
-    /// Requests that wait.
-    pub queued: u32,
+    /// Load of the targets.
+    pub load: Brief,
     /// Cold targets, at most [`crate::dispatcher::MAX_COLD_REPORTED`]; a successor keeps them cold.
     pub cold: Vec<SocketAddr>,
 }
--- a/crates/request/src/open_request.rs
+++ b/crates/request/src/open_request.rs
@@ -82,3 +82,18 @@
     let pool = Pool { service, domain: DomainId::default() };
     Attempt::new(AttemptId { request, number: 0 }, pool)
 }
+
+/// Requests that wait at one pool.
+#[derive(Debug)]
+pub(crate) struct WaitingAt {
+    /// The requests.
+    pub requests: BTreeSet<RequestId>,
+    /// When the dispatcher must hear from this entry again.
+    pub heard_until: Instant,
+}
+
+impl WaitingAt {
+    pub fn new(now: Instant) -> Self {
+        Self { requests: BTreeSet::new(), heard_until: now }
+    }
+}
--- a/crates/request/src/queue.rs
+++ b/crates/request/src/queue.rs
@@ -103,7 +103,13 @@
 
     /// Takes the first attempt in order.
     pub fn pop(&mut self) -> Option<Waiting> {
-        let attempt = self.ranked.first_key_value()?.1.attempt;
+        self.pop_where(|_| true)
+    }
+
+    /// Takes the first attempt in order whose entry is accepted by `accept`.
+    pub fn pop_where(&mut self, accept: impl Fn(InstanceId) -> bool) -> Option<Waiting> {
+        let first = self.ranked.values().find(|waiting| accept(waiting.entry))?;
+        let attempt = first.attempt;
         self.remove(attempt)
     }
 
--- a/crates/request/src/target_slots.rs
+++ b/crates/request/src/target_slots.rs
@@ -59,6 +59,8 @@
     pub free: u32,
     /// Slots of serving targets.
     pub capacity: u32,
+    /// Slots of serving targets less those that failed entries may use.
+    pub usable: u32,
     /// Allowed concurrency on warm targets.
     pub warm: u32,
     /// Allowed concurrency on cold targets.
@@ -72,15 +74,18 @@
         if !target.serving {
             return Self::default();
         }
-        let allowance = target.ramp.allowance(target.slots);
+        let allowance = target.ramp.allowance(target.slots).saturating_sub(target.reserved);
         let (warm, cold) = if target.ramp.is_cold() { (0, allowance) } else { (allowance, 0) };
         let cold_starts = target.ramp.starts_per_s().unwrap_or(0);
-        Self { free: target.free(), capacity: target.slots, warm, cold, cold_starts }
+        let (free, capacity) = (target.free(), target.slots);
+        let usable = capacity.saturating_sub(target.reserved);
+        Self { free, capacity, usable, warm, cold, cold_starts }
     }
 
     fn add(&mut self, other: Self) {
         self.free += other.free;
         self.capacity += other.capacity;
+        self.usable += other.usable;
         self.warm += other.warm;
         self.cold += other.cold;
         self.cold_starts = self.cold_starts.saturating_add(other.cold_starts);
@@ -89,6 +94,7 @@
     fn sub(&mut self, other: Self) {
         self.free -= other.free;
         self.capacity -= other.capacity;
+        self.usable -= other.usable;
         self.warm -= other.warm;
         self.cold -= other.cold;
         self.cold_starts = self.cold_starts.saturating_sub(other.cold_starts);
--- a/crates/request/tests/client.rs
+++ b/crates/request/tests/client.rs
@@ -6,7 +6,7 @@
 use comfreyhold_request::budget::Budget;
 use comfreyhold_request::client::{Action, Client, Event, NewRequest, RESEND_FIRST};
 use comfreyhold_request::message::{
-    AttemptId, GrantId, LoadReport, Message, Pool, RequestId, SlotOutcome,
+    AttemptId, Brief, GrantId, LoadReport, Message, Pool, RequestId, SlotOutcome,
 };
 use comfreyhold_types::prelude::*;
 use comfreyhold_types::profile::RetryRule;
@@ -33,8 +33,8 @@
 }
 
 fn load(domain: u16, free: u32) -> Event {
-    let (epoch, capacity, queued, cold) = (1, 10, 0, Vec::new());
-    let report = LoadReport { pool: pool(domain), epoch, free, capacity, queued, cold };
+    let load = Brief { free, capacity: 10, queued: 0 };
+    let report = LoadReport { pool: pool(domain), epoch: 1, load, cold: Vec::new() };
     Event::Message(InstanceId(domain), Message::Load(report))
 }
 
@@ -68,12 +68,23 @@
 fn grant(attempt: AttemptId, domain: u16, epoch: u64) -> Event {
     let grant = GrantId { epoch, issuer: InstanceId(domain), number: attempt.number.into() };
     let (target, incarnation) = (address(domain), Incarnation(1));
-    let message = Message::Grant { attempt, pool: pool(domain), grant, target, incarnation };
+    let message = Message::Grant {
+        attempt,
+        pool: pool(domain),
+        grant,
+        target,
+        incarnation,
+        load: Brief { free: 5, capacity: 10, queued: 0 },
+    };
     Event::Message(InstanceId(domain), message)
 }
 
 fn refuse(attempt: AttemptId, code: ResultCode) -> Event {
-    Event::Message(InstanceId(1), Message::Refuse { attempt, code, elsewhere: true })
+    let load = Brief::default();
+    Event::Message(
+        InstanceId(1),
+        Message::Refuse { attempt, pool: pool(1), code, elsewhere: true, load },
+    )
 }
 
 /// Begins a request that is granted at once.
--- a/crates/request/tests/dispatcher.rs
+++ b/crates/request/tests/dispatcher.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
-use comfreyhold_request::dispatcher::{Action, Dispatcher, Event, GRANT_MARGIN};
-use comfreyhold_request::message::{GrantId, HeldGrant, LoadReport, Message, Pool, SlotOutcome};
+use comfreyhold_request::dispatcher::{Action, Dispatcher, ENTRY_QUIET, Event, GRANT_MARGIN};
+use comfreyhold_request::message::{
+    Brief, GrantId, HeldGrant, LoadReport, Message, Pool, SlotOutcome,
+};
 use comfreyhold_types::declarations::DomainState;
 use comfreyhold_types::prelude::*;
 use common::*;
@@ -52,6 +54,21 @@
     }
 }
 
+/// Guards against slots that grants to a dead entry block until their deadline.
+#[test]
+fn an_entry_not_heard_of_gets_no_grant() {
+    let t = Instant::now();
+    for (silent_for, granted) in [(ENTRY_QUIET, true), (ENTRY_QUIET + ms(1), false)] {
+        let (mut d, grant) = full(8, t);
+        d.handle(t, acquire(2, Priority::High, ms(5_000)));
+        let released = Message::Release { pool: POOL, grant, outcome: ANSWERED };
+        let actions = d.handle(t + silent_for, Event::Message(InstanceId(2), released));
+        assert_eq!(!answers(&actions).is_empty(), granted, "silent for {silent_for:?}");
+        let heard = d.handle(t + ms(200), acquire(2, Priority::High, ms(4_800)));
+        assert_eq!(answers(&heard).len(), 1, "heard again");
+    }
+}
+
 /// Guards against a resent acquire that takes a second slot, or gets another answer than the first.
 #[test]
 fn a_resent_acquire_gets_the_same_answer() {
@@ -78,7 +95,9 @@
     d.handle(t, release(grant, ANSWERED));
     only_grant(&d.handle(t, acquire(2, Priority::High, ms(5_000))));
     let confirmed = d.handle(t, release(grant, ANSWERED));
-    assert_eq!(confirmed, vec![Action::Send(ENTRY, Message::Released { grant })]);
+    let load = Brief { free: 0, capacity: 1, queued: 0 };
+    let expected = Message::Released { pool: POOL, grant, load };
+    assert_eq!(confirmed, vec![Action::Send(ENTRY, expected)]);
     assert_eq!(d.occupied(address(1)), 1);
 }
 
@@ -136,8 +155,8 @@
     for (age, free, redirected) in [(0, 1, true), (0, 0, false), (700, 1, false)] {
         let (mut d, _) = full(8, t);
         let pool = Pool { domain: DomainId(2), ..POOL };
-        let (epoch, capacity, queued, cold) = (1, 2, 0, Vec::new());
-        let load = Message::Load(LoadReport { pool, epoch, free, capacity, queued, cold });
+        let load = Brief { free, capacity: 2, queued: 0 };
+        let load = Message::Load(LoadReport { pool, epoch: 1, load, cold: Vec::new() });
         d.handle(t, Event::Message(InstanceId(2), load));
         let actions = d.handle(t + ms(age), acquire(2, Priority::High, ms(5_000)));
         assert_eq!(!answers(&actions).is_empty(), redirected, "age {age}, free {free}");
@@ -201,6 +220,7 @@
     d.handle(t, report(1, vec![held(1, 1, ms(3_000))]));
     let at_lease_end = d.handle(t + ms(2_000), Event::Tick);
     assert!(answers(&at_lease_end).is_empty(), "entry 2 has not reported");
+    assert!(answers(&d.handle(t + ms(2_040), acquire(1, Priority::High, ms(6_960)))).is_empty());
     let granted = answers(&d.handle(t + ms(2_050), report(2, Vec::new())));
     assert_eq!(granted.len(), 1);
     assert_eq!(granted[0].1.unwrap().1, address(2), "target 1 is held by entry 1");
