--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -1,12 +1,15 @@
 //! Admission of requests: slots, queues, cold ramps, retries, deadlines and the idempotency register,
 //! as state machines without sockets, threads or clocks.
 
+pub mod admission;
 pub mod answers;
 pub mod attempt;
+pub mod baselines;
 pub mod budget;
 pub mod client;
 mod client_changes;
 pub mod client_event;
+mod client_keepalive;
 pub mod directory;
 pub mod dispatcher;
 pub mod dispatcher_event;
@@ -20,5 +23,6 @@
 pub mod queue;
 pub mod ramp;
 pub mod releases;
+pub mod sole;
 pub mod takeover;
 pub mod target_slots;
