Record long latencies, and check runs of ended targets

Cause: a trial with a mean service time of 5 ms reported a median of 0.00 ms and a maximum of 2.05 ms. saturating_record clamps to the start range of an auto-resizing histogram. Also, the runs of a crashed target were lost to the checks, and moved UDP flows were counted with TCP flows. Change: latencies use record; Target::crash returns the logs for load::summarise; moved flows are counted by protocol. New failing cases: unkeyed second run, misdelivered request.

--- a/crates/lab/src/checks.rs
+++ b/crates/lab/src/checks.rs
@@ -93,8 +93,9 @@
     pub runs_per_target: BTreeMap<String, Vec<u64>>,
     /// Most runs of a target over the mean of its service's targets.
     pub imbalance: BTreeMap<String, f64>,
-    /// Packet flows that reached more than one target.
-    pub flows_on_several_targets: u64,
+    /// Packet flows that reached more than one target, by protocol. A moved UDP flow shows only here,
+    /// since its new target echoes it like a new one.
+    pub flows_on_several_targets: BTreeMap<Protocol, u64>,
     /// Targets whose log could not be read.
     pub unread_targets: Vec<SocketAddr>,
 }
@@ -227,10 +228,14 @@
     most as f64 * counts.len() as f64 / total as f64
 }
 
-fn flows_on_several_targets(logs: &[TargetLog]) -> u64 {
+fn flows_on_several_targets(logs: &[TargetLog]) -> BTreeMap<Protocol, u64> {
     let mut targets: BTreeMap<(Protocol, SocketAddrV4), u64> = BTreeMap::new();
     for flow in logs.iter().flat_map(|log| &log.flows) {
         *targets.entry((flow.protocol, flow.caller)).or_default() += 1;
     }
-    targets.values().filter(|count| **count > 1).count() as u64
+    let mut moved = BTreeMap::from([(Protocol::Tcp, 0), (Protocol::Udp, 0)]);
+    for ((protocol, _), _) in targets.iter().filter(|(_, count)| **count > 1) {
+        *moved.entry(*protocol).or_default() += 1;
+    }
+    moved
 }
--- a/crates/lab/src/flow_load.rs
+++ b/crates/lab/src/flow_load.rs
@@ -28,7 +28,8 @@
     pub address: SocketAddrV4,
     /// Transport protocol.
     pub protocol: Protocol,
-    /// First caller address; each takes up to 60,000 flows.
+    /// First caller address; each takes up to 60,000 flows. Groups and loads against the same targets
+    /// need different ones, or their flows are taken for each other's.
     #[serde(default = "defaults::caller")]
     pub caller: Ipv4Addr,
     /// Mean flows opened per second.
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -1,6 +1,6 @@
 //! Seeded open-loop load: arrivals follow their schedule and do not wait for answers.
 
-use crate::checks::{self, Checks, TargetLog};
+use crate::checks::{self, TargetLog};
 use crate::flow_load::{self, FlowLoad, FlowResults};
 use crate::report::Report;
 use crate::request_load::{self, RequestResult};
@@ -186,9 +186,21 @@
 /// As [`drive`].
 pub async fn run(settings: &LoadSettings, revision: &str) -> Result<Report> {
     let results = drive(settings).await?;
-    let (logs, unread) = read_logs(&settings.targets).await;
-    let checks: Checks = checks::check(settings, &results, &logs, unread);
-    Ok(Report::new(settings, revision, &results, checks))
+    Ok(summarise(settings, revision, &results, Vec::new()).await)
+}
+
+/// Makes the report from results, the logs of targets that have ended, and those of the targets in
+/// the settings.
+pub async fn summarise(
+    settings: &LoadSettings,
+    revision: &str,
+    results: &LoadResults,
+    ended: Vec<TargetLog>,
+) -> Report {
+    let (mut logs, unread) = read_logs(&settings.targets).await;
+    logs.extend(ended);
+    let checks = checks::check(settings, results, &logs, unread);
+    Report::new(settings, revision, results, checks)
 }
 
 async fn read_logs(targets: &[SocketAddr]) -> (Vec<TargetLog>, Vec<SocketAddr>) {
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -41,7 +41,11 @@
     pub fn of(durations: impl Iterator<Item = Duration>) -> Self {
         let Ok(mut histogram) = Histogram::<u64>::new(3) else { return Self::default() };
         for duration in durations {
-            histogram.saturating_record(u64::try_from(duration.as_micros()).unwrap_or(u64::MAX));
+            let us = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+            // The range grows as needed; only `saturating_record` would clamp to its start range.
+            if let Err(error) = histogram.record(us) {
+                log::warn!("latency of {us} us is not recorded: {error}");
+            }
         }
         Self {
             count: histogram.len(),
--- a/crates/lab/src/target.rs
+++ b/crates/lab/src/target.rs
@@ -1,5 +1,6 @@
 //! HTTP target: settings, shared state and the rules by which it starts, refuses and ends requests.
 
+use crate::checks::TargetLog;
 use crate::echo::{Echo, EchoCounters, FlowRecord};
 use crate::runlog::{RunOutcome, RunRecord};
 use crate::service_time::ServiceTime;
@@ -366,6 +367,12 @@
         self.shared.paused.send_replace(paused);
     }
 
+    /// Ends at once, as a crash does, and returns the logs for [`crate::load::summarise`].
+    pub async fn crash(mut self) -> TargetLog {
+        self.tasks.shutdown().await;
+        TargetLog { report: self.report(), runs: self.runs(), flows: self.flows() }
+    }
+
     /// Drains, waits until nothing is running or the limit has passed, and ends.
     pub async fn stop(mut self, limit: Duration) {
         self.drain();
--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -39,6 +39,8 @@
     LoseAnswer,
     /// Runs the request and says that it was not run.
     ClaimNotRun,
+    /// Runs the request twice.
+    RunTwice,
     /// Answers with the response of another request.
     Cross,
 }
@@ -72,6 +74,9 @@
         parts.uri = "/crossed/0-0".parse().expect("path");
     }
     let request = Request::from_parts(parts, Full::new(body.to_bytes()));
+    if behaviour == Behaviour::RunTwice {
+        client.send(target.into(), request.clone(), LIMIT).await;
+    }
     let Sent::Answered(answer) = client.send(target.into(), request, LIMIT).await else {
         let mut reply = text(StatusCode::BAD_GATEWAY, "answer lost");
         reply.headers_mut().insert("x-result-code", 2_001.into());
@@ -84,7 +89,7 @@
             reply.headers_mut().insert("x-result-code", 1_003.into());
             reply
         }
-        Behaviour::Pass | Behaviour::Cross => answer.map(Full::<Bytes>::new),
+        Behaviour::Pass | Behaviour::RunTwice | Behaviour::Cross => answer.map(Full::<Bytes>::new),
     }
 }
 
--- a/crates/lab/tests/fabric.rs
+++ b/crates/lab/tests/fabric.rs
@@ -6,10 +6,12 @@
 use comfreyhold_lab::flow_load::FlowEnd;
 use comfreyhold_lab::http;
 use comfreyhold_lab::load::{self, LoadSettings};
-use comfreyhold_lab::packet;
+use comfreyhold_lab::packet::{self, Content, Protocol};
 use comfreyhold_lab::scenario::{Process, wait_until};
 use comfreyhold_lab::target::{Target, TargetSettings};
 use common::{LIMIT, loopback, packet_forwarder, program, service_address};
+use etherparse::icmpv4::DestUnreachableHeader;
+use etherparse::{Icmpv4Type, PacketBuilder};
 use hyper::Method;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::{Arc, Mutex};
@@ -73,6 +75,30 @@
     assert_eq!(fabric.report().unregistered, 1);
 }
 
+/// Guards against the notice of an abandoned UDP flow getting lost, which would make the load wait
+/// for its echo limit.
+#[tokio::test]
+async fn port_unreachable_reaches_the_refused_caller() {
+    let (entry, endpoint) = (socket().await, socket().await);
+    let settings = FabricSettings::builder().entries(vec![entry.local_addr().unwrap()]).build();
+    let fabric = Fabric::start(settings).await.unwrap();
+    let registration = format!("register {}", caller(2));
+    endpoint.send_to(registration.as_bytes(), fabric.packets()).await.unwrap();
+    assert_eq!(receive(&endpoint).await, b"ok");
+    let refused = packet::udp(caller(2), service_address(), b"payload");
+    let (from, to) = (service_address().ip().octets(), caller(2).ip().octets());
+    let mut notice = Vec::new();
+    // An IP header without options and 8 bytes after it are quoted.
+    PacketBuilder::ipv4(from, to, 64)
+        .icmpv4(Icmpv4Type::DestinationUnreachable(DestUnreachableHeader::Port))
+        .write(&mut notice, &refused[..28])
+        .unwrap();
+    entry.send_to(&notice, fabric.packets()).await.unwrap();
+    let received = receive(&endpoint).await;
+    let parsed = packet::parse(&received).unwrap();
+    assert_eq!((parsed.content, parsed.source), (Content::Unreachable, service_address()));
+}
+
 /// Guards against a removed entry that still gets packets, with the real process and its endpoint.
 #[tokio::test]
 async fn entries_are_added_and_removed_at_run_time() {
@@ -162,7 +188,7 @@
     assert_eq!(report.broken_flows(), 0, "{}", report.table());
     assert!(report.flow_end(FlowEnd::Closed) > 50, "{}", report.table());
     assert!(report.flows.iter().all(|flow| flow.echo.count > 0 && flow.bad_checksums == 0));
-    assert_eq!(report.checks.flows_on_several_targets, 0);
+    assert!(report.checks.flows_on_several_targets.values().all(|count| *count == 0));
     assert!(report.checks.holds());
 }
 
@@ -181,7 +207,8 @@
     assert_eq!(report.flow_end(FlowEnd::Silent), 0, "{}", report.table());
     let udp = &report.flows[1];
     assert_eq!(udp.broken.count, 0, "{}", report.table());
-    let tcp_resets = report.flow_end(FlowEnd::Reset);
-    assert!(report.checks.flows_on_several_targets > tcp_resets, "{}", report.table());
+    let moved = &report.checks.flows_on_several_targets;
+    assert!(moved[&Protocol::Tcp] >= report.flow_end(FlowEnd::Reset), "{moved:?}");
+    assert!(moved[&Protocol::Udp] > 0, "{moved:?}");
     scene.tasks.shutdown().await;
 }
--- a/crates/lab/tests/load.rs
+++ b/crates/lab/tests/load.rs
@@ -5,7 +5,7 @@
 use comfreyhold_lab::checks::imbalance;
 use comfreyhold_lab::http::{self, json};
 use comfreyhold_lab::load::{self, LoadSettings, RequestKind, arrivals, part_seed};
-use comfreyhold_lab::report::Report;
+use comfreyhold_lab::report::{Latencies, Report};
 use comfreyhold_lab::request_load::Outcome;
 use comfreyhold_lab::scenario::wait_until;
 use comfreyhold_lab::service_time::ServiceTime;
@@ -133,6 +133,52 @@
     assert!(report.checks.holds(), "{}", report.table());
 }
 
+/// Guards against an entry's own second run of a request without a key.
+#[tokio::test]
+async fn second_runs_of_unkeyed_posts_are_found() {
+    let mut tasks = JoinSet::new();
+    let target = target(0).await;
+    let entry = forwarder(&mut tasks, target.address(), Behaviour::RunTwice).await;
+    let mut settings = settings(vec![entry], target.address());
+    settings.kinds = vec![kind("plain", "POST", false), kind("feed", "GET", false)];
+    let report = run(&settings).await;
+    let violations = report.checks.unkeyed_ran_twice.count;
+    assert_eq!(violations, report.kinds["plain"].requests, "{}", report.table());
+    assert!(!report.checks.holds());
+}
+
+/// Guards against requests that reach a target of another service.
+#[tokio::test]
+async fn misdelivered_requests_are_found() {
+    let mut tasks = JoinSet::new();
+    let target = target(0).await;
+    let entry = forwarder(&mut tasks, target.address(), Behaviour::Pass).await;
+    let mut settings = settings(vec![entry], target.address());
+    settings.kinds.iter_mut().for_each(|kind| kind.service = "catalogue".to_owned());
+    let report = run(&settings).await;
+    let requests: u64 = report.kinds.values().map(|kind| kind.requests).sum();
+    assert_eq!(report.checks.wrong_service, requests);
+    assert_eq!(report.outcome(Outcome::Completed), 0, "{}", report.table());
+}
+
+/// Guards against the runs of a crashed target getting lost to the checks.
+#[tokio::test]
+async fn logs_of_a_crashed_target_count() {
+    let mut tasks = JoinSet::new();
+    let target = target(0).await;
+    let address = target.address();
+    let entry = forwarder(&mut tasks, address, Behaviour::Pass).await;
+    let mut settings = settings(vec![entry], address);
+    let results = load::drive(&settings).await.unwrap();
+    let log = target.crash().await;
+    let unread = load::summarise(&settings, "test", &results, Vec::new()).await;
+    assert_eq!(unread.checks.unread_targets, [address.into()]);
+    settings.targets.clear();
+    let report = load::summarise(&settings, "test", &results, vec![log]).await;
+    assert_eq!(report.checks.runs_completed, results.requests.len() as u64);
+    assert!(report.checks.holds(), "{}", report.table());
+}
+
 /// Guards against an entry that refuses connections making requests fail while others work.
 #[tokio::test]
 async fn unreachable_entry_is_passed_over() {
@@ -211,6 +257,16 @@
     assert_ne!(times, arrivals(100.0, Duration::from_secs(10), 2));
 }
 
+/// Guards against latencies clamped to the histogram's first range, which hid everything above 2 ms.
+#[test]
+fn long_latencies_are_not_clamped() {
+    let latencies = Latencies::of((1..=1_000).map(Duration::from_millis));
+    assert_eq!(latencies.count, 1_000);
+    for (value, expected) in [(latencies.p50_us, 500_000), (latencies.max_us, 1_000_000)] {
+        assert!(value.abs_diff(expected) <= expected / 500, "{value} instead of {expected}");
+    }
+}
+
 /// Guards against an imbalance that is not the highest count over the mean.
 #[test]
 fn imbalance_is_most_over_mean() {
