--- a/crates/consensus/src/node/mod.rs
+++ b/crates/consensus/src/node/mod.rs
@@ -105,7 +105,7 @@
         let log = Log::recover(&durable);
         let mut node = Self {
             rejoin: Rejoin::new(now),
-            deadline: now + settings.election,
+            deadline: now,
             settings,
             rng,
             epoch: now,
