Drive the dispatchers' answers with their load

Cause: grants, refusals and confirmations now carry the dispatcher's load. Change: an entry that is not dispatcher of a pool answers with no load.

--- a/crates/daemon/src/entry_requests.rs
+++ b/crates/daemon/src/entry_requests.rs
@@ -8,7 +8,7 @@
 use comfreyhold_request::client::{self, Client};
 use comfreyhold_request::client_event::NewRequest;
 use comfreyhold_request::dispatcher::{self, Dispatcher, DispatcherConfig};
-use comfreyhold_request::message::{AttemptId, Message, Pool, RequestId};
+use comfreyhold_request::message::{AttemptId, Brief, Message, Pool, RequestId};
 use comfreyhold_types::prelude::*;
 use comfreyhold_types::profile::RetryRule;
 use comfreyhold_wire::envelope::Topic;
@@ -399,13 +399,17 @@
 /// Answers a message for a dispatcher that doesn't run here.
 fn answer_without_dispatcher(from: InstanceId, message: &Message) -> Option<Message> {
     match message {
-        Message::Acquire { attempt, .. } => Some(Message::Refuse {
+        Message::Acquire { attempt, pool, .. } => Some(Message::Refuse {
             attempt: *attempt,
+            pool: *pool,
             code: ResultCode::NoDispatcher,
             elsewhere: true,
+            load: Brief::default(),
         }),
         // The grants of an ended dispatcher are known to its successor from the entries' reports.
-        Message::Release { grant, .. } => Some(Message::Released { grant: *grant }),
+        Message::Release { pool, grant, .. } => {
+            Some(Message::Released { pool: *pool, grant: *grant, load: Brief::default() })
+        }
         _ => {
             log::debug!("message of {from} for a dispatcher that doesn't run here");
             None
