Write whole answers before a target stops

Cause: Target::stop aborted its connections as soon as no request was running, while answers could still be on their way. The daemons would have been blamed for lost answers at a planned stop. Flow opening times started with the send, not with the schedule. Change: connections shut down gracefully within the stop limit. Flow times count from the intended start. Result codes are read through the table in comfreyhold-types instead of number ranges.

--- a/crates/lab/src/flow_load.rs
+++ b/crates/lab/src/flow_load.rs
@@ -120,6 +120,12 @@
     timer: Instant,
 }
 
+impl Flow {
+    fn is_waiting_for(&self, payload: &[u8]) -> bool {
+        self.waiting.as_ref().is_some_and(|(sent, _)| sent == payload)
+    }
+}
+
 struct Driver {
     settings: FlowLoad,
     socket: UdpSocket,
@@ -167,7 +173,7 @@
             tokio::select! {
                 // Echoes come first: a limit must not pass over an echo that has arrived.
                 biased;
-                Ok(length) = self.socket.recv(&mut buffer) => self.receive(&buffer[..length]).await,
+                Ok(length) = self.socket.recv(&mut buffer) => self.receive(&buffer[..length]),
                 () = tokio::time::sleep_until(wake) => self.wake(next_open).await,
             }
         }
@@ -175,8 +181,8 @@
 
     async fn wake(&mut self, next_open: Option<Instant>) {
         let now = Instant::now();
-        if next_open.is_some_and(|at| at <= now) {
-            self.open().await;
+        if let Some(at) = next_open.filter(|at| *at <= now) {
+            self.open(at).await;
         }
         if let Some((at, index)) = self.timers.first().copied()
             && at <= now
@@ -186,7 +192,8 @@
         }
     }
 
-    async fn open(&mut self) {
+    /// Opens a flow. Its times count from the intended start.
+    async fn open(&mut self, intended: Instant) {
         let now = Instant::now();
         let index = self.flows.len();
         let host = u32::from(self.settings.caller) + (index / PORTS_PER_ADDRESS) as u32;
@@ -199,7 +206,7 @@
         let seq = u32::try_from(index).unwrap_or(0).wrapping_mul(7_919);
         let mut flow = Flow {
             caller,
-            opened: now,
+            opened: intended,
             established: false,
             ended: false,
             seq,
@@ -273,7 +280,7 @@
         self.end(index, FlowEnd::Closed);
     }
 
-    async fn receive(&mut self, bytes: &[u8]) {
+    fn receive(&mut self, bytes: &[u8]) {
         if bytes == b"ok" {
             return;
         }
@@ -287,54 +294,65 @@
         }
         match self.index_of(packet.destination) {
             Some(index) if packet.source == self.settings.address => {
-                self.receive_for(index, &packet).await;
+                self.receive_for(index, &packet);
             }
             _ => self.results.unexpected += 1,
         }
     }
 
-    async fn receive_for(&mut self, index: usize, packet: &Packet<'_>) {
-        let flow = &mut self.flows[index];
-        if flow.ended {
+    fn receive_for(&mut self, index: usize, packet: &Packet<'_>) {
+        if self.flows[index].ended {
             return;
         }
-        let now = Instant::now();
-        match packet.content {
-            Content::Tcp(fields, _) if fields.rst => self.reset(index),
+        let expected = match packet.content {
             Content::Unreachable => self.reset(index),
-            Content::Tcp(fields, _) if fields.syn && !flow.established => {
-                if fields.ack != Some(flow.seq.wrapping_add(1)) {
-                    self.results.unexpected += 1;
-                    return;
-                }
-                flow.seq = flow.seq.wrapping_add(1);
-                flow.ack = fields.seq.wrapping_add(1);
-                self.establish(index, now);
-            }
-            Content::Tcp(fields, payload) => {
-                let expected = flow.waiting.as_ref().is_some_and(|(sent, _)| sent == payload);
-                if !expected || !flow.established || fields.seq != flow.ack {
-                    self.results.unexpected += 1;
-                    return;
-                }
-                let length = u32::try_from(payload.len()).unwrap_or(0);
-                flow.seq = flow.seq.wrapping_add(length);
-                flow.ack = flow.ack.wrapping_add(length);
-                self.echoed(index, now);
-            }
-            Content::Udp(payload) => {
-                if flow.waiting.as_ref().is_none_or(|(sent, _)| sent != payload) {
-                    self.results.unexpected += 1;
-                } else if flow.established {
-                    self.echoed(index, now);
-                } else {
-                    self.establish(index, now);
-                }
-            }
+            Content::Tcp(fields, _) if fields.rst => self.reset(index),
+            Content::Tcp(fields, _) if fields.syn => self.opened(index, fields),
+            Content::Tcp(fields, payload) => self.tcp_echo(index, fields, payload),
+            Content::Udp(payload) => self.udp_echo(index, payload),
+        };
+        self.results.unexpected += u64::from(!expected);
+    }
+
+    /// Takes in a SYN-ACK; returns whether it was expected.
+    fn opened(&mut self, index: usize, fields: TcpFields) -> bool {
+        let flow = &mut self.flows[index];
+        if flow.established || fields.ack != Some(flow.seq.wrapping_add(1)) {
+            return false;
+        }
+        flow.seq = flow.seq.wrapping_add(1);
+        flow.ack = fields.seq.wrapping_add(1);
+        self.establish(index);
+        true
+    }
+
+    fn tcp_echo(&mut self, index: usize, fields: TcpFields, payload: &[u8]) -> bool {
+        let flow = &mut self.flows[index];
+        if !flow.established || !flow.is_waiting_for(payload) || fields.seq != flow.ack {
+            return false;
+        }
+        let length = u32::try_from(payload.len()).unwrap_or(0);
+        flow.seq = flow.seq.wrapping_add(length);
+        flow.ack = flow.ack.wrapping_add(length);
+        self.echoed(index);
+        true
+    }
+
+    fn udp_echo(&mut self, index: usize, payload: &[u8]) -> bool {
+        let flow = &self.flows[index];
+        if !flow.is_waiting_for(payload) {
+            return false;
         }
+        if flow.established {
+            self.echoed(index);
+        } else {
+            self.establish(index);
+        }
+        true
     }
 
-    fn establish(&mut self, index: usize, now: Instant) {
+    fn establish(&mut self, index: usize) {
+        let now = Instant::now();
         let flow = &mut self.flows[index];
         flow.established = true;
         flow.waiting = None;
@@ -342,16 +360,18 @@
         self.set_timer(index, now);
     }
 
-    fn echoed(&mut self, index: usize, now: Instant) {
+    fn echoed(&mut self, index: usize) {
+        let now = Instant::now();
         if let Some((_, since)) = self.flows[index].waiting.take() {
             self.results.echo_times.push(now - since);
         }
         self.set_timer(index, now + Duration::from_millis(self.settings.send_every_ms));
     }
 
-    fn reset(&mut self, index: usize) {
+    fn reset(&mut self, index: usize) -> bool {
         let established = self.flows[index].established;
         self.end(index, if established { FlowEnd::Reset } else { FlowEnd::OpenRefused });
+        true
     }
 
     fn end(&mut self, index: usize, end: FlowEnd) {
--- a/crates/lab/src/http.rs
+++ b/crates/lab/src/http.rs
@@ -14,9 +14,11 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Mutex;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 /// A response with its body in memory.
@@ -29,11 +31,24 @@
 /// told from a lost answer.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Pause after a failed accept, which usually means that file descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
 /// Idle connections kept per address by [`Client`].
 const MAX_IDLE: usize = 64;
 
 /// Serves requests until the future is dropped, which also ends the open connections.
 pub async fn serve<F, Fut>(listener: TcpListener, handler: F)
+where
+    F: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
+    Fut: Future<Output = Reply> + Send + 'static,
+{
+    let (_running, stop) = watch::channel(false);
+    serve_until(listener, handler, stop).await;
+}
+
+/// Serves requests until `stop` is true, and then until the responses in flight are written.
+pub async fn serve_until<F, Fut>(listener: TcpListener, handler: F, stop: watch::Receiver<bool>)
 where
     F: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
     Fut: Future<Output = Reply> + Send + 'static,
@@ -41,19 +56,28 @@
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
+            () = stopped(stop.clone()) => break,
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => { connections.spawn(serve_one(stream, handler.clone())); }
+                Ok((stream, _)) => {
+                    connections.spawn(serve_one(stream, handler.clone(), stop.clone()));
+                }
                 Err(error) => {
                     log::warn!("accept failed: {error}");
-                    tokio::time::sleep(Duration::from_millis(10)).await;
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             },
             Some(_) = connections.join_next() => {}
         }
     }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
 }
 
-async fn serve_one<F, Fut>(stream: TcpStream, handler: F)
+async fn stopped(mut stop: watch::Receiver<bool>) {
+    let _ = stop.wait_for(|stop| *stop).await;
+}
+
+async fn serve_one<F, Fut>(stream: TcpStream, handler: F, stop: watch::Receiver<bool>)
 where
     F: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
     Fut: Future<Output = Reply> + Send + 'static,
@@ -63,10 +87,17 @@
         let reply = handler(request);
         async move { Ok::<_, Infallible>(reply.await) }
     });
-    let connection = hyper::server::conn::http1::Builder::new()
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
-    if let Err(error) = connection {
+    let connection =
+        hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = stopped(stop) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
         log::debug!("connection ended: {error}");
     }
 }
--- a/crates/lab/src/request_load.rs
+++ b/crates/lab/src/request_load.rs
@@ -4,20 +4,19 @@
 use crate::load::{LoadSettings, RequestKind, arrivals, part_seed};
 use crate::target_http::{Answer, SERVICE_HEADER};
 use bytes::Bytes;
+use comfreyhold_types::prelude::*;
 use http_body_util::Full;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
-use strum::Display;
+use strum::{Display, IntoEnumIterator as _};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-/// Code of a key whose first attempt is still running; the answer may come later.
-const KEY_IN_USE: u16 = 2003;
-
+/// Pause before the resend of a request whose first attempt is still running.
 const KEY_IN_USE_PAUSE: Duration = Duration::from_millis(200);
 
 /// How a request ended for its caller.
@@ -139,7 +138,7 @@
             Sent::Answered(response) => {
                 result.code = code(&response);
                 let outcome = classify(kind, &result.path, &response);
-                if result.code != Some(KEY_IN_USE) {
+                if result.code != Some(ResultCode::KeyInUse.number()) {
                     return known(outcome, may_have_run);
                 }
                 may_have_run = true;
@@ -183,11 +182,17 @@
 
 fn classify(kind: &RequestKind, path: &str, response: &Response<Bytes>) -> Outcome {
     let not_executed = response.headers().get("x-request-executed").is_some_and(|v| v == "false");
-    match code(response) {
-        Some(1_000..=1_999) => Outcome::Refused,
-        Some(2_000..=2_999) => Outcome::Unknown,
-        None if response.status() == 503 && not_executed => Outcome::Refused,
-        None | Some(0) if response.status().is_success() => whole_answer(kind, path, response),
+    let Some(code) = code(response) else {
+        // A target that is called without an entry sends no code.
+        return match response.status() {
+            status if status.is_success() => whole_answer(kind, path, response),
+            StatusCode::SERVICE_UNAVAILABLE if not_executed => Outcome::Refused,
+            _ => Outcome::Unknown,
+        };
+    };
+    match ResultCode::iter().find(|known| known.number() == code).map(ResultCode::family) {
+        Some(Family::Done) => whole_answer(kind, path, response),
+        Some(Family::NotRun) => Outcome::Refused,
         _ => Outcome::Unknown,
     }
 }
--- a/crates/lab/src/target.rs
+++ b/crates/lab/src/target.rs
@@ -18,7 +18,9 @@
 use strum::{Display, EnumString};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Notify, watch};
-use tokio::task::JoinSet;
+use tokio::task::{JoinHandle, JoinSet};
+
+const IDLE_POLL: Duration = Duration::from_millis(10);
 
 /// What a cold target does with load beyond what it bears.
 #[derive(
@@ -162,6 +164,7 @@
     pub(crate) core: Mutex<Core>,
     pub(crate) echo: Mutex<Echo>,
     pub(crate) paused: watch::Sender<bool>,
+    pub(crate) stopping: watch::Sender<bool>,
     pub(crate) announce_now: Notify,
 }
 
@@ -293,9 +296,16 @@
 /// A running target. Dropping it ends its connections and announcements at once.
 pub struct Target {
     shared: Arc<Shared>,
+    http: JoinHandle<()>,
     tasks: JoinSet<()>,
 }
 
+impl Drop for Target {
+    fn drop(&mut self) {
+        self.http.abort();
+    }
+}
+
 impl Target {
     /// Binds the address and starts to serve, to announce and to echo packets.
     ///
@@ -314,18 +324,19 @@
             core: Mutex::new(Core::new(&settings)),
             echo: Mutex::new(Echo::new(&settings.service, address)),
             paused: watch::Sender::new(false),
+            stopping: watch::Sender::new(false),
             announce_now: Notify::new(),
             settings,
         });
         let mut tasks = JoinSet::new();
-        tasks.spawn(target_http::serve(Arc::clone(&shared), listener));
+        let http = tokio::spawn(target_http::serve(Arc::clone(&shared), listener));
         tasks.spawn(target_tasks::announce(Arc::clone(&shared)));
         if let Some(fabric) = shared.settings.fabric {
             let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await?;
             socket.connect(fabric).await.context("fabric address")?;
             tasks.spawn(target_tasks::echo(Arc::clone(&shared), socket));
         }
-        Ok(Self { shared, tasks })
+        Ok(Self { shared, http, tasks })
     }
 
     /// Address of requests and packets, as announced.
@@ -369,16 +380,25 @@
 
     /// Ends at once, as a crash does, and returns the logs for [`crate::load::summarise`].
     pub async fn crash(mut self) -> TargetLog {
+        self.http.abort();
+        // The result only says that the task was aborted.
+        let _ = (&mut self.http).await;
         self.tasks.shutdown().await;
         TargetLog { report: self.report(), runs: self.runs(), flows: self.flows() }
     }
 
-    /// Drains, waits until nothing is running or the limit has passed, and ends.
+    /// Drains, waits until all responses are written or the limit has passed, and ends.
     pub async fn stop(mut self, limit: Duration) {
         self.drain();
-        let end = Instant::now() + limit;
-        while self.report().running > 0 && Instant::now() < end {
-            tokio::time::sleep(Duration::from_millis(10)).await;
+        let idle = async {
+            while self.report().running > 0 {
+                tokio::time::sleep(IDLE_POLL).await;
+            }
+            self.shared.stopping.send_replace(true);
+            let _ = (&mut self.http).await;
+        };
+        if tokio::time::timeout(limit, idle).await.is_err() {
+            log::warn!("target {} stops with requests in flight", self.address());
         }
         self.tasks.shutdown().await;
     }
--- a/crates/lab/src/target_http.rs
+++ b/crates/lab/src/target_http.rs
@@ -50,11 +50,12 @@
 }
 
 pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
-    http::serve(listener, move |request| {
+    let stop = shared.stopping.subscribe();
+    let handler = move |request| {
         let shared = Arc::clone(&shared);
         async move { handle(&shared, request).await }
-    })
-    .await;
+    };
+    http::serve_until(listener, handler, stop).await;
 }
 
 async fn handle(shared: &Arc<Shared>, request: Request<Incoming>) -> Reply {
--- a/crates/lab/tests/target.rs
+++ b/crates/lab/tests/target.rs
@@ -17,8 +17,10 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 /// Long enough that a request is still running whenever a test looks.
 const LONG: ServiceTime = ServiceTime::Constant(30_000.0);
@@ -118,6 +120,26 @@
     assert_eq!(target.runs()[0].outcome, RunOutcome::Deadline);
 }
 
+/// Guards against a planned stop that truncates an answer whose caller reads slowly.
+#[tokio::test]
+async fn stop_waits_for_whole_answers() {
+    // More than the socket buffers of both sides hold, so that it is being written while stopping.
+    const BYTES: usize = 32_000_000;
+    let target = Target::start(TargetSettings { response_bytes: BYTES, ..orders() }).await.unwrap();
+    let address = SocketAddr::from(target.address());
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    caller.write_all(b"GET /order/1 HTTP/1.1\r\nhost: orders\r\n\r\n").await.unwrap();
+    let ran = || target.runs().iter().any(|run| run.outcome == RunOutcome::Completed);
+    wait_until("request runs", LIMIT, ran).await.unwrap();
+    let stopping = tokio::spawn(target.stop(LIMIT));
+    let refused = || std::net::TcpStream::connect(address).is_err();
+    wait_until("target takes no connections", LIMIT, refused).await.unwrap();
+    let mut answer = Vec::new();
+    timeout(LIMIT, caller.read_to_end(&mut answer)).await.unwrap().unwrap();
+    assert!(answer.len() > BYTES, "{} bytes", answer.len());
+    stopping.await.unwrap();
+}
+
 /// Guards against a cold target that takes more than it bears, and one that never gets warm.
 #[tokio::test]
 async fn cold_target_refuses_more_than_it_bears() {
