--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -19,7 +19,7 @@
 pub struct LoadSettings {
     /// Seed of arrivals, entry choice and keys. It is also part of each request's path.
     pub seed: u64,
-    /// How long requests and flows start, in milliseconds.
+    /// Period during which requests and flows are started, in milliseconds.
     pub duration_ms: u64,
     /// HTTP addresses of the entries.
     #[serde(default)]
@@ -123,7 +123,7 @@
         Ok(())
     }
 
-    /// How long requests and flows start.
+    /// Period during which requests and flows are started.
     #[must_use]
     pub fn duration(&self) -> Duration {
         Duration::from_millis(self.duration_ms)
--- a/crates/lab/src/target.rs
+++ b/crates/lab/src/target.rs
@@ -43,10 +43,10 @@
     /// Time until the target is warm, in milliseconds.
     #[builder(default = 10_000)]
     pub duration_ms: u64,
-    /// Requests that it bears at once.
+    /// Requests that it can run at once.
     #[builder(default = 1)]
     pub bears_running: u16,
-    /// Request starts that it bears per second.
+    /// Request starts that it can handle per second.
     #[builder(default = 5)]
     pub bears_per_s: usize,
     /// What it does with more.
@@ -275,8 +275,8 @@
             return Some(RunOutcome::RefusedCold);
         }
         let full = settings.shed_above.is_some_and(|limit| self.report.running >= limit);
-        let unlucky = self.rng.random_range(0..100) < settings.refuse_percent;
-        (full || unlucky).then_some(RunOutcome::RefusedShed)
+        let random_refusal = self.rng.random_range(0..100) < settings.refuse_percent;
+        (full || random_refusal).then_some(RunOutcome::RefusedShed)
     }
 
     fn start(&mut self, mut record: RunRecord, slots: u16, now: Instant) -> usize {
--- a/crates/lab/src/up.rs
+++ b/crates/lab/src/up.rs
@@ -24,7 +24,7 @@
     pub entry_binary: PathBuf,
     /// Control daemon.
     pub control_binary: PathBuf,
-    /// Failure domains; entries, control daemons and targets are dealt out to them in turn.
+    /// Failure domains; entries, control daemons and targets are assigned round-robin.
     pub domains: u16,
     /// Entry daemons.
     pub entries: u16,
