Add the decision core of the packet side

Cause: packets of established flows must stay on their target through any planned change, whichever entry the fabric delivers them to.

--- /dev/null
+++ b/crates/flow/src/control.rs
@@ -0,0 +1,406 @@
+//! Events of the control side: versions, targets, failure domains and the lease.
+
+use crate::message::{Message, Outgoing};
+use crate::node::{FlowNode, Peer};
+use crate::report::{Ending, Pending};
+use crate::table::{SLOTS_PER_SERVICE, SlotTable};
+use crate::targets::{ServiceTargets, TargetKey, TargetRef, TargetSets, TargetSpec};
+use crate::view::{Moving, ServiceView, View};
+use comfreyhold_types::codes::ResultCode;
+use comfreyhold_types::keys::{DomainId, Incarnation, InstanceId, Revision, ServiceId};
+use comfreyhold_types::target::TargetState;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+use thiserror::Error;
+
+/// Why an event is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum ControlError {
+    /// The version is not newer than the one in force.
+    #[error("version {version} is older than {active}, which is in force")]
+    OldVersion {
+        /// The version of the event.
+        version: Revision,
+        /// The version in force.
+        active: Revision,
+    },
+    /// The version to activate has not been prepared.
+    #[error("version {0} has not been prepared")]
+    NotPrepared(Revision),
+}
+
+impl ControlError {
+    /// The numbered result.
+    #[must_use]
+    pub fn code(self) -> ResultCode {
+        match self {
+            Self::OldVersion { .. } | Self::NotPrepared(_) => ResultCode::OldRevision,
+        }
+    }
+}
+
+/// Table of a service with what it was computed from.
+#[derive(Clone)]
+pub(crate) struct Computed {
+    targets: Vec<(TargetKey, TargetSpec)>,
+    table: Arc<SlotTable>,
+}
+
+/// A version that is prepared and not yet in force.
+pub(crate) struct Prepared {
+    sets: TargetSets,
+    tables: BTreeMap<ServiceId, Computed>,
+}
+
+/// What a peer has told.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Progress {
+    pub marker: Option<u64>,
+    pub state_synced: Option<bool>,
+    pub reported: Revision,
+}
+
+/// State of the control side.
+pub(crate) struct Control {
+    pub view: View,
+    pub prepared: BTreeMap<Revision, Prepared>,
+    active_tables: BTreeMap<ServiceId, Computed>,
+    out_now: BTreeMap<DomainId, Revision>,
+    pub previous_live: Vec<Peer>,
+    pub ready: bool,
+    pub progress: BTreeMap<InstanceId, Progress>,
+    pub last_loss: u32,
+    /// What lost entries had reported, with the time of the loss.
+    pub lost: Vec<(Revision, u32)>,
+    pub scan: Option<usize>,
+    pub pending: Vec<Pending>,
+    pub reported: Revision,
+    pub tokens: i64,
+    pub refilled: Option<Instant>,
+    pub sweep: usize,
+    pub checked: u32,
+    pub endings: Vec<Ending>,
+    pub draining: BTreeMap<SocketAddr, u32>,
+}
+
+impl Control {
+    pub fn new(view: View) -> Self {
+        Self {
+            view,
+            prepared: BTreeMap::new(),
+            active_tables: BTreeMap::new(),
+            out_now: BTreeMap::new(),
+            previous_live: Vec::new(),
+            ready: false,
+            progress: BTreeMap::new(),
+            last_loss: 0,
+            lost: Vec::new(),
+            scan: None,
+            pending: Vec::new(),
+            reported: Revision(0),
+            tokens: 0,
+            refilled: None,
+            sweep: 0,
+            checked: 0,
+            endings: Vec::new(),
+            draining: BTreeMap::new(),
+        }
+    }
+
+    /// Newest version that is prepared or in force.
+    pub fn newest(&self) -> Revision {
+        self.prepared.keys().next_back().copied().unwrap_or(self.view.active)
+    }
+
+    fn newest_tables(&self) -> &BTreeMap<ServiceId, Computed> {
+        self.prepared.values().next_back().map_or(&self.active_tables, |prepared| &prepared.tables)
+    }
+
+    fn update_targets(&mut self, sets: &TargetSets, stamp: u32) {
+        let targets = Arc::make_mut(&mut self.view.targets);
+        let mut listed = BTreeSet::new();
+        for service in &sets.services {
+            for spec in &service.targets {
+                let out =
+                    sets.out.contains(&spec.domain) || self.out_now.contains_key(&spec.domain);
+                targets.upsert(service.service, *spec, out);
+                listed.insert(spec.address);
+                if spec.state == TargetState::Draining {
+                    self.draining.entry(spec.address).or_insert(stamp);
+                } else {
+                    self.draining.remove(&spec.address);
+                }
+            }
+        }
+        targets.retain(&listed);
+        self.draining.retain(|address, _| listed.contains(address));
+        for domain in &sets.out {
+            targets.take_out(*domain);
+        }
+    }
+
+    fn compute(&self, version: Revision, sets: &TargetSets, service: &ServiceTargets) -> Computed {
+        let listed = service.targets.iter().filter_map(|spec| {
+            let reference = TargetRef { address: spec.address, incarnation: spec.incarnation };
+            let key = self.view.targets.find(service.service, &reference)?;
+            let placed = spec.state == TargetState::Serving && !sets.out.contains(&spec.domain);
+            Some((key, TargetSpec { weight: if placed { spec.weight } else { 0 }, ..*spec }))
+        });
+        let mut targets: Vec<_> = listed.collect();
+        targets.sort_by_key(|(_, spec)| spec.address);
+        let known = self.newest_tables().get(&service.service);
+        if let Some(known) = known.filter(|known| known.targets == targets) {
+            return known.clone();
+        }
+        let table = Arc::new(SlotTable::compute(service.service, version, &targets));
+        Computed { targets, table }
+    }
+
+    fn ensure_service(&mut self, service: &ServiceTargets) {
+        self.view.addresses.insert(service.service, service.address);
+        let known = self.view.services.values().find(|known| known.id == service.service).cloned();
+        let mut updated = known.as_deref().cloned().unwrap_or_else(|| ServiceView {
+            id: service.service,
+            address: service.address,
+            idle: service.idle,
+            drain: service.drain,
+            table: None,
+            next: None,
+            own: None,
+            moving: BTreeMap::new(),
+        });
+        if updated.address != service.address {
+            self.view.services.remove(&updated.address);
+        }
+        updated.address = service.address;
+        updated.idle = service.idle;
+        updated.drain = service.drain;
+        self.view.services.insert(service.address, Arc::new(updated));
+    }
+
+    /// Puts the slots that a new table moves in transition.
+    fn begin_moves(&mut self, id: ServiceId, version: Revision, new: &SlotTable, stamp: u32) {
+        let Some(service) = self.view.service(id).cloned() else { return };
+        let latest = self.newest_tables().get(&id).map(|computed| computed.table.clone());
+        for slot in 0..SLOTS_PER_SERVICE as u16 {
+            let of = |table: &Option<Arc<SlotTable>>| {
+                let key = table.as_ref()?.target(slot)?;
+                self.view.usable(key, id).map(|_| key)
+            };
+            let (current, latest) = (of(&service.table), of(&latest));
+            let changed = |old: Option<TargetKey>| old.is_some() && old != new.target(slot);
+            if !changed(current) && !changed(latest) {
+                continue;
+            }
+            let Some(base) = current.or(latest) else { continue };
+            let known = service.moving.get(&slot).copied();
+            let moving = known.unwrap_or_else(|| {
+                let moving = Moving::new(base, self.view.active, stamp, self.view.me);
+                self.assign_new(id, slot, moving)
+            });
+            let moving =
+                Moving { moved: version, active_at: None, ended: None, reported: false, ..moving };
+            if let Some(service) = self.view.service_mut(id) {
+                service.moving.insert(slot, moving);
+            }
+        }
+    }
+
+    /// Puts the slots in transition that versions prepared while this entry was not synced move.
+    fn begin_prepared_moves(&mut self, stamp: u32) {
+        let newest = self.prepared.iter().next_back();
+        let Some((version, prepared)) = newest else { return };
+        let version = *version;
+        let tables: Vec<_> = prepared.tables.iter().map(|(id, c)| (*id, c.table.clone())).collect();
+        for (id, table) in tables {
+            self.begin_moves(id, version, &table, stamp);
+        }
+    }
+
+    fn set_next(&mut self) {
+        let newest = self.prepared.values().next_back();
+        let tables: BTreeMap<ServiceId, Arc<SlotTable>> = newest
+            .map(|prepared| prepared.tables.iter().map(|(id, c)| (*id, c.table.clone())).collect())
+            .unwrap_or_default();
+        for service in self.view.services.values_mut() {
+            let next = tables.get(&service.id).cloned();
+            Arc::make_mut(service).next = next;
+        }
+    }
+
+    fn install(&mut self, version: Revision, prepared: Prepared, stamp: u32) {
+        let declared: BTreeSet<ServiceId> = prepared.tables.keys().copied().collect();
+        self.view.services.retain(|_, service| declared.contains(&service.id));
+        self.view.addresses.retain(|id, _| declared.contains(id));
+        for service in self.view.services.values_mut() {
+            let service = Arc::make_mut(service);
+            service.table = prepared.tables.get(&service.id).map(|c| c.table.clone());
+            for moving in service.moving.values_mut() {
+                if moving.moved <= version && moving.active_at.is_none() {
+                    moving.active_at = Some(stamp);
+                }
+            }
+        }
+        self.out_now.retain(|_, since| *since > version);
+        let mut out = prepared.sets.out.clone();
+        out.extend(self.out_now.keys());
+        out.extend(self.prepared.values().flat_map(|later| later.sets.out.iter()));
+        Arc::make_mut(&mut self.view.targets).set_out(&out);
+        self.view.active = version;
+        self.active_tables = prepared.tables;
+    }
+
+    fn build_own_tables(&mut self) {
+        for (id, computed) in &self.active_tables {
+            let own = computed.targets.iter().filter(|(_, spec)| spec.domain == self.view.domain);
+            let own: Vec<_> = own.copied().collect();
+            let table = Arc::new(SlotTable::compute(*id, self.view.active, &own));
+            if let Some(service) = self.view.service_mut(*id) {
+                service.own = Some(table);
+            }
+        }
+    }
+}
+
+impl Moving {
+    pub fn new(base: TargetKey, stable: Revision, since: u32, me: InstanceId) -> Self {
+        Self {
+            base,
+            stable,
+            moved: stable,
+            since,
+            active_at: None,
+            ended: None,
+            arbiter: me,
+            backup: None,
+            sure: false,
+            former: false,
+            previous: None,
+            reported: false,
+        }
+    }
+}
+
+impl FlowNode {
+    /// Takes in a version without putting it in force: slots whose target changes are in transition
+    /// from now on. Once this returns, the prepare may be confirmed.
+    ///
+    /// # Errors
+    /// The version is not newer than the one in force. A version that is prepared already is fine.
+    pub fn prepare(
+        &self,
+        version: Revision,
+        sets: &TargetSets,
+        now: Instant,
+    ) -> Result<(), ControlError> {
+        let mut control = self.control();
+        let active = control.view.active;
+        if version <= active && active != Revision(0) {
+            return Err(ControlError::OldVersion { version, active });
+        }
+        if control.newest() >= version && !control.prepared.is_empty() {
+            return Ok(());
+        }
+        let stamp = self.stamp(now);
+        control.update_targets(sets, stamp);
+        let mut tables = BTreeMap::new();
+        for service in &sets.services {
+            let computed = control.compute(version, sets, service);
+            control.ensure_service(service);
+            if control.view.synced {
+                control.begin_moves(service.service, version, &computed.table, stamp);
+            }
+            tables.insert(service.service, computed);
+        }
+        control.prepared.insert(version, Prepared { sets: sets.clone(), tables });
+        control.set_next();
+        control.scan = Some(0);
+        control.pending.clear();
+        self.publish(&control);
+        Ok(())
+    }
+
+    /// Puts a prepared version in force.
+    ///
+    /// # Errors
+    /// The version is older than the one in force, or has not been prepared.
+    pub fn activate(&self, version: Revision, now: Instant) -> Result<(), ControlError> {
+        let mut control = self.control();
+        let active = control.view.active;
+        if version == active {
+            return Ok(());
+        }
+        if version < active {
+            return Err(ControlError::OldVersion { version, active });
+        }
+        let prepared =
+            control.prepared.remove(&version).ok_or(ControlError::NotPrepared(version))?;
+        control.prepared.retain(|other, _| *other > version);
+        control.install(version, prepared, self.stamp(now));
+        control.set_next();
+        if control.view.isolated {
+            control.build_own_tables();
+        }
+        self.publish(&control);
+        Ok(())
+    }
+
+    /// Stops sending to a failure domain at once and ends its flows. It stays out until a version
+    /// of at least `since` that has it in is activated.
+    pub fn domain_out(&self, domain: DomainId, since: Revision) {
+        let mut control = self.control();
+        if since <= control.view.active {
+            return;
+        }
+        control.out_now.insert(domain, since);
+        Arc::make_mut(&mut control.view.targets).take_out(domain);
+        self.publish(&control);
+    }
+
+    /// Ends the flows of a target whose lease has expired, or whose address another service or a
+    /// higher incarnation has taken, without waiting for the next version.
+    pub fn target_lost(&self, address: SocketAddr, incarnation: Incarnation) {
+        let mut control = self.control();
+        let known = control.view.targets.at(address);
+        if known.is_some_and(|target| target.spec.incarnation <= incarnation) {
+            Arc::make_mut(&mut control.view.targets).remove(address);
+            self.publish(&control);
+        }
+    }
+
+    pub(crate) fn begin_pending_moves(&self, control: &mut Control, now: Instant) {
+        control.begin_prepared_moves(self.stamp(now));
+    }
+
+    /// The lease has expired: only targets of the own failure domain are served from now on.
+    pub fn lease_lost(&self) {
+        let mut control = self.control();
+        control.view.isolated = true;
+        control.build_own_tables();
+        self.publish(&control);
+    }
+
+    /// The lease is back. Transitions may have begun and ended meanwhile, so everything is asked
+    /// of the peers again, and unknown flows go through them until they have answered.
+    pub fn lease_regained(&self, now: Instant, out: &mut Vec<Outgoing>) {
+        let mut control = self.control();
+        control.view.isolated = false;
+        control.view.synced = false;
+        control.ready = false;
+        control.endings.clear();
+        for service in control.view.services.values_mut() {
+            Arc::make_mut(service).moving.clear();
+        }
+        for progress in control.progress.values_mut() {
+            progress.marker = None;
+            progress.state_synced = None;
+        }
+        self.publish(&control);
+        for peer in control.view.others() {
+            self.outbox().reliable(peer, Message::Sync, now, out);
+        }
+        self.try_ready(&mut control, now);
+    }
+}
--- /dev/null
+++ b/crates/flow/src/decide.rs
@@ -0,0 +1,250 @@
+//! Decision for one packet.
+
+use crate::flow::{FlowHash, Protocol};
+use crate::message::{Message, Outgoing, PinGroup, PinKind};
+use crate::node::{Action, DropReason, FlowNode};
+use crate::packet::Packet;
+use crate::records::{Kind, Record, Shard};
+use crate::targets::{Target, TargetKey};
+use crate::view::{Moving, ServiceView, View};
+use comfreyhold_types::codes::ResultCode;
+use comfreyhold_types::keys::InstanceId;
+use std::time::Instant;
+
+/// Most times that a packet is forwarded between entries whose sets of live entries differ.
+pub const MAX_HOPS: u8 = 2;
+
+/// How a packet came to this entry.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Origin {
+    pub from: Option<InstanceId>,
+    pub hops: u8,
+    pub proxy: bool,
+}
+
+impl Origin {
+    pub const FABRIC: Self = Self { from: None, hops: 0, proxy: false };
+}
+
+struct Case<'a> {
+    view: &'a View,
+    service: &'a ServiceView,
+    flow: FlowHash,
+    packet: &'a Packet,
+    origin: Origin,
+    now: Instant,
+    stamp: u32,
+}
+
+impl Case<'_> {
+    fn forward(&self, to: InstanceId, proxy: bool) -> Action {
+        if self.origin.hops >= MAX_HOPS || (Some(to) == self.origin.from && !proxy) {
+            return Action::Drop(DropReason::Deferred);
+        }
+        Action::Forward { to, hops: self.origin.hops + 1, proxy }
+    }
+
+    fn abandoned(&self) -> Action {
+        Action::Reject(ResultCode::NoTarget)
+    }
+}
+
+impl FlowNode {
+    /// Decides on a packet that the fabric delivered. Messages to peers are appended to `out`.
+    pub fn packet(&self, packet: &Packet, now: Instant, out: &mut Vec<Outgoing>) -> Action {
+        self.decide(packet, Origin::FABRIC, now, out)
+    }
+
+    /// Decides on a packet that came in [`Message::Forward`] from a peer.
+    pub fn forwarded(
+        &self,
+        (from, hops, proxy): (InstanceId, u8, bool),
+        packet: &Packet,
+        now: Instant,
+        out: &mut Vec<Outgoing>,
+    ) -> Action {
+        self.decide(packet, Origin { from: Some(from), hops, proxy }, now, out)
+    }
+
+    fn decide(
+        &self,
+        packet: &Packet,
+        origin: Origin,
+        now: Instant,
+        out: &mut Vec<Outgoing>,
+    ) -> Action {
+        let view = self.view();
+        let Some(service) = view.services.get(&packet.tuple.destination) else {
+            return Action::Drop(DropReason::UnknownService);
+        };
+        let flow = self.hasher.hash(&packet.tuple);
+        let stamp = self.stamp(now);
+        let case = Case { view: &view, service, flow, packet, origin, now, stamp };
+        let mut shard = self.records.lock(flow);
+        if let Some(action) = recorded(&case, &mut shard) {
+            return action;
+        }
+        if view.isolated {
+            return self.isolated(&case, &mut shard);
+        }
+        if !view.synced {
+            return unsynced(&case);
+        }
+        match service.moving.get(&flow.slot()) {
+            None => self.stable(&case, &mut shard),
+            Some(moving) => self.in_transition(&case, moving, &mut shard, out),
+        }
+    }
+
+    fn stable(&self, case: &Case<'_>, shard: &mut Shard) -> Action {
+        let Some((key, target)) = case.view.placement(case.service, case.flow.slot()) else {
+            return Action::Reject(ResultCode::NoTarget);
+        };
+        // A flow that is not recorded for lack of room is still placed by the table.
+        self.record(case, shard, key, Kind::Plain, 0);
+        Action::ToTarget(target.spec.address)
+    }
+
+    fn isolated(&self, case: &Case<'_>, shard: &mut Shard) -> Action {
+        let slot = case.flow.slot();
+        let base = case.service.moving.get(&slot).map(|moving| moving.base);
+        let base = base.filter(|_| !case.packet.opens());
+        let base = base.and_then(|key| Some((key, case.view.usable(key, case.service.id)?)));
+        let Some((key, target)) = base.or_else(|| case.view.isolated_placement(case.service, slot))
+        else {
+            return Action::Drop(DropReason::Isolated);
+        };
+        self.record(case, shard, key, Kind::Pin, 0);
+        Action::ToTarget(target.spec.address)
+    }
+
+    fn in_transition(
+        &self,
+        case: &Case<'_>,
+        moving: &Moving,
+        shard: &mut Shard,
+        out: &mut Vec<Outgoing>,
+    ) -> Action {
+        if moving.arbiter == case.view.me && moving.sure {
+            return self.arbitrate(case, moving, shard, out);
+        }
+        let old_tcp = case.packet.tuple.protocol == Protocol::Tcp && !case.packet.opens();
+        if case.origin.proxy {
+            let known = old_tcp && moving.former;
+            return if known { base(case, moving) } else { Action::Drop(DropReason::Deferred) };
+        }
+        if moving.arbiter != case.view.me {
+            return case.forward(moving.arbiter, false);
+        }
+        // Until all entries have handed over, only the previous arbiter knows which flows are old.
+        match moving.previous.filter(|_| old_tcp) {
+            Some(previous) => case.forward(previous, true),
+            None => Action::Drop(DropReason::Deferred),
+        }
+    }
+
+    fn arbitrate(
+        &self,
+        case: &Case<'_>,
+        moving: &Moving,
+        shard: &mut Shard,
+        out: &mut Vec<Outgoing>,
+    ) -> Action {
+        let is_new = match case.packet.tuple.protocol {
+            Protocol::Tcp => case.packet.opens(),
+            Protocol::Udp => {
+                moving.reported || case.view.usable(moving.base, case.service.id).is_none()
+            }
+        };
+        if !is_new {
+            let action = base(case, moving);
+            if matches!(action, Action::ToTarget(_)) {
+                self.record(case, shard, moving.base, Kind::Pin, case.stamp);
+                self.tell(case, moving.base, case.origin.from, None, out);
+            }
+            return action;
+        }
+        let Some((key, target)) = case.view.placement(case.service, case.flow.slot()) else {
+            return Action::Reject(ResultCode::NoTarget);
+        };
+        if !self.record(case, shard, key, Kind::Pin, case.stamp) {
+            return Action::Reject(ResultCode::Shed);
+        }
+        self.tell(case, key, case.origin.from, moving.backup, out);
+        Action::ToTarget(target.spec.address)
+    }
+
+    /// Sends a decision to the entry that asked, once, and to the backup until acknowledged.
+    fn tell(
+        &self,
+        case: &Case<'_>,
+        key: TargetKey,
+        asker: Option<InstanceId>,
+        backup: Option<InstanceId>,
+        out: &mut Vec<Outgoing>,
+    ) {
+        let Some(target) = case.view.reference(key) else { return };
+        let message = Message::Pins {
+            service: case.service.id,
+            kind: PinKind::Decision,
+            groups: vec![PinGroup { target, flows: vec![case.flow] }],
+        };
+        if let Some(backup) = backup.filter(|backup| *backup != case.view.me) {
+            self.outbox().reliable(backup, message.clone(), case.now, out);
+        }
+        if let Some(asker) = asker.filter(|asker| Some(*asker) != backup) {
+            self.outbox().once(asker, message, out);
+        }
+    }
+
+    fn record(
+        &self,
+        case: &Case<'_>,
+        shard: &mut Shard,
+        target: TargetKey,
+        kind: Kind,
+        told: u32,
+    ) -> bool {
+        if !self.records.has_room(shard) && !shard.contains_key(&case.flow) {
+            return false;
+        }
+        let service = case.service.id;
+        shard.insert(case.flow, Record { target, seen: case.stamp, told, service, kind });
+        true
+    }
+}
+
+/// Action from the flow's record. A record whose target is gone ends the flow; a packet that opens
+/// a flow is not bound to a draining or lost target.
+fn recorded(case: &Case<'_>, shard: &mut Shard) -> Option<Action> {
+    let record = shard.get_mut(&case.flow)?;
+    let opens = case.packet.opens();
+    if record.service == case.service.id {
+        if let Some(target) = case.view.usable(record.target, case.service.id) {
+            if !(opens && target.draining()) {
+                record.seen = case.stamp;
+                return Some(Action::ToTarget(target.spec.address));
+            }
+        } else if !opens && case.view.targets.get(record.target).is_some_and(|target| !target.out) {
+            return Some(Action::Drop(DropReason::Isolated));
+        }
+    }
+    let abandoned = case.view.targets.get(record.target).is_none_or(|target| target.out);
+    shard.remove(&case.flow);
+    (abandoned && !opens).then(|| case.abandoned())
+}
+
+fn base(case: &Case<'_>, moving: &Moving) -> Action {
+    match case.view.usable(moving.base, case.service.id) {
+        Some(Target { spec, .. }) => Action::ToTarget(spec.address),
+        None => case.abandoned(),
+    }
+}
+
+fn unsynced(case: &Case<'_>) -> Action {
+    let [first, _] = case.view.order(case.service.id, case.flow.slot(), Some(case.view.me));
+    match first.filter(|_| !case.origin.proxy) {
+        Some(first) => case.forward(first, true),
+        None => Action::Drop(DropReason::Deferred),
+    }
+}
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -1,1 +1,27 @@
-//! Placeholder.
+//! Decision core of the packet side: where each packet of a flow goes, on every entry, through
+//! changes of targets, entries and failure domains. No sockets, threads or clocks: events and the
+//! current time go in, actions come out.
+
+pub mod control;
+pub mod decide;
+pub mod flow;
+mod handover;
+mod merge;
+pub mod message;
+pub mod node;
+mod outbox;
+pub mod packet;
+mod records;
+pub mod reply;
+mod report;
+pub mod scheme;
+pub mod table;
+pub mod targets;
+mod view;
+
+pub use flow::{FiveTuple, FlowHash, FlowHasher, Protocol};
+pub use message::{Frame, Message, Outgoing};
+pub use node::{Action, DropReason, FlowNode, NodeSettings, Peer, PeerState};
+pub use packet::{Packet, PacketError};
+pub use table::{SLOTS_PER_SERVICE, SlotTable};
+pub use targets::{ServiceTargets, TargetSets, TargetSpec};
--- /dev/null
+++ b/crates/flow/src/merge.rs
@@ -0,0 +1,190 @@
+//! Taking in what peers tell: pins, slots in transition, and ended transitions.
+
+use crate::control::Control;
+use crate::flow::FlowHash;
+use crate::message::{Message, MovingGroup, Outgoing, PinGroup, PinKind};
+use crate::node::FlowNode;
+use crate::records::{Kind, Record};
+use crate::targets::TargetKey;
+use crate::view::{Moving, ServiceView};
+use comfreyhold_types::keys::{InstanceId, Revision, ServiceId};
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+impl FlowNode {
+    pub(crate) fn take_pins(
+        &self,
+        from: InstanceId,
+        service: ServiceId,
+        kind: PinKind,
+        groups: &[PinGroup],
+        now: Instant,
+        out: &mut Vec<Outgoing>,
+    ) {
+        let stamp = self.stamp(now);
+        let view = self.view();
+        let mut corrections = Vec::new();
+        for group in groups {
+            let Some(key) = view.targets.find(service, &group.target) else { continue };
+            if view.usable(key, service).is_none() && !view.isolated {
+                continue;
+            }
+            for flow in &group.flows {
+                let kept = self.merge_pin((service, *flow, key), kind, stamp);
+                if let Some(known) = kept.and_then(|key| view.reference(key)) {
+                    corrections.push(PinGroup { target: known, flows: vec![*flow] });
+                }
+            }
+        }
+        if !corrections.is_empty() {
+            let kind = PinKind::Decision;
+            let message = Message::Pins { service, kind, groups: corrections };
+            self.outbox().reliable(from, message, now, out);
+        }
+    }
+
+    /// Merges one pin. Returns the target that is kept instead, if the sender must be corrected.
+    fn merge_pin(
+        &self,
+        (service, flow, target): (ServiceId, FlowHash, TargetKey),
+        kind: PinKind,
+        stamp: u32,
+    ) -> Option<TargetKey> {
+        let mut shard = self.records.lock(flow);
+        let new_kind = if kind == PinKind::Exception { Kind::Exception } else { Kind::Pin };
+        let fresh = Record { target, seen: 0, told: stamp, service, kind: new_kind };
+        let Some(known) = shard.get_mut(&flow) else {
+            if self.records.has_room(&shard) {
+                shard.insert(flow, fresh);
+            }
+            return None;
+        };
+        let replaces = matches!(kind, PinKind::Decision | PinKind::Exception);
+        if known.target == target || replaces || known.service != service {
+            *known = Record { seen: known.seen, ..fresh };
+            return None;
+        }
+        (kind == PinKind::Claim).then_some(known.target)
+    }
+
+    pub(crate) fn take_state(
+        &self,
+        control: &mut Control,
+        from: InstanceId,
+        (synced, active): (bool, Revision),
+        services: &[(ServiceId, Vec<MovingGroup>)],
+        now: Instant,
+    ) {
+        control.progress.entry(from).or_default().state_synced = Some(synced);
+        if synced {
+            let stamp = self.stamp(now);
+            for (service, groups) in services {
+                for group in groups {
+                    for slot in &group.slots {
+                        control.merge_slot(*service, *slot, group, stamp);
+                    }
+                }
+            }
+            control.note_ended(active, services);
+            self.publish(control);
+        }
+        self.try_ready(control, now);
+    }
+
+    pub(crate) fn take_stable(&self, id: ServiceId, version: Revision, slots: &[u16]) {
+        let mut control = self.control();
+        let active = control.view.active;
+        let Some(service) = control.view.service_mut(id) else { return };
+        for slot in slots {
+            let Some(moving) = service.moving.get(slot).copied() else { continue };
+            if moving.moved <= version && moving.moved <= active {
+                service.moving.remove(slot);
+            } else if moving.moved > version && moving.active_at.is_none() {
+                settle(service, *slot, version);
+            }
+        }
+        self.publish(&control);
+    }
+}
+
+/// The slot was stable at `version`, and a prepared version moves it again.
+fn settle(service: &mut ServiceView, slot: u16, version: Revision) {
+    let base = service.table.as_ref().and_then(|table| table.target(slot));
+    if let (Some(base), Some(moving)) = (base, service.moving.get_mut(&slot)) {
+        moving.base = base;
+        moving.stable = version;
+    }
+}
+
+impl Control {
+    /// Takes in a slot that a synced peer has in transition.
+    fn merge_slot(&mut self, id: ServiceId, slot: u16, group: &MovingGroup, stamp: u32) {
+        let base =
+            group.base.and_then(|base| self.view.targets.find(id, &base)).unwrap_or_default();
+        let Some(service) = self.view.service(id) else { return };
+        let active = self.view.active;
+        if let Some(known) = service.moving.get(&slot).copied() {
+            let newer = group.stable > known.stable;
+            let (base, stable) =
+                if newer { (base, group.stable) } else { (known.base, known.stable) };
+            let moved = known.moved.max(group.moved);
+            self.set_moving(id, slot, Moving { base, stable, moved, ..known });
+            return;
+        }
+        let [arbiter, _] = self.view.order(id, slot, None);
+        let current = service.table.as_ref().and_then(|table| table.target(slot));
+        if !self.view.synced {
+            let mut moving = Moving::new(base, group.stable, stamp, self.view.me);
+            moving.moved = group.moved;
+            moving.active_at = (active >= group.moved).then_some(stamp);
+            let mut moving = self.assign_new(id, slot, moving);
+            if moving.arbiter == self.view.me {
+                let [previous, _] = self.view.order(id, slot, Some(self.view.me));
+                moving.sure = false;
+                moving.previous = previous;
+            }
+            self.set_moving(id, slot, moving);
+        } else if arbiter == Some(self.view.me) && group.moved <= active {
+            // The former arbiter ended the transition here and not yet at the peer: end it again.
+            let mut moving = Moving::new(current.unwrap_or(base), active, stamp, self.view.me);
+            moving.active_at = Some(0);
+            let moving = self.assign_new(id, slot, moving);
+            self.set_moving(id, slot, moving);
+        }
+    }
+
+    /// Slots that a synced peer no longer has in transition have ended, and it has their
+    /// exceptions: a new arbiter must not take their unknown flows for old ones.
+    fn note_ended(&mut self, active: Revision, services: &[(ServiceId, Vec<MovingGroup>)]) {
+        let me = self.view.me;
+        let listed: BTreeSet<(ServiceId, u16)> = services
+            .iter()
+            .flat_map(|(id, groups)| groups.iter().flat_map(|g| g.slots.iter()).map(|s| (*id, *s)))
+            .collect();
+        let own_active = self.view.active;
+        for service in self.view.services.values_mut() {
+            let ended: Vec<u16> = service
+                .moving
+                .iter()
+                .filter(|(slot, m)| {
+                    let here = m.arbiter == me && !m.sure && m.moved <= active.min(own_active);
+                    here && !listed.contains(&(service.id, **slot))
+                })
+                .map(|(slot, _)| *slot)
+                .collect();
+            for slot in ended {
+                let service = std::sync::Arc::make_mut(service);
+                settle(service, slot, active);
+                if let Some(moving) = service.moving.get_mut(&slot) {
+                    moving.active_at = Some(0);
+                }
+            }
+        }
+    }
+
+    fn set_moving(&mut self, id: ServiceId, slot: u16, moving: Moving) {
+        if let Some(service) = self.view.service_mut(id) {
+            service.moving.insert(slot, moving);
+        }
+    }
+}
--- /dev/null
+++ b/crates/flow/src/scheme.rs
@@ -0,0 +1,359 @@
+//! The chosen scheme and its two baselines behind one interface, for comparison.
+
+use crate::control::ControlError;
+use crate::flow::{FlowHash, FlowHasher};
+use crate::message::{Frame, Message, Outgoing, PinGroup, PinKind};
+use crate::node::{Action, DropReason, FlowNode, NodeSettings, Peer};
+use crate::outbox::Outbox;
+use crate::packet::Packet;
+use crate::table::SlotTable;
+use crate::targets::{TargetRef, TargetSets, TargetSpec, Targets};
+use comfreyhold_types::codes::ResultCode;
+use comfreyhold_types::keys::{DomainId, InstanceId, Revision, ServiceId};
+use comfreyhold_types::target::TargetState;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+/// One entry under some scheme.
+pub trait Scheme {
+    /// Name of the scheme.
+    const NAME: &'static str;
+
+    /// Creates an entry.
+    fn create(settings: NodeSettings, now: Instant) -> Self;
+
+    /// Decides on a packet that came from the fabric.
+    fn packet(&self, packet: &Packet, now: Instant, out: &mut Vec<Outgoing>) -> Action;
+
+    /// Decides on a packet that a peer forwarded; `via` is the peer, the hops and the proxy flag.
+    fn forwarded(
+        &self,
+        via: (InstanceId, u8, bool),
+        packet: &Packet,
+        now: Instant,
+        out: &mut Vec<Outgoing>,
+    ) -> Action;
+
+    /// Takes in a peer's frame.
+    fn message(&self, from: InstanceId, frame: &Frame, now: Instant, out: &mut Vec<Outgoing>);
+
+    /// Takes in a version without putting it in force.
+    ///
+    /// # Errors
+    /// The version is too old.
+    fn prepare(
+        &self,
+        version: Revision,
+        sets: &TargetSets,
+        now: Instant,
+    ) -> Result<(), ControlError>;
+
+    /// Puts a prepared version in force.
+    ///
+    /// # Errors
+    /// The version is too old or not prepared.
+    fn activate(&self, version: Revision, now: Instant) -> Result<(), ControlError>;
+
+    /// Takes in the live entries.
+    fn live_changed(&self, peers: &[Peer], now: Instant, out: &mut Vec<Outgoing>);
+
+    /// Stops sending to a failure domain.
+    fn domain_out(&self, domain: DomainId, since: Revision);
+
+    /// Does the work that is due.
+    fn tick(&self, now: Instant, out: &mut Vec<Outgoing>);
+}
+
+impl Scheme for FlowNode {
+    const NAME: &'static str = "arbiter";
+
+    fn create(settings: NodeSettings, now: Instant) -> Self {
+        Self::new(settings, now)
+    }
+
+    fn packet(&self, packet: &Packet, now: Instant, out: &mut Vec<Outgoing>) -> Action {
+        self.packet(packet, now, out)
+    }
+
+    fn forwarded(
+        &self,
+        via: (InstanceId, u8, bool),
+        packet: &Packet,
+        now: Instant,
+        out: &mut Vec<Outgoing>,
+    ) -> Action {
+        self.forwarded(via, packet, now, out)
+    }
+
+    fn message(&self, from: InstanceId, frame: &Frame, now: Instant, out: &mut Vec<Outgoing>) {
+        self.message(from, frame, now, out);
+    }
+
+    fn prepare(
+        &self,
+        version: Revision,
+        sets: &TargetSets,
+        now: Instant,
+    ) -> Result<(), ControlError> {
+        self.prepare(version, sets, now)
+    }
+
+    fn activate(&self, version: Revision, now: Instant) -> Result<(), ControlError> {
+        self.activate(version, now)
+    }
+
+    fn live_changed(&self, peers: &[Peer], now: Instant, out: &mut Vec<Outgoing>) {
+        self.live_changed(peers, now, out);
+    }
+
+    fn domain_out(&self, domain: DomainId, since: Revision) {
+        self.domain_out(domain, since);
+    }
+
+    fn tick(&self, now: Instant, out: &mut Vec<Outgoing>) {
+        self.tick(now, out);
+    }
+}
+
+#[derive(Default)]
+struct Tables {
+    active: Revision,
+    targets: Targets,
+    tables: BTreeMap<SocketAddr, (ServiceId, SlotTable)>,
+    prepared: BTreeMap<Revision, TargetSets>,
+}
+
+impl Tables {
+    fn activate(&mut self, version: Revision) -> Result<(), ControlError> {
+        let sets = self.prepared.remove(&version).ok_or(ControlError::NotPrepared(version))?;
+        self.prepared.retain(|other, _| *other > version);
+        self.active = version;
+        let listed =
+            sets.services.iter().flat_map(|s| s.targets.iter().map(|t| t.address)).collect();
+        self.targets.retain(&listed);
+        self.tables.clear();
+        for service in &sets.services {
+            let targets = service.targets.iter().map(|spec| {
+                let key = self.targets.upsert(service.service, *spec, false);
+                let placed = spec.state == TargetState::Serving && !sets.out.contains(&spec.domain);
+                (key, TargetSpec { weight: if placed { spec.weight } else { 0 }, ..*spec })
+            });
+            let targets: Vec<_> = targets.collect();
+            let table = SlotTable::compute(service.service, version, &targets);
+            self.tables.insert(service.address, (service.service, table));
+        }
+        self.targets.set_out(&sets.out);
+        Ok(())
+    }
+
+    fn place(&self, packet: &Packet, flow: FlowHash) -> Result<(ServiceId, TargetSpec), Action> {
+        let unknown = Action::Drop(DropReason::UnknownService);
+        let (service, table) = self.tables.get(&packet.tuple.destination).ok_or(unknown)?;
+        let target = table.target(flow.slot()).and_then(|key| self.targets.get(key));
+        let target =
+            target.filter(|target| !target.out).ok_or(Action::Reject(ResultCode::NoTarget))?;
+        Ok((*service, target.spec))
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Baseline 1: every packet goes where the table in force says, without any flow state.
+pub struct ConsistentHash {
+    hasher: FlowHasher,
+    tables: Mutex<Tables>,
+}
+
+impl Scheme for ConsistentHash {
+    const NAME: &'static str = "hash";
+
+    fn create(settings: NodeSettings, _now: Instant) -> Self {
+        Self { hasher: FlowHasher::new(settings.hash_key), tables: Mutex::default() }
+    }
+
+    fn packet(&self, packet: &Packet, _now: Instant, _out: &mut Vec<Outgoing>) -> Action {
+        let flow = self.hasher.hash(&packet.tuple);
+        let placed = lock(&self.tables).place(packet, flow);
+        placed.map_or_else(|action| action, |(_, target)| Action::ToTarget(target.address))
+    }
+
+    fn forwarded(
+        &self,
+        _via: (InstanceId, u8, bool),
+        packet: &Packet,
+        now: Instant,
+        out: &mut Vec<Outgoing>,
+    ) -> Action {
+        self.packet(packet, now, out)
+    }
+
+    fn message(&self, _from: InstanceId, _frame: &Frame, _now: Instant, _out: &mut Vec<Outgoing>) {}
+
+    fn prepare(
+        &self,
+        version: Revision,
+        sets: &TargetSets,
+        _now: Instant,
+    ) -> Result<(), ControlError> {
+        lock(&self.tables).prepared.insert(version, sets.clone());
+        Ok(())
+    }
+
+    fn activate(&self, version: Revision, _now: Instant) -> Result<(), ControlError> {
+        lock(&self.tables).activate(version)
+    }
+
+    fn live_changed(&self, _peers: &[Peer], _now: Instant, _out: &mut Vec<Outgoing>) {}
+
+    fn domain_out(&self, domain: DomainId, _since: Revision) {
+        lock(&self.tables).targets.take_out(domain);
+    }
+
+    fn tick(&self, _now: Instant, _out: &mut Vec<Outgoing>) {}
+}
+
+/// Baseline 2: the record of every flow is sent to all entries when the flow opens.
+pub struct Replicated {
+    me: InstanceId,
+    hasher: FlowHasher,
+    tables: Mutex<Tables>,
+    flows: Mutex<HashMap<FlowHash, (ServiceId, TargetRef)>>,
+    outbox: Mutex<Outbox>,
+    live: Mutex<Vec<Peer>>,
+}
+
+impl Replicated {
+    fn known(&self, tables: &Tables, flow: FlowHash) -> Option<Action> {
+        let (service, target) = *lock(&self.flows).get(&flow)?;
+        let key = tables.targets.find(service, &target);
+        let target = key.and_then(|key| tables.targets.get(key)).filter(|target| !target.out);
+        let abandoned = Action::Reject(ResultCode::NoTarget);
+        Some(target.map_or(abandoned, |target| Action::ToTarget(target.spec.address)))
+    }
+
+    fn replicate(
+        &self,
+        service: ServiceId,
+        flow: FlowHash,
+        target: TargetRef,
+        now: Instant,
+        out: &mut Vec<Outgoing>,
+    ) {
+        lock(&self.flows).insert(flow, (service, target));
+        let groups = vec![PinGroup { target, flows: vec![flow] }];
+        let message = Message::Pins { service, kind: PinKind::Exception, groups };
+        for peer in lock(&self.live).iter().filter(|peer| peer.id != self.me) {
+            lock(&self.outbox).reliable(peer.id, message.clone(), now, out);
+        }
+    }
+
+    fn send_all(&self, to: InstanceId, now: Instant, out: &mut Vec<Outgoing>) {
+        let mut batches: BTreeMap<(ServiceId, TargetRef), Vec<FlowHash>> = BTreeMap::new();
+        for (flow, key) in lock(&self.flows).iter() {
+            batches.entry(*key).or_default().push(*flow);
+        }
+        for ((service, target), flows) in batches {
+            for chunk in flows.chunks(crate::handover::FLOWS_PER_MESSAGE) {
+                let groups = vec![PinGroup { target, flows: chunk.to_vec() }];
+                let message = Message::Pins { service, kind: PinKind::Exception, groups };
+                lock(&self.outbox).reliable(to, message, now, out);
+            }
+        }
+    }
+}
+
+impl Scheme for Replicated {
+    const NAME: &'static str = "replicate";
+
+    fn create(settings: NodeSettings, _now: Instant) -> Self {
+        Self {
+            me: settings.me,
+            hasher: FlowHasher::new(settings.hash_key),
+            tables: Mutex::default(),
+            flows: Mutex::default(),
+            outbox: Mutex::new(Outbox::new(settings.seed % u64::from(u32::MAX))),
+            live: Mutex::default(),
+        }
+    }
+
+    fn packet(&self, packet: &Packet, now: Instant, out: &mut Vec<Outgoing>) -> Action {
+        let flow = self.hasher.hash(&packet.tuple);
+        let tables = lock(&self.tables);
+        if let Some(action) = self.known(&tables, flow).filter(|_| !packet.opens()) {
+            return action;
+        }
+        match tables.place(packet, flow) {
+            Ok((service, target)) => {
+                let reference =
+                    TargetRef { address: target.address, incarnation: target.incarnation };
+                self.replicate(service, flow, reference, now, out);
+                Action::ToTarget(target.address)
+            }
+            Err(action) => action,
+        }
+    }
+
+    fn forwarded(
+        &self,
+        _via: (InstanceId, u8, bool),
+        packet: &Packet,
+        now: Instant,
+        out: &mut Vec<Outgoing>,
+    ) -> Action {
+        self.packet(packet, now, out)
+    }
+
+    fn message(&self, from: InstanceId, frame: &Frame, _now: Instant, _out: &mut Vec<Outgoing>) {
+        {
+            let mut outbox = lock(&self.outbox);
+            outbox.acked(from, &frame.acks);
+            outbox.owe_ack(from, frame.seq);
+        }
+        let Some(Message::Pins { service, groups, .. }) = &frame.message else { return };
+        let mut flows = lock(&self.flows);
+        for group in groups {
+            for flow in &group.flows {
+                flows.insert(*flow, (*service, group.target));
+            }
+        }
+    }
+
+    fn prepare(
+        &self,
+        version: Revision,
+        sets: &TargetSets,
+        _now: Instant,
+    ) -> Result<(), ControlError> {
+        lock(&self.tables).prepared.insert(version, sets.clone());
+        Ok(())
+    }
+
+    fn activate(&self, version: Revision, _now: Instant) -> Result<(), ControlError> {
+        lock(&self.tables).activate(version)
+    }
+
+    fn live_changed(&self, peers: &[Peer], now: Instant, out: &mut Vec<Outgoing>) {
+        let old = std::mem::replace(&mut *lock(&self.live), peers.to_vec());
+        for peer in &old {
+            if !peers.contains(peer) {
+                lock(&self.outbox).forget(peer.id);
+            }
+        }
+        let is_new = |peer: &&Peer| peer.id != self.me && !old.iter().any(|o| o.id == peer.id);
+        for peer in peers.iter().filter(is_new) {
+            self.send_all(peer.id, now, out);
+        }
+    }
+
+    fn domain_out(&self, domain: DomainId, _since: Revision) {
+        lock(&self.tables).targets.take_out(domain);
+    }
+
+    fn tick(&self, now: Instant, out: &mut Vec<Outgoing>) {
+        lock(&self.outbox).flush(now, out);
+    }
+}
