--- a/crates/flow/examples/harness/mod.rs
+++ b/crates/flow/examples/harness/mod.rs
@@ -340,6 +340,7 @@
         match self.flows[flow].home {
             None => {
                 self.flows[flow].home = Some(here);
+                self.flows[flow].withdrawn = self.sets.out.contains(&spec.domain);
                 self.stats.opened += 1;
                 *self.opened.entry(address).or_default() += 1;
                 self.due.push_front((self.now_ms + OPEN_MS, flow));
--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -1,5 +1,6 @@
 //! Events of the control side: versions, targets, failure domains and the lease.
 
+use crate::merge::PeerState;
 use crate::message::{Message, Outgoing};
 use crate::node::{FlowNode, Peer};
 use crate::report::{Ending, Pending};
@@ -55,10 +56,10 @@
 }
 
 /// What a peer has told.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Progress {
     pub marker: Option<u64>,
-    pub state_synced: Option<bool>,
+    pub state: Option<PeerState>,
     pub reported: Revision,
 }
 
@@ -83,6 +84,8 @@
     pub checked: u32,
     pub endings: Vec<Ending>,
     pub draining: BTreeMap<SocketAddr, u32>,
+    /// Ends of transitions heard of before this entry was synced.
+    pub ended_early: BTreeMap<(ServiceId, u16), Revision>,
 }
 
 impl Control {
@@ -106,6 +109,7 @@
             checked: 0,
             endings: Vec::new(),
             draining: BTreeMap::new(),
+            ended_early: BTreeMap::new(),
         }
     }
 
@@ -237,6 +241,9 @@
         for service in self.view.services.values_mut() {
             let service = Arc::make_mut(service);
             service.table = prepared.tables.get(&service.id).map(|c| c.table.clone());
+            let me = self.view.me;
+            let ended = |m: &Moving| m.arbiter != me && m.ended.is_some_and(|at| at >= m.moved);
+            service.moving.retain(|_, m| !(ended(m) && m.moved <= version));
             for moving in service.moving.values_mut() {
                 if moving.moved <= version && moving.active_at.is_none() {
                     moving.active_at = Some(stamp);
@@ -390,12 +397,13 @@
         control.view.synced = false;
         control.ready = false;
         control.endings.clear();
+        control.ended_early.clear();
         for service in control.view.services.values_mut() {
             Arc::make_mut(service).moving.clear();
         }
         for progress in control.progress.values_mut() {
             progress.marker = None;
-            progress.state_synced = None;
+            progress.state = None;
         }
         self.publish(&control);
         for peer in control.view.others() {
--- a/crates/flow/src/decide.rs
+++ b/crates/flow/src/decide.rs
@@ -44,6 +44,22 @@
         Action::Forward { to, hops: self.origin.hops + 1, proxy }
     }
 
+    fn is_old_tcp(&self) -> bool {
+        self.packet.tuple.protocol == Protocol::Tcp && !self.packet.opens()
+    }
+
+    /// The slot's target is gone. New flows wait for the next version: peers that have not prepared
+    /// it would send their next packets elsewhere.
+    fn unplaced(&self) -> Action {
+        let slot = self.flow.slot();
+        let tables = [&self.service.table, &self.service.next];
+        let waits = tables.into_iter().flatten().any(|table| table.target(slot).is_some());
+        if waits && !self.is_old_tcp() {
+            return Action::Drop(DropReason::Deferred);
+        }
+        Action::Reject(ResultCode::NoTarget)
+    }
+
     fn abandoned(&self) -> Action {
         Action::Reject(ResultCode::NoTarget)
     }
@@ -97,8 +113,10 @@
     }
 
     fn stable(&self, case: &Case<'_>, shard: &mut Shard) -> Action {
-        let Some((key, target)) = case.view.placement(case.service, case.flow.slot()) else {
-            return Action::Reject(ResultCode::NoTarget);
+        let slot = case.flow.slot();
+        let successor = || case.view.successor(case.service, slot).filter(|_| case.is_old_tcp());
+        let Some((key, target)) = case.view.placement(case.service, slot).or_else(successor) else {
+            return case.unplaced();
         };
         // A flow that is not recorded for lack of room is still placed by the table.
         self.record(case, shard, key, Kind::Plain, 0);
@@ -128,7 +146,7 @@
         if moving.arbiter == case.view.me && moving.sure {
             return self.arbitrate(case, moving, shard, out);
         }
-        let old_tcp = case.packet.tuple.protocol == Protocol::Tcp && !case.packet.opens();
+        let old_tcp = case.is_old_tcp();
         if case.origin.proxy {
             let known = old_tcp && moving.former;
             return if known { base(case, moving) } else { Action::Drop(DropReason::Deferred) };
@@ -165,7 +183,7 @@
             return action;
         }
         let Some((key, target)) = case.view.placement(case.service, case.flow.slot()) else {
-            return Action::Reject(ResultCode::NoTarget);
+            return case.unplaced();
         };
         if !self.record(case, shard, key, Kind::Pin, case.stamp) {
             return Action::Reject(ResultCode::Shed);
--- a/crates/flow/src/handover.rs
+++ b/crates/flow/src/handover.rs
@@ -124,6 +124,7 @@
         let mut need_state = added.clone();
         need_state.extend(receivers.values().flat_map(|to| to.iter().flatten()));
         self.hand_over(&control, &need_state, &added, &receivers, now, out);
+        self.repeat_endings(&mut control, &added);
         control.scan = Some(0);
         control.pending.clear();
         self.try_ready(&mut control, now);
@@ -274,6 +275,7 @@
         }
         let only = BTreeSet::from([to]);
         self.hand_over(&control, &only, &only, &receivers, now, out);
+        self.repeat_endings(&mut control, &only);
         control.scan = Some(0);
         control.pending.clear();
     }
@@ -282,17 +284,18 @@
     pub(crate) fn try_ready(&self, control: &mut Control, now: Instant) {
         let digest = control.view.digest;
         let others: Vec<_> = control.view.others().collect();
-        let progress = |id| control.progress.get(id).copied().unwrap_or_default();
+        let progress = |id| control.progress.get(id).cloned().unwrap_or_default();
         if control.view.live.is_empty()
             || others.iter().any(|id| progress(id).marker != Some(digest))
         {
             return;
         }
         if !control.view.synced {
-            let answered = others.iter().all(|id| progress(id).state_synced.is_some());
+            let answered = others.iter().all(|id| progress(id).state.is_some());
             if !answered {
                 return;
             }
+            control.drop_ended();
             control.view.synced = true;
             control.scan = Some(0);
             self.begin_pending_moves(control, now);
--- a/crates/flow/src/merge.rs
+++ b/crates/flow/src/merge.rs
@@ -11,6 +11,14 @@
 use std::collections::BTreeSet;
 use std::time::Instant;
 
+/// What a peer said of its slots in transition.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerState {
+    pub synced: bool,
+    active: Revision,
+    moving: BTreeSet<(ServiceId, u16)>,
+}
+
 impl FlowNode {
     pub(crate) fn take_pins(
         &self,
@@ -60,6 +68,10 @@
             return None;
         };
         let replaces = matches!(kind, PinKind::Decision | PinKind::Exception);
+        if known.target == target && known.kind == Kind::Exception {
+            known.told = stamp;
+            return None;
+        }
         if known.target == target || replaces || known.service != service {
             *known = Record { seen: known.seen, ..fresh };
             return None;
@@ -75,7 +87,11 @@
         services: &[(ServiceId, Vec<MovingGroup>)],
         now: Instant,
     ) {
-        control.progress.entry(from).or_default().state_synced = Some(synced);
+        let listed = services.iter().flat_map(|(id, groups)| {
+            groups.iter().flat_map(|group| &group.slots).map(|slot| (*id, *slot))
+        });
+        let state = PeerState { synced, active, moving: listed.collect() };
+        control.progress.entry(from).or_default().state = Some(state);
         if synced {
             let stamp = self.stamp(now);
             for (service, groups) in services {
@@ -85,7 +101,7 @@
                     }
                 }
             }
-            control.note_ended(active, services);
+            control.note_ended(active, from);
             self.publish(control);
         }
         self.try_ready(control, now);
@@ -94,11 +110,17 @@
     pub(crate) fn take_stable(&self, id: ServiceId, version: Revision, slots: &[u16]) {
         let mut control = self.control();
         let active = control.view.active;
+        if !control.view.synced {
+            // A peer's state from before the end may still be on its way.
+            control.ended_early.extend(slots.iter().map(|slot| ((id, *slot), version)));
+        }
         let Some(service) = control.view.service_mut(id) else { return };
         for slot in slots {
             let Some(moving) = service.moving.get(slot).copied() else { continue };
             if moving.moved <= version && moving.moved <= active {
                 service.moving.remove(slot);
+            } else if moving.moved <= version {
+                service.moving.insert(*slot, Moving { ended: Some(version), ..moving });
             } else if moving.moved > version && moving.active_at.is_none() {
                 settle(service, *slot, version);
             }
@@ -155,12 +177,10 @@
 
     /// Slots that a synced peer no longer has in transition have ended, and it has their
     /// exceptions: a new arbiter must not take their unknown flows for old ones.
-    fn note_ended(&mut self, active: Revision, services: &[(ServiceId, Vec<MovingGroup>)]) {
+    fn note_ended(&mut self, active: Revision, from: InstanceId) {
         let me = self.view.me;
-        let listed: BTreeSet<(ServiceId, u16)> = services
-            .iter()
-            .flat_map(|(id, groups)| groups.iter().flat_map(|g| g.slots.iter()).map(|s| (*id, *s)))
-            .collect();
+        let state = self.progress.get(&from).and_then(|progress| progress.state.clone());
+        let Some(PeerState { moving: listed, .. }) = state else { return };
         let own_active = self.view.active;
         for service in self.view.services.values_mut() {
             let ended: Vec<u16> = service
@@ -182,6 +202,31 @@
         }
     }
 
+    /// Drops the slots that a synced peer has stable although it knows of their move: their
+    /// transition has ended, and the peer has sent their exceptions.
+    pub fn drop_ended(&mut self) {
+        let states = self.progress.values().filter_map(|progress| progress.state.clone());
+        let states: Vec<PeerState> = states.filter(|state| state.synced).collect();
+        let early = std::mem::take(&mut self.ended_early);
+        for service in self.view.services.values_mut() {
+            let id = service.id;
+            let is_ended = |slot: u16, moved: Revision| {
+                if early.get(&(id, slot)).is_some_and(|version| *version >= moved) {
+                    return true;
+                }
+                let stable = |s: &PeerState| s.active >= moved && !s.moving.contains(&(id, slot));
+                states.iter().any(stable)
+            };
+            if service.moving.iter().any(|(slot, m)| is_ended(*slot, m.moved)) {
+                let moving = &mut std::sync::Arc::make_mut(service).moving;
+                moving.retain(|slot, m| !is_ended(*slot, m.moved));
+            }
+        }
+        for progress in self.progress.values_mut() {
+            progress.state = None;
+        }
+    }
+
     fn set_moving(&mut self, id: ServiceId, slot: u16, moving: Moving) {
         if let Some(service) = self.view.service_mut(id) {
             service.moving.insert(slot, moving);
--- a/crates/flow/src/report.rs
+++ b/crates/flow/src/report.rs
@@ -285,6 +285,18 @@
         }
     }
 
+    /// Tells entries that join of the ends under way. Their exceptions have been handed over.
+    pub(crate) fn repeat_endings(&self, control: &mut Control, added: &BTreeSet<InstanceId>) {
+        for ending in &mut control.endings {
+            for peer in added {
+                let Ending { service, version, .. } = *ending;
+                let message = Message::Stable { service, version, slots: ending.slots.clone() };
+                let seq = self.outbox().barrier(*peer, message);
+                ending.waiting.extend(seq.map(|seq| (*peer, seq)));
+            }
+        }
+    }
+
     /// Makes slots stable here once every live entry knows of their end.
     fn finish_endings(&self, control: &mut Control) {
         let mut endings = std::mem::take(&mut control.endings);
@@ -359,11 +371,12 @@
     if record.kind != Kind::Pin {
         return;
     }
-    let placed = view.placement(service, flow.slot()).map(|(key, _)| key);
-    if placed == Some(record.target) {
+    let Some((placed, _)) = view.placement(service, flow.slot()) else { return };
+    if placed == record.target {
         record.kind = Kind::Plain;
     } else {
         record.kind = Kind::Exception;
+        record.seen = record.seen.max(record.told);
         record.told = 0;
     }
 }
--- a/crates/flow/src/view.rs
+++ b/crates/flow/src/view.rs
@@ -110,13 +110,17 @@
         (target.service == service && !target.out && reachable).then_some(target)
     }
 
-    /// Target for new flows of a slot. A target that is gone before the next version is activated
-    /// is replaced by that version's.
+    /// Target for new flows of a slot.
     pub fn placement(&self, service: &ServiceView, slot: u16) -> Option<(TargetKey, &Target)> {
-        let tables = [service.table.as_ref(), service.next.as_ref()];
-        let keys = tables.into_iter().flatten().filter_map(|table| table.target(slot));
-        let mut usable = keys.filter_map(|key| Some((key, self.usable(key, service.id)?)));
-        usable.next()
+        let key = service.table.as_ref()?.target(slot)?;
+        Some((key, self.usable(key, service.id)?))
+    }
+
+    /// Target that replaces one that is gone once the next version is in force. Peers at which it
+    /// is may have opened flows there already.
+    pub fn successor(&self, service: &ServiceView, slot: u16) -> Option<(TargetKey, &Target)> {
+        let key = service.next.as_ref()?.target(slot)?;
+        Some((key, self.usable(key, service.id)?))
     }
 
     /// Target for flows of a slot while this entry is isolated.
