Cover overtaking versions, reused addresses and single rules of the node

Cause: a prepare that another overtook was confirmed but not taken in, and a record of an opening packet to a lost target reset the flow that the caller had opened again through another entry. Change: prepares are taken in in any order; only established flows are reset; the table computes one logarithm per distinct weight; tests for single rules.

--- a/crates/flow/examples/compare.rs
+++ b/crates/flow/examples/compare.rs
@@ -131,6 +131,7 @@
         loss: 0.0,
         duplication: 0.0,
         uneven_ms: 300,
+        overlap: false,
         packet_ms: 60_000,
         idle_ms: 300_000,
         udp: 0.1,
--- a/crates/flow/examples/harness/fixture.rs
+++ b/crates/flow/examples/harness/fixture.rs
@@ -17,6 +17,8 @@
     pub duplication: f64,
     /// Longest time by which entries differ in taking in a version or the live entries.
     pub uneven_ms: u64,
+    /// Whether a version may be prepared before the one before it is in force everywhere.
+    pub overlap: bool,
     /// Time between two packets of a flow.
     pub packet_ms: u64,
     /// Idle timeout of the service.
--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -1,6 +1,6 @@
 //! Events of the control side: versions, targets, failure domains and the lease.
 
-use crate::merge::PeerState;
+use crate::merge::PeerSlots;
 use crate::message::{Message, Outgoing};
 use crate::node::{FlowNode, Peer};
 use crate::report::{Ending, Pending};
@@ -59,7 +59,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Progress {
     pub marker: Option<u64>,
-    pub state: Option<PeerState>,
+    pub state: Option<PeerSlots>,
     pub reported: Revision,
 }
 
@@ -204,8 +204,8 @@
                 let moving = Moving::new(base, self.view.active, stamp, self.view.me);
                 self.assign_new(id, slot, moving)
             });
-            let moving =
-                Moving { moved: version, active_at: None, ended: None, reported: false, ..moving };
+            let moved = version.max(moving.moved);
+            let moving = Moving { moved, active_at: None, ended: None, reported: false, ..moving };
             if let Some(service) = self.view.service_mut(id) {
                 service.moving.insert(slot, moving);
             }
@@ -307,11 +307,14 @@
         if version <= active && active != Revision(0) {
             return Err(ControlError::OldVersion { version, active });
         }
-        if control.newest() >= version && !control.prepared.is_empty() {
+        if control.prepared.contains_key(&version) {
             return Ok(());
         }
         let stamp = self.stamp(now);
-        control.update_targets(sets, stamp);
+        // Prepares may overtake each other; the newest one decides which targets exist.
+        if control.prepared.is_empty() || version > control.newest() {
+            control.update_targets(sets, stamp);
+        }
         let mut tables = BTreeMap::new();
         for service in &sets.services {
             let computed = control.compute(version, sets, service);
--- a/crates/flow/src/decide.rs
+++ b/crates/flow/src/decide.rs
@@ -227,13 +227,16 @@
             return false;
         }
         let service = case.service.id;
-        shard.insert(case.flow, Record { target, seen: case.stamp, told, service, kind });
+        let established = !case.packet.opens();
+        let seen = case.stamp;
+        shard.insert(case.flow, Record { target, seen, told, service, kind, established });
         true
     }
 }
 
-/// Action from the flow's record. A record whose target is gone ends the flow; a packet that opens
-/// a flow is not bound to a draining or lost target.
+/// Action from the flow's record. A record whose target is gone ends an established TCP flow. One
+/// that was opening may have been opened again elsewhere, by a retransmission through another
+/// entry. A packet that opens a flow is not bound to a draining or lost target.
 fn recorded(case: &Case<'_>, shard: &mut Shard) -> Option<Action> {
     let record = shard.get_mut(&case.flow)?;
     let opens = case.packet.opens();
@@ -241,6 +244,7 @@
         if let Some(target) = case.view.usable(record.target, case.service.id) {
             if !(opens && target.draining()) {
                 record.seen = case.stamp;
+                record.established |= !opens;
                 return Some(Action::ToTarget(target.spec.address));
             }
         } else if !opens && case.view.targets.get(record.target).is_some_and(|target| !target.out) {
@@ -248,8 +252,9 @@
         }
     }
     let abandoned = case.view.targets.get(record.target).is_none_or(|target| target.out);
+    let established = record.established;
     shard.remove(&case.flow);
-    (abandoned && !opens).then(|| case.abandoned())
+    (abandoned && established && case.is_old_tcp()).then(|| case.abandoned())
 }
 
 fn base(case: &Case<'_>, moving: &Moving) -> Action {
--- a/crates/flow/src/merge.rs
+++ b/crates/flow/src/merge.rs
@@ -13,7 +13,7 @@
 
 /// What a peer said of its slots in transition.
 #[derive(Clone, Debug)]
-pub(crate) struct PeerState {
+pub(crate) struct PeerSlots {
     pub synced: bool,
     active: Revision,
     moving: BTreeSet<(ServiceId, u16)>,
@@ -60,20 +60,22 @@
     ) -> Option<TargetKey> {
         let mut shard = self.records.lock(flow);
         let new_kind = if kind == PinKind::Exception { Kind::Exception } else { Kind::Pin };
-        let fresh = Record { target, seen: 0, told: stamp, service, kind: new_kind };
+        let fresh =
+            Record { target, seen: 0, told: stamp, service, kind: new_kind, established: false };
         let Some(known) = shard.get_mut(&flow) else {
             if self.records.has_room(&shard) {
                 shard.insert(flow, fresh);
             }
             return None;
         };
+        let same = known.target == target;
         let replaces = matches!(kind, PinKind::Decision | PinKind::Exception);
-        if known.target == target && known.kind == Kind::Exception {
+        if same && known.kind == Kind::Exception {
             known.told = stamp;
             return None;
         }
-        if known.target == target || replaces || known.service != service {
-            *known = Record { seen: known.seen, ..fresh };
+        if same || replaces || known.service != service {
+            *known = Record { seen: known.seen, established: same && known.established, ..fresh };
             return None;
         }
         (kind == PinKind::Claim).then_some(known.target)
@@ -90,7 +92,7 @@
         let listed = services.iter().flat_map(|(id, groups)| {
             groups.iter().flat_map(|group| &group.slots).map(|slot| (*id, *slot))
         });
-        let state = PeerState { synced, active, moving: listed.collect() };
+        let state = PeerSlots { synced, active, moving: listed.collect() };
         control.progress.entry(from).or_default().state = Some(state);
         if synced {
             let stamp = self.stamp(now);
@@ -180,7 +182,7 @@
     fn note_ended(&mut self, active: Revision, from: InstanceId) {
         let me = self.view.me;
         let state = self.progress.get(&from).and_then(|progress| progress.state.clone());
-        let Some(PeerState { moving: listed, .. }) = state else { return };
+        let Some(PeerSlots { moving: listed, .. }) = state else { return };
         let own_active = self.view.active;
         for service in self.view.services.values_mut() {
             let ended: Vec<u16> = service
@@ -206,7 +208,7 @@
     /// transition has ended, and the peer has sent their exceptions.
     pub fn drop_ended(&mut self) {
         let states = self.progress.values().filter_map(|progress| progress.state.clone());
-        let states: Vec<PeerState> = states.filter(|state| state.synced).collect();
+        let states: Vec<PeerSlots> = states.filter(|state| state.synced).collect();
         let early = std::mem::take(&mut self.ended_early);
         for service in self.view.services.values_mut() {
             let id = service.id;
@@ -214,7 +216,7 @@
                 if early.get(&(id, slot)).is_some_and(|version| *version >= moved) {
                     return true;
                 }
-                let stable = |s: &PeerState| s.active >= moved && !s.moving.contains(&(id, slot));
+                let stable = |s: &PeerSlots| s.active >= moved && !s.moving.contains(&(id, slot));
                 states.iter().any(stable)
             };
             if service.moving.iter().any(|(slot, m)| is_ended(*slot, m.moved)) {
--- a/crates/flow/src/records.rs
+++ b/crates/flow/src/records.rs
@@ -31,6 +31,8 @@
     pub told: u32,
     pub service: ServiceId,
     pub kind: Kind,
+    /// A packet other than the opening one was seen here, so the flow is established at the target.
+    pub established: bool,
 }
 
 /// Flow hashes are keyed SipHash values already, so hashing them again would only cost time.
--- a/crates/flow/src/table.rs
+++ b/crates/flow/src/table.rs
@@ -50,26 +50,42 @@
     }
 }
 
+/// The target with the lowest `-log2(draw) / weight`. Among targets of one weight that is the one
+/// with the highest draw, so the logarithm is computed once per weight.
 fn winner(service: ServiceId, slot: u16, targets: &[(TargetKey, TargetSpec)]) -> u16 {
-    let mut best: Option<(u64, u64, u16, std::net::SocketAddr)> = None;
-    for (index, (_, target)) in targets.iter().enumerate() {
-        if target.weight == 0 {
-            continue;
-        }
-        let cost = neg_log2(draw(service, slot, target));
-        let weight = u64::from(target.weight);
-        // cost / weight is compared by cross multiplication, which is exact.
-        let better = best.is_none_or(|(best_cost, best_weight, _, address)| {
-            let mine = u128::from(cost) * u128::from(best_weight);
-            let theirs = u128::from(best_cost) * u128::from(weight);
-            (mine, target.address) < (theirs, address)
-        });
-        if better {
-            let index = u16::try_from(index).unwrap_or(NO_TARGET);
-            best = Some((cost, weight, index, target.address));
+    let mut by_weight: Vec<Candidate> = Vec::new();
+    for (index, (_, target)) in targets.iter().enumerate().filter(|(_, (_, t))| t.weight > 0) {
+        let index = u16::try_from(index).unwrap_or(NO_TARGET);
+        let candidate =
+            Candidate { draw: draw(service, slot, target), weight: target.weight, index };
+        match by_weight.iter_mut().find(|best| best.weight == candidate.weight) {
+            Some(best) if best.draw < candidate.draw => *best = candidate,
+            Some(_) => {}
+            None => by_weight.push(candidate),
         }
     }
-    best.map_or(NO_TARGET, |(_, _, index, _)| index)
+    if let [only] = by_weight[..] {
+        return only.index;
+    }
+    by_weight.sort_unstable_by_key(|candidate| candidate.weight);
+    let best = by_weight.into_iter().min_by(Candidate::compare);
+    best.map_or(NO_TARGET, |best| best.index)
+}
+
+#[derive(Clone, Copy)]
+struct Candidate {
+    draw: u64,
+    weight: u32,
+    index: u16,
+}
+
+impl Candidate {
+    /// Compares cost by weight through cross multiplication, which is exact.
+    fn compare(&self, other: &Self) -> std::cmp::Ordering {
+        let mine = u128::from(neg_log2(self.draw)) * u128::from(other.weight);
+        let theirs = u128::from(neg_log2(other.draw)) * u128::from(self.weight);
+        mine.cmp(&theirs)
+    }
 }
 
 fn draw(service: ServiceId, slot: u16, target: &TargetSpec) -> u64 {
--- /dev/null
+++ b/crates/flow/tests/node.rs
@@ -0,0 +1,261 @@
+//! Single rules of the node, and the slot table.
+
+#![allow(clippy::unwrap_used, clippy::panic)]
+
+use comfreyhold_flow::targets::TargetKey;
+use comfreyhold_flow::{
+    Action, DropReason, FiveTuple, FlowNode, NodeSettings, Outgoing, Packet, Peer, PeerState,
+    Protocol, SLOTS_PER_SERVICE, ServiceTargets, SlotTable, TargetSets, TargetSpec,
+};
+use comfreyhold_types::keys::{DomainId, Incarnation, InstanceId, Revision, ServiceId};
+use comfreyhold_types::target::TargetState;
+use slotmap::SlotMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+fn address(index: u8) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 1, 0, index)), 80)
+}
+
+fn service_address(id: u16) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 99, 0, id as u8)), 443)
+}
+
+fn spec(index: u8) -> TargetSpec {
+    TargetSpec {
+        address: address(index),
+        incarnation: Incarnation(1),
+        domain: DomainId(u16::from(index % 2)),
+        weight: 100,
+        state: TargetState::Serving,
+    }
+}
+
+fn service(id: u16, targets: Vec<TargetSpec>) -> ServiceTargets {
+    ServiceTargets {
+        service: ServiceId(id),
+        address: service_address(id),
+        idle: Duration::from_secs(10),
+        drain: Duration::from_secs(30),
+        targets,
+    }
+}
+
+fn sets(first: Vec<TargetSpec>, second: Vec<TargetSpec>) -> TargetSets {
+    TargetSets { services: vec![service(1, first), service(2, second)], out: BTreeSet::new() }
+}
+
+fn packet(flow: u16, opens: bool) -> Packet {
+    let source = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(172, 16, 0, 1)), flow);
+    let destination = service_address(1);
+    Packet::synthetic(FiveTuple { protocol: Protocol::Tcp, source, destination }, opens)
+}
+
+struct Fixture {
+    node: FlowNode,
+    now: Instant,
+}
+
+impl Fixture {
+    fn new(sets: &TargetSets) -> Self {
+        let settings = NodeSettings {
+            me: InstanceId(1),
+            domain: DomainId(0),
+            hash_key: (3, 4),
+            max_flows: 640,
+            seed: 1,
+        };
+        let now = Instant::now();
+        let fixture = Self { node: FlowNode::new(settings, now), now };
+        fixture.install(1, sets);
+        let state = PeerState::Serving;
+        let me = Peer { id: InstanceId(1), incarnation: Incarnation(1), state };
+        fixture.node.live_changed(&[me], now, &mut Vec::new());
+        fixture
+    }
+
+    fn install(&self, version: u64, sets: &TargetSets) {
+        self.node.prepare(Revision(version), sets, self.now).unwrap();
+        self.node.activate(Revision(version), self.now).unwrap();
+    }
+
+    fn send(&self, flow: u16, opens: bool) -> Action {
+        let mut out: Vec<Outgoing> = Vec::new();
+        self.node.packet(&packet(flow, opens), self.now, &mut out)
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += Duration::from_millis(50);
+            self.node.tick(self.now, &mut Vec::new());
+        }
+    }
+}
+
+/// Guards against flows that follow an address to another service, also when the entry's own table
+/// is older than the change of owner.
+#[test]
+fn an_address_taken_by_another_service_inherits_no_flow() {
+    let fixture = Fixture::new(&sets(vec![spec(0)], vec![spec(2)]));
+    assert_eq!(fixture.send(1, true), Action::ToTarget(address(0)));
+    fixture.node.target_lost(address(0), Incarnation(1));
+    assert!(matches!(fixture.send(1, false), Action::Reject(_)));
+    assert_eq!(fixture.send(2, true), Action::Drop(DropReason::Deferred));
+    assert_eq!(fixture.node.return_source(address(0)), None);
+    fixture.install(2, &sets(vec![spec(4)], vec![spec(0), spec(2)]));
+    assert_ne!(fixture.send(1, false), Action::ToTarget(address(0)));
+    assert_eq!(fixture.node.return_source(address(0)), Some(service_address(2)));
+}
+
+/// Guards against an isolated entry that sends to a failure domain whose state may have changed.
+#[test]
+fn an_isolated_entry_serves_only_its_own_domain() {
+    let fixture = Fixture::new(&sets((0..6).map(spec).collect(), vec![]));
+    let before: Vec<_> = (0..100).map(|flow| fixture.send(flow, true)).collect();
+    fixture.node.lease_lost();
+    let own: BTreeSet<_> = [0, 2, 4].map(address).into();
+    for (flow, before) in before.iter().enumerate() {
+        let Action::ToTarget(home) = before else { panic!("not placed: {before:?}") };
+        let expected =
+            if own.contains(home) { *before } else { Action::Drop(DropReason::Isolated) };
+        assert_eq!(fixture.send(flow as u16, false), expected);
+    }
+    for flow in 100..300 {
+        let Action::ToTarget(to) = fixture.send(flow, true) else { panic!("not served") };
+        assert!(own.contains(&to));
+        assert_eq!(fixture.send(flow, false), Action::ToTarget(to));
+    }
+}
+
+/// Guards against packets to a withdrawn domain, and against flows that come back to life with it.
+#[test]
+fn a_withdrawn_domain_ends_its_flows_at_once() {
+    let fixture = Fixture::new(&sets((0..6).map(spec).collect(), vec![]));
+    let placed = |flow| match fixture.send(flow, true) {
+        Action::ToTarget(to) => to,
+        other => panic!("not placed: {other:?}"),
+    };
+    let homes: Vec<_> = (0..100).map(placed).collect();
+    fixture.node.domain_out(DomainId(1), Revision(2));
+    for (flow, home) in homes.iter().enumerate() {
+        let withdrawn = [1, 3, 5].map(address).contains(home);
+        let action = fixture.send(flow as u16, false);
+        assert_eq!(matches!(action, Action::Reject(_)), withdrawn, "{action:?}");
+    }
+    let mut out = sets((0..6).map(spec).collect(), vec![]);
+    out.out.insert(DomainId(1));
+    fixture.install(2, &out);
+    for flow in 200..300 {
+        let Action::ToTarget(to) = fixture.send(flow, true) else { panic!("not placed") };
+        assert!(![1, 3, 5].map(address).contains(&to));
+    }
+}
+
+/// Guards against a draining target that loses flows early, keeps them forever, or gets new ones.
+#[test]
+fn a_draining_target_keeps_its_flows_until_its_drain_time_ends() {
+    let mut fixture = Fixture::new(&sets(vec![spec(0), spec(2)], vec![]));
+    let flow = (0..50).find(|flow| fixture.send(*flow, true) == Action::ToTarget(address(0)));
+    let flow = flow.unwrap();
+    let mut draining = spec(0);
+    draining.state = TargetState::Draining;
+    fixture.install(2, &sets(vec![draining, spec(2)], vec![]));
+    for _ in 0..5 {
+        fixture.run(Duration::from_secs(5));
+        assert_eq!(fixture.send(flow, false), Action::ToTarget(address(0)));
+    }
+    assert!((100..200).all(|flow| fixture.send(flow, true) == Action::ToTarget(address(2))));
+    fixture.run(Duration::from_secs(6));
+    assert!(matches!(fixture.send(flow, false), Action::Reject(_)));
+}
+
+/// Guards against records that outlive their flows, and against memory without bound.
+#[test]
+fn records_are_bounded_and_expire() {
+    let mut fixture = Fixture::new(&sets(vec![spec(0)], vec![]));
+    assert!((0..5_000).all(|flow| fixture.send(flow, true) == Action::ToTarget(address(0))));
+    assert!(fixture.node.stats().flows <= 640);
+    fixture.run(Duration::from_secs(15));
+    assert_eq!(fixture.node.stats().flows, 0);
+}
+
+/// Guards against old or unprepared versions that take effect.
+#[test]
+fn versions_never_revert() {
+    let fixture = Fixture::new(&sets(vec![spec(0)], vec![]));
+    fixture.install(5, &sets(vec![spec(2)], vec![]));
+    let old = sets(vec![spec(4)], vec![]);
+    assert!(fixture.node.prepare(Revision(4), &old, fixture.now).is_err());
+    assert!(fixture.node.activate(Revision(1), fixture.now).is_err());
+    assert!(fixture.node.activate(Revision(6), fixture.now).is_err());
+    assert_eq!(fixture.send(1, true), Action::ToTarget(address(2)));
+}
+
+/// Guards against a node that can't be shared between threads or deadlocks under changes.
+#[test]
+fn threads_share_a_node() {
+    let fixture = Fixture::new(&sets((0..4).map(spec).collect(), vec![]));
+    std::thread::scope(|scope| {
+        for part in 0..3 {
+            let fixture = &fixture;
+            scope.spawn(move || {
+                for flow in 0..2_000 {
+                    let action = fixture.send(part * 2_000 + flow, true);
+                    assert!(
+                        matches!(action, Action::ToTarget(_) | Action::Reject(_)),
+                        "{action:?}"
+                    );
+                }
+            });
+        }
+        for version in 2..20 {
+            let count = 4 + (version % 2) as u8;
+            fixture.install(version, &sets((0..count).map(spec).collect(), vec![]));
+            fixture.node.tick(fixture.now, &mut Vec::new());
+        }
+    });
+}
+
+fn keyed(specs: &[TargetSpec]) -> Vec<(TargetKey, TargetSpec)> {
+    let mut arena: SlotMap<TargetKey, ()> = SlotMap::with_key();
+    specs.iter().map(|spec| (arena.insert(()), *spec)).collect()
+}
+
+fn shares(table: &SlotTable) -> BTreeMap<TargetKey, usize> {
+    let mut shares = BTreeMap::new();
+    for slot in 0..SLOTS_PER_SERVICE as u16 {
+        *shares.entry(table.target(slot).unwrap()).or_default() += 1;
+    }
+    shares
+}
+
+/// Guards against tables that differ between entries, and against shares that ignore the weights.
+#[test]
+fn tables_are_deterministic_and_weighted() {
+    let mut targets = keyed(&(0..10).map(spec).collect::<Vec<_>>());
+    targets[0].1.weight = 300;
+    targets[1].1.weight = 0;
+    let table = SlotTable::compute(ServiceId(1), Revision(1), &targets);
+    let mut reversed = targets.clone();
+    reversed.reverse();
+    let same = SlotTable::compute(ServiceId(1), Revision(1), &reversed);
+    assert!((0..SLOTS_PER_SERVICE as u16).all(|slot| table.target(slot) == same.target(slot)));
+    let shares = shares(&table);
+    assert!(!shares.contains_key(&targets[1].0));
+    let expected = SLOTS_PER_SERVICE * 3 / 11;
+    assert!(shares[&targets[0].0].abs_diff(expected) < expected / 8);
+}
+
+/// Guards against changes that move slots between targets they do not concern.
+#[test]
+fn a_change_moves_only_slots_of_its_target() {
+    let targets = keyed(&(0..10).map(spec).collect::<Vec<_>>());
+    let before = SlotTable::compute(ServiceId(1), Revision(1), &targets[..9]);
+    let after = SlotTable::compute(ServiceId(1), Revision(2), &targets);
+    for slot in 0..SLOTS_PER_SERVICE as u16 {
+        let to = after.target(slot).unwrap();
+        assert!(before.target(slot) == Some(to) || to == targets[9].0);
+    }
+}
