Record a dispatcher's grants to its own instance at a witness

Cause: a successor can't know the grants that a failed instance gave itself, and counted every slot as in use until the longest deadline. Change: such grants are recorded by another entry before they are used, and that entry reports them at the takeover; without a witness the old rule applies.

--- a/crates/request/src/answers.rs
+++ b/crates/request/src/answers.rs
@@ -32,6 +32,15 @@
 }
 
 impl Answer {
+    /// The grant, if it is one.
+    #[must_use]
+    pub fn grant(self) -> Option<GrantId> {
+        match self {
+            Self::Granted { grant, .. } => Some(grant),
+            Self::Refused { .. } => None,
+        }
+    }
+
     /// The message that carries the answer.
     #[must_use]
     pub fn message(self, attempt: AttemptId, pool: Pool, load: Brief) -> Message {
--- a/crates/request/src/client.rs
+++ b/crates/request/src/client.rs
@@ -10,6 +10,7 @@
 use crate::message::{AttemptId, GrantId, Message, Pool, RequestId, SlotOutcome};
 use crate::open_request::{Request, Resend, Stage, WaitingAt, unplaced};
 use crate::releases::Releases;
+use crate::witness::WitnessRecords;
 use comfreyhold_types::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -40,6 +41,7 @@
     /// Epochs of dispatchers that collected grants; grants of earlier ones must not be used.
     pub(crate) fences: BTreeMap<Pool, u64>,
     pub(crate) stopping: bool,
+    pub(crate) witnessed: WitnessRecords,
     /// Requests that wait, by pool.
     pub(crate) waiting: BTreeMap<Pool, WaitingAt>,
 }
@@ -59,6 +61,7 @@
             releases: Releases::default(),
             fences: BTreeMap::new(),
             stopping: false,
+            witnessed: WitnessRecords::default(),
             waiting: BTreeMap::new(),
         }
     }
@@ -186,6 +189,10 @@
                 self.directory.on_brief(now, from, pool, load);
                 self.releases.confirm(grant);
             }
+            Message::Witness { pool, epoch, grants } => {
+                self.on_witness(now, from, (pool, epoch), &grants, out);
+            }
+            Message::Forget { pool, grant } => self.witnessed.forget(pool, grant),
             Message::Load(report) => self.directory.on_load(now, from, &report),
             Message::ReportGrants { pool, epoch } => {
                 self.on_report_grants(now, from, pool, epoch, out);
@@ -418,21 +425,6 @@
         }
     }
 
-    fn on_report_grants(
-        &mut self,
-        now: Instant,
-        from: InstanceId,
-        pool: Pool,
-        epoch: u64,
-        out: &mut Vec<Action>,
-    ) {
-        let fence = self.fences.entry(pool).or_insert(epoch);
-        *fence = epoch.max(*fence);
-        let held = self.requests.values().filter(|request| request.stage.pool() == pool);
-        let grants = held.filter_map(|request| request.held_grant(now)).collect();
-        out.push(Action::Send(from, Message::HeldGrants { pool, epoch, grants }));
-    }
-
     fn advance(&mut self, now: Instant, out: &mut Vec<Action>) {
         while let Some((at, id)) = self.wakes.first().copied() {
             if at > now {
--- /dev/null
+++ b/crates/request/src/client_reports.rs
@@ -0,0 +1,45 @@
+//! What a client reports to dispatchers about grants, and records as a witness.
+
+use crate::client::{Action, Client};
+use crate::message::{HeldGrant, Message, Pool};
+use comfreyhold_types::prelude::*;
+use std::time::Instant;
+
+impl Client {
+    pub(crate) fn on_report_grants(
+        &mut self,
+        now: Instant,
+        from: InstanceId,
+        pool: Pool,
+        epoch: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let fence = self.fences.entry(pool).or_insert(epoch);
+        *fence = epoch.max(*fence);
+        let held = self.requests.values().filter(|request| request.stage.pool() == pool);
+        let mut grants: Vec<_> = held.filter_map(|request| request.held_grant(now)).collect();
+        let mut witness_of = None;
+        if let Some((dispatcher, recorded)) = self.witnessed.report(now, pool, epoch) {
+            witness_of = Some(dispatcher);
+            grants.extend(recorded);
+        }
+        out.push(Action::Send(from, Message::HeldGrants { pool, epoch, grants, witness_of }));
+    }
+
+    /// Records grants of a dispatcher to its own instance. Once a later dispatcher has asked for
+    /// reports, an earlier one gets no confirmation, so it can't use the grant.
+    pub(crate) fn on_witness(
+        &mut self,
+        now: Instant,
+        from: InstanceId,
+        (pool, epoch): (Pool, u64),
+        grants: &[HeldGrant],
+        out: &mut Vec<Action>,
+    ) {
+        if self.fences.get(&pool).is_some_and(|fence| epoch < *fence) {
+            return;
+        }
+        let confirmation = self.witnessed.record(now, from, pool, epoch, grants);
+        out.extend(confirmation.map(|message| Action::Send(from, message)));
+    }
+}
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -4,11 +4,12 @@
 use crate::answers::{Answer, Answers};
 pub use crate::dispatcher_event::{Action, DispatcherConfig, Event};
 use crate::grants::{Grant, Grants};
-use crate::message::{AttemptId, Brief, GrantId, HeldGrant, LoadReport, Message, SlotOutcome};
+use crate::message::{AttemptId, Brief, GrantId, LoadReport, Message, Pool, SlotOutcome};
 use crate::queue::{Offer, Queue, Waiting};
 use crate::ramp::Feedback;
 use crate::takeover::Takeover;
 use crate::target_slots::{TargetKey, TargetSlots};
+use crate::witness::SelfGrants;
 use comfreyhold_types::declarations::DomainState;
 use comfreyhold_types::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -39,7 +40,7 @@
 const MEAN_WEIGHT: f64 = 0.05;
 
 #[derive(Debug)]
-enum Phase {
+pub(crate) enum Phase {
     Active,
     Collecting(Takeover),
     Stopped,
@@ -48,21 +49,22 @@
 /// The decision core. Every message gets its answer from [`Dispatcher::handle`].
 #[derive(Debug)]
 pub struct Dispatcher {
-    cfg: DispatcherConfig,
-    phase: Phase,
-    out: bool,
-    targets: TargetSlots,
-    known_targets: Vec<TargetRecord>,
-    queue: Queue,
-    grants: Grants,
-    answers: Answers,
+    pub(crate) cfg: DispatcherConfig,
+    pub(crate) phase: Phase,
+    pub(crate) out: bool,
+    pub(crate) targets: TargetSlots,
+    pub(crate) known_targets: Vec<TargetRecord>,
+    pub(crate) queue: Queue,
+    pub(crate) grants: Grants,
+    pub(crate) answers: Answers,
+    pub(crate) self_grants: SelfGrants,
     /// End of the count of slots that failed entries may use, and those entries.
-    reserved: Option<(Instant, BTreeSet<InstanceId>)>,
-    mean_service: Option<Duration>,
-    peers: BTreeMap<DomainId, (u32, Instant)>,
-    heard: BTreeMap<InstanceId, Instant>,
-    next_grant: u64,
-    next_load: Instant,
+    pub(crate) reserved: Option<(Instant, BTreeSet<InstanceId>)>,
+    pub(crate) mean_service: Option<Duration>,
+    pub(crate) peers: BTreeMap<DomainId, (u32, Instant)>,
+    pub(crate) heard: BTreeMap<InstanceId, Instant>,
+    pub(crate) next_grant: u64,
+    pub(crate) next_load: Instant,
 }
 
 impl Dispatcher {
@@ -78,6 +80,7 @@
             out: false,
             grants: Grants::default(),
             answers: Answers::default(),
+            self_grants: SelfGrants::new(cfg.pool, cfg.epoch, now),
             reserved: None,
             mean_service: None,
             peers: BTreeMap::new(),
@@ -99,7 +102,8 @@
             Event::Takeover { lease_ends, live, failed, cold } => {
                 self.on_takeover(now, Takeover::new(lease_ends, live, failed, now), &cold);
             }
-            Event::EntryFailed(entry) => self.on_entry_failed(entry),
+            Event::Witness(witness) => self.self_grants.set_witness(now, witness),
+            Event::EntryFailed(entry) => self.on_entry_failed(now, entry),
             Event::Stop => self.on_stop(&mut out),
             Event::Tick => {}
         }
@@ -113,7 +117,8 @@
         let mut wake = self.next_load;
         let expiry = self.grants.next_expiry();
         let rested = self.targets.next_wake().filter(|_| !self.queue.is_empty());
-        let others = [expiry, rested, self.queue.next_deadline()];
+        let witness = self.self_grants.next_wake();
+        let others = [expiry, rested, witness, self.queue.next_deadline()];
         for at in others.into_iter().flatten() {
             wake = wake.min(at);
         }
@@ -162,10 +167,11 @@
             Message::Cancel { pool, attempt } if pool == self.cfg.pool => {
                 self.on_cancel(now, from, attempt, out);
             }
-            Message::HeldGrants { pool, epoch, grants }
-                if pool == self.cfg.pool && epoch == self.cfg.epoch =>
-            {
-                self.on_held(now, from, &grants);
+            Message::HeldGrants { pool, epoch, grants, witness_of } if self.is_own(pool, epoch) => {
+                self.on_held(now, from, &grants, witness_of);
+            }
+            Message::Witnessed { pool, epoch, grants } if self.is_own(pool, epoch) => {
+                self.on_witnessed(from, &grants, out);
             }
             Message::Load(report) if report.pool.service == self.cfg.pool.service => {
                 self.peers.insert(report.pool.domain, (report.load.free, now));
@@ -179,6 +185,9 @@
             return;
         }
         if let Some(answer) = self.answers.get(w.attempt) {
+            if answer.grant().is_some_and(|grant| self.self_grants.is_withheld(grant)) {
+                return;
+            }
             out.push(Action::Send(w.entry, answer.message(w.attempt, self.cfg.pool, self.brief())));
             return;
         }
@@ -343,7 +352,8 @@
         self.refuse_all(ResultCode::NoDispatcher, out);
     }
 
-    fn on_entry_failed(&mut self, entry: InstanceId) {
+    fn on_entry_failed(&mut self, now: Instant, entry: InstanceId) {
+        self.self_grants.on_entry_failed(now, entry);
         self.queue.remove_entry(entry);
         self.heard.remove(&entry);
         if let Phase::Collecting(takeover) = &mut self.phase {
@@ -351,53 +361,12 @@
         }
     }
 
-    fn refuse_all(&mut self, code: ResultCode, out: &mut Vec<Action>) {
+    pub(crate) fn refuse_all(&mut self, code: ResultCode, out: &mut Vec<Action>) {
         while let Some(waiting) = self.queue.pop() {
             self.refuse(&waiting, code, true, out);
         }
     }
 
-    fn on_takeover(&mut self, now: Instant, takeover: Takeover, cold: &BTreeSet<SocketAddr>) {
-        self.phase = Phase::Collecting(takeover);
-        let mut targets = TargetSlots::new(self.cfg.profile.cold.clone());
-        let max_slots = self.cfg.profile.max_slots;
-        targets.replace(now, &self.known_targets, max_slots, |address| !cold.contains(&address));
-        self.targets = targets;
-    }
-
-    fn on_held(&mut self, now: Instant, from: InstanceId, held: &[HeldGrant]) {
-        let fresh = match &mut self.phase {
-            Phase::Collecting(takeover) => takeover.report(from),
-            Phase::Active => {
-                self.reserved.as_mut().is_some_and(|(_, missing)| missing.remove(&from))
-            }
-            Phase::Stopped => false,
-        };
-        if !fresh {
-            return;
-        }
-        for grant in held {
-            self.adopt(now, grant);
-        }
-        if self.reserved.as_ref().is_some_and(|(_, missing)| missing.is_empty()) {
-            self.reserved = None;
-            self.targets.clear_reserved();
-        }
-    }
-
-    fn adopt(&mut self, now: Instant, held: &HeldGrant) {
-        let released = match &self.phase {
-            Phase::Collecting(takeover) => takeover.released.contains(&held.grant),
-            _ => false,
-        };
-        if released || self.grants.get(held.grant).is_some() {
-            return;
-        }
-        let Some(target) = self.targets.adopt(held.target) else { return };
-        let expires = now + held.remaining + GRANT_MARGIN;
-        self.grants.insert(held.grant, Grant { target, started: now, expires });
-    }
-
     fn advance(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.finish_takeover(now, out);
         self.expire(now, out);
@@ -406,6 +375,9 @@
             let Some(waiting) = self.queue.pop_where(heard) else { break };
             self.grant(now, &waiting, out);
         }
+        for (to, message) in self.self_grants.due_messages(now) {
+            out.push(Action::Send(to, message));
+        }
         if now >= self.next_load && !matches!(self.phase, Phase::Stopped) {
             out.push(Action::Broadcast(Message::Load(self.load_report())));
             self.ask_missing(out);
@@ -415,40 +387,13 @@
         }
     }
 
-    /// Asks entries that did not report in time again: they may be alive after all.
-    fn ask_missing(&self, out: &mut Vec<Action>) {
-        let Some((_, missing)) = &self.reserved else { return };
-        let ask = Message::ReportGrants { pool: self.cfg.pool, epoch: self.cfg.epoch };
-        out.extend(missing.iter().map(|entry| Action::Send(*entry, ask.clone())));
-    }
-
-    fn finish_takeover(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let Phase::Collecting(takeover) = &mut self.phase else { return };
-        let ask = Message::ReportGrants { pool: self.cfg.pool, epoch: self.cfg.epoch };
-        for entry in takeover.due_asks(now) {
-            out.push(Action::Send(entry, ask.clone()));
-        }
-        if !takeover.is_complete(now) {
-            return;
-        }
-        let missing = takeover.missing();
-        let until = takeover.lease_ends + self.cfg.profile.deadline() + GRANT_MARGIN;
-        self.phase = Phase::Active;
-        if !missing.is_empty() {
-            self.targets.reserve_rest();
-            self.reserved = Some((until, missing));
-        }
-        if !self.targets.any_serving() {
-            self.refuse_all(ResultCode::NoTarget, out);
-        }
-    }
-
     fn expire(&mut self, now: Instant, out: &mut Vec<Action>) {
         while let Some(waiting) = self.queue.pop_expired(now) {
             self.refuse(&waiting, ResultCode::DeadlineBeforeStart, false, out);
         }
-        while let Some(grant) = self.grants.pop_expired(now) {
+        while let Some((id, grant)) = self.grants.pop_expired(now) {
             self.targets.vacate(grant.target);
+            self.self_grants.remove(id);
         }
         if self.reserved.as_ref().is_some_and(|(until, _)| *until <= now) {
             self.reserved = None;
@@ -467,15 +412,32 @@
         self.grants.insert(id, Grant { target: key, started: now, expires });
         let answer = Answer::Granted { grant: id, target, incarnation };
         self.answers.insert(waiting.attempt, answer, waiting.deadline);
-        out.push(Action::Send(
-            waiting.entry,
-            answer.message(waiting.attempt, self.cfg.pool, self.brief()),
-        ));
+        if waiting.entry == self.cfg.instance {
+            self.self_grants.add(now, id, waiting.attempt, target, waiting.deadline);
+        }
+        if !self.self_grants.is_withheld(id) {
+            let message = answer.message(waiting.attempt, self.cfg.pool, self.brief());
+            out.push(Action::Send(waiting.entry, message));
+        }
+    }
+
+    /// Hands out grants to the own instance that the witness has recorded.
+    fn on_witnessed(&mut self, from: InstanceId, grants: &[GrantId], out: &mut Vec<Action>) {
+        for attempt in self.self_grants.on_witnessed(from, grants) {
+            let Some(answer) = self.answers.get(attempt) else { continue };
+            let message = answer.message(attempt, self.cfg.pool, self.brief());
+            out.push(Action::Send(self.cfg.instance, message));
+        }
+    }
+
+    fn is_own(&self, pool: Pool, epoch: u64) -> bool {
+        pool == self.cfg.pool && epoch == self.cfg.epoch
     }
 
     fn free_grant(&mut self, id: GrantId) {
         if let Some(grant) = self.grants.remove(id) {
             self.targets.vacate(grant.target);
+            self.self_grants.remove(id);
         }
     }
 
--- a/crates/request/src/dispatcher_event.rs
+++ b/crates/request/src/dispatcher_event.rs
@@ -37,12 +37,15 @@
         lease_ends: Instant,
         /// Entries that are alive and asked for their grants.
         live: BTreeSet<InstanceId>,
-        /// Entries that failed and may have held grants.
+        /// Entries that failed or restarted and may have held grants, or recorded them as a witness.
         failed: BTreeSet<InstanceId>,
         /// Targets that were cold, by the last load report, or joined since.
         cold: BTreeSet<SocketAddr>,
     },
-    /// An entry was found dead.
+    /// The entry that records grants to this instance; `None` when it is the only entry or isolated.
+    /// It should be a live entry, in another failure domain where possible.
+    Witness(Option<InstanceId>),
+    /// An entry was found dead or has restarted.
     EntryFailed(InstanceId),
     /// This instance may no longer act as dispatcher.
     Stop,
--- a/crates/request/src/grants.rs
+++ b/crates/request/src/grants.rs
@@ -51,9 +51,9 @@
     }
 
     /// Ends one grant whose time is over.
-    pub fn pop_expired(&mut self, now: Instant) -> Option<Grant> {
+    pub fn pop_expired(&mut self, now: Instant) -> Option<(GrantId, Grant)> {
         let (at, id) = self.expiries.first().copied()?;
-        if at > now { None } else { self.remove(id) }
+        if at > now { None } else { self.remove(id).map(|grant| (id, grant)) }
     }
 
     /// The earliest expiry.
--- a/crates/request/src/message.rs
+++ b/crates/request/src/message.rs
@@ -174,8 +174,35 @@
         pool: Pool,
         /// Epoch of the dispatcher that asked.
         epoch: u64,
-        /// All grants held on these targets.
+        /// All grants held on these targets, and those recorded as a witness.
         grants: Vec<HeldGrant>,
+        /// Earlier dispatcher whose grants to its own instance this entry has recorded.
+        witness_of: Option<InstanceId>,
+    },
+    /// Dispatcher to its witness: grants to its own instance that the witness must record.
+    Witness {
+        /// Targets of the grants.
+        pool: Pool,
+        /// Epoch of the dispatcher.
+        epoch: u64,
+        /// All grants that the witness has not confirmed; empty to appoint it.
+        grants: Vec<HeldGrant>,
+    },
+    /// Witness to dispatcher: the grants are recorded.
+    Witnessed {
+        /// Targets of the grants.
+        pool: Pool,
+        /// Epoch of the dispatcher.
+        epoch: u64,
+        /// The grants.
+        grants: Vec<GrantId>,
+    },
+    /// Dispatcher to its witness: the grant has ended. Not resent; the record ends at the deadline.
+    Forget {
+        /// Targets of the grant.
+        pool: Pool,
+        /// The grant.
+        grant: GrantId,
     },
     /// About the idempotency register.
     Key(KeyMessage),
--- a/crates/request/src/sole.rs
+++ b/crates/request/src/sole.rs
@@ -50,6 +50,7 @@
             sole.appoint(now, domain, now, BTreeSet::new());
         }
         sole.announce_dispatchers(now);
+        sole.name_witnesses(now);
         sole
     }
 
@@ -88,6 +89,19 @@
         self.dispatchers.insert(pool, (entry, dispatcher));
     }
 
+    /// Names the first other living entry as witness of each dispatcher.
+    fn name_witnesses(&mut self, now: Instant) -> Vec<Step> {
+        let mut out = Vec::new();
+        let own: Vec<_> =
+            self.dispatchers.iter().map(|(pool, (entry, _))| (*pool, *entry)).collect();
+        for (pool, entry) in own {
+            let mut others = (0..self.alive.len()).filter(|e| *e != entry && self.alive[*e]);
+            let witness = others.next().map(|other| self.layout.entries[other].0);
+            self.dispatcher_event(now, pool, dispatcher::Event::Witness(witness), &mut out);
+        }
+        out
+    }
+
     fn announce_dispatchers(&mut self, now: Instant) -> Vec<Step> {
         let instance = |(pool, (entry, _)): (&Pool, &(usize, Dispatcher))| {
             (*pool, self.layout.entries[*entry].0)
@@ -244,7 +258,8 @@
             Message::Acquire { .. }
             | Message::Release { .. }
             | Message::Cancel { .. }
-            | Message::HeldGrants { .. } => {
+            | Message::HeldGrants { .. }
+            | Message::Witnessed { .. } => {
                 self.pass_to_dispatchers(now, (from, to), &message, &mut out);
             }
             Message::Load(_) => {
@@ -289,6 +304,7 @@
             }
         }
         out.extend(self.announce_dispatchers(now));
+        out.extend(self.name_witnesses(now));
         out
     }
 }
--- a/crates/request/src/takeover.rs
+++ b/crates/request/src/takeover.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Records that a failed dispatcher's grants to its own instance are known from its witness.
+    pub fn cover(&mut self, dispatcher: InstanceId) {
+        self.failed.remove(&dispatcher);
+    }
+
     /// Whether slots may be granted.
     #[must_use]
     pub fn is_complete(&self, now: Instant) -> bool {
--- a/crates/request/tests/dispatcher.rs
+++ b/crates/request/tests/dispatcher.rs
@@ -205,7 +205,13 @@
 }
 
 fn report(from: u16, grants: Vec<HeldGrant>) -> Event {
-    Event::Message(InstanceId(from), Message::HeldGrants { pool: POOL, epoch: 7, grants })
+    report_as_witness(from, grants, None)
+}
+
+fn report_as_witness(from: u16, grants: Vec<HeldGrant>, witness_of: Option<u16>) -> Event {
+    let witness_of = witness_of.map(InstanceId);
+    let message = Message::HeldGrants { pool: POOL, epoch: 7, grants, witness_of };
+    Event::Message(InstanceId(from), message)
 }
 
 /// Guards against two dispatchers granting at once, and against granting before all reports are in.
@@ -272,3 +278,50 @@
     d.handle(t + ms(50), report(2, vec![held(1, 1, ms(3_000))]));
     assert_eq!(d.occupied(address(1)), 1);
 }
+
+/// Guards against a pool without grants until the longest deadline because the failed dispatcher also
+/// held grants, and against trusting a witness when another entry has failed too.
+#[test]
+fn a_witness_makes_the_grants_of_a_failed_dispatcher_known() {
+    let t = Instant::now();
+    for (failed, occupied) in [(vec![3], [1, 0]), (vec![2, 3], [1, 1])] {
+        let mut d = dispatcher(warm_profile(8), vec![target(1, 1), target(2, 1)], t);
+        d.handle(t, takeover(t, &[1], &failed));
+        d.handle(t, report_as_witness(1, vec![held(1, 1, ms(3_000))], Some(3)));
+        assert_eq!([1, 2].map(|n| d.occupied(address(n))), occupied, "failed: {failed:?}");
+    }
+}
+
+/// Guards against using a grant that only the granting instance knows of.
+#[test]
+fn a_grant_to_the_own_instance_waits_for_the_witness() {
+    let t = Instant::now();
+    let mut d = dispatcher(warm_profile(8), vec![target(1, 2)], t);
+    let own = InstanceId(9);
+    let acquire_own = |number| match acquire(number, Priority::High, ms(5_000)) {
+        Event::Message(_, message) => Event::Message(own, message),
+        other => other,
+    };
+    d.handle(t, Event::Witness(Some(InstanceId(2))));
+    let actions = d.handle(t, acquire_own(1));
+    assert!(answers(&actions).is_empty(), "not before the witness has recorded it");
+    assert!(answers(&d.handle(t, acquire_own(1))).is_empty(), "nor for a resend");
+    let asked = actions.iter().find_map(|action| match action {
+        Action::Send(InstanceId(2), Message::Witness { grants, .. }) => grants.first().copied(),
+        _ => None,
+    });
+    let grant = asked.expect("a message to the witness").grant;
+    let message = Message::Witnessed { pool: POOL, epoch: 7, grants: vec![grant] };
+    assert!(answers(&d.handle(t, Event::Message(InstanceId(3), message.clone()))).is_empty());
+    let granted = d.handle(t, Event::Message(InstanceId(2), message.clone()));
+    assert_eq!(only_grant(&granted), grant);
+    let changed = d.handle(t, Event::Witness(Some(InstanceId(4))));
+    let told = changed.iter().any(|action| {
+        matches!(action, Action::Send(InstanceId(4), Message::Witness { grants, .. }) if grants.len() == 1)
+    });
+    assert!(told, "a new witness is told of current grants");
+    let ended = d.handle(t, release(grant, ANSWERED));
+    let forget = Message::Forget { pool: POOL, grant };
+    assert!(ended.contains(&Action::Send(InstanceId(4), forget)));
+    only_grant(&d.handle(t, acquire(2, Priority::High, ms(5_000))));
+}
