consensus: denser schedules, a floor that ignores older copies, bounded messages

Change: an older copy reports no log end to restarted peers; a blocked voter asks again at once; entries per message are bounded by approximate size; ticks stop after a storage fault. A third of the schedules each run at 1, 3 and 10 times the fault rate, with cuts of one or both directions.

--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -6,6 +6,21 @@
 use comfreyhold_types::keys::{Revision, Term};
 use std::collections::BTreeSet;
 
+/// Approximate size of the entries in one message, in bytes. A single larger entry is sent alone.
+const MAX_MESSAGE_BYTES: usize = 256 * 1024;
+
+/// Size of a target record or a publication in a message, in bytes, rounded up.
+const APPROXIMATE_RECORD_BYTES: usize = 256;
+
+fn approximate_bytes(command: &Command) -> usize {
+    let records = match command {
+        Command::Targets(batch) => batch.upserts.len() + batch.removals.len(),
+        Command::Voters(voters) => voters.len(),
+        Command::Noop | Command::Publish(_) => 1,
+    };
+    (records + 1) * APPROXIMATE_RECORD_BYTES
+}
+
 /// Entries that follow a base position.
 #[derive(Clone, Debug, Default)]
 pub struct Log {
@@ -58,12 +73,18 @@
         self.entries.get(usize::try_from(offset).ok()?)
     }
 
-    /// Up to `count` entries, starting at an index.
+    /// Up to `count` entries, starting at an index, and no more than a message should hold.
     #[must_use]
     pub fn slice(&self, from: Revision, count: usize) -> Vec<LogEntry> {
         let skip = from.0.saturating_sub(self.base.index.0 + 1);
         let skip = usize::try_from(skip).unwrap_or(usize::MAX);
-        self.entries.iter().skip(skip).take(count).cloned().collect()
+        let mut bytes = 0;
+        let fits = |entry: &&LogEntry| {
+            let first = bytes == 0;
+            bytes += approximate_bytes(&entry.command);
+            first || bytes <= MAX_MESSAGE_BYTES
+        };
+        self.entries.iter().skip(skip).take(count).take_while(fits).cloned().collect()
     }
 
     /// Adds an entry and returns its index.
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -23,6 +23,7 @@
         self.leader = None;
         let last = self.log.last();
         if !self.rejoin.allows(last, self.hard.term.next(), self.now, &self.settings) {
+            self.deadline = self.now;
             return self.rejoin.ask_again();
         }
         let next = self.hard.term.next();
--- a/crates/consensus/src/node/mod.rs
+++ b/crates/consensus/src/node/mod.rs
@@ -270,6 +270,7 @@
         self.step_down();
         self.role = Role::Follower;
         self.fault = Some(code);
+        self.deadline = self.now + FAULT_TICK;
         self.batch = Batch::default();
         self.step_deferred.clear();
         self.deferred.clear();
@@ -393,5 +394,8 @@
     }
 }
 
+/// Ticks do nothing after a storage fault; this keeps a daemon from spinning on them.
+const FAULT_TICK: Duration = Duration::from_secs(3_600);
+
 /// Share of the election timeout that a lease lasts; the rest allows for clock drift.
 const LEASE_SHARE: f64 = 0.9;
--- a/crates/consensus/src/node/rejoin.rs
+++ b/crates/consensus/src/node/rejoin.rs
@@ -97,7 +97,9 @@
     pub(super) fn answer_rejoin(&mut self, sender: Voter, asked: Incarnation) {
         self.note_starts(Starts::from([(sender, asked)]));
         let mark = self.marks.get(&sender).copied();
-        let last = self.log.last();
+        // The log of an older copy sets no floor: it can't be elected, and what was accepted from it is
+        // on other disks too.
+        let last = if self.rejoin.stale { Position::default() } else { self.log.last() };
         let config = self.config.clone();
         self.send_durable(sender, Body::RejoinReply { asked, last, mark, config });
     }
--- a/crates/consensus/tests/schedules.rs
+++ b/crates/consensus/tests/schedules.rs
@@ -17,11 +17,15 @@
 
 fn run_all(faults: Faults, fault_ms: u64) {
     let mut accepted = 0;
+    let mut stale = 0;
     for seed in seeds() {
         let mut network = Network::new(seed, faults);
         network.run(fault_ms, 8_000);
         accepted += network.checks.accepted;
+        stale += network.checks.stale;
     }
+    let found = faults != Faults::OldCopies || stale > 0;
+    assert!(found, "no older copy was found and made a learner");
     assert!(accepted >= seeds().len(), "schedules accept too little to show anything: {accepted}");
 }
 
@@ -51,6 +55,12 @@
     Network::new(47, Faults::OldCopies).run(8_000, 8_000);
 }
 
+/// Guards against a floor set by the log of an older copy, which can't be elected itself.
+#[test]
+fn old_copies_seed_2479_elects_a_leader() {
+    Network::new(2_479, Faults::OldCopies).run(8_000, 8_000);
+}
+
 /// Guards against a restarted voter that waits for a replaced one, because its own log ends before the
 /// replacement.
 #[test]
--- a/crates/consensus/tests/support/checks.rs
+++ b/crates/consensus/tests/support/checks.rs
@@ -28,6 +28,7 @@
     attempts: BTreeMap<u64, (Publication, Attempts)>,
     answered: Revision,
     pub accepted: usize,
+    pub stale: usize,
 }
 
 impl Checks {
@@ -42,6 +43,7 @@
             attempts: BTreeMap::new(),
             answered: Revision(0),
             accepted: 0,
+            stale: 0,
         }
     }
 
--- a/crates/consensus/tests/support/mod.rs
+++ b/crates/consensus/tests/support/mod.rs
@@ -46,6 +46,8 @@
     cuts: BTreeMap<(InstanceId, InstanceId), u64>,
     quiet: bool,
     loss: f64,
+    /// Factor on the rates of cuts, crashes and old copies.
+    density: f64,
     lost: Option<(Voter, Voter)>,
     replacing: Option<RequestId>,
     next_request: u64,
@@ -57,6 +59,7 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let count = if rng.random_bool(0.5) { 3 } else { 5 };
         let loss = [0.0, 0.02, 0.2][rng.random_range(0..3)];
+        let density = [1.0, 3.0, 10.0][rng.random_range(0..3)];
         let mut network = Self {
             seed,
             faults,
@@ -69,6 +72,7 @@
             cuts: BTreeMap::new(),
             quiet: false,
             loss,
+            density,
             lost: None,
             replacing: None,
             next_request: 1,
@@ -251,14 +255,14 @@
     }
 
     fn inject(&mut self) {
-        if self.rng.random_bool(0.003) {
+        if self.rng.random_bool(0.003 * self.density) {
             self.cut();
         }
-        if self.rng.random_bool(0.002) {
+        if self.rng.random_bool(0.002 * self.density) {
             let id = self.any_id();
             self.crash(id);
         }
-        if self.rng.random_bool(0.0002) {
+        if self.rng.random_bool(0.0002 * self.density) {
             for id in self.ids() {
                 self.crash(id);
             }
@@ -271,13 +275,16 @@
         }
     }
 
-    /// Cuts one direction of one pair, or a group from the rest.
+    /// Cuts one or both directions of one pair, or a group from the rest.
     fn cut(&mut self) {
         let until = self.now_ms + self.rng.random_range(50..2_000);
         let one = self.any_id();
         if self.rng.random_bool(0.5) {
             let other = self.any_id();
             self.cuts.insert((one, other), until);
+            if self.rng.random_bool(0.5) {
+                self.cuts.insert((other, one), until);
+            }
             return;
         }
         let group: BTreeSet<InstanceId> = [one, self.any_id()].into();
@@ -327,7 +334,7 @@
             let copy = member.durable.clone();
             member.copies.push(copy);
         }
-        if self.rng.random_bool(0.002) {
+        if self.rng.random_bool(0.002 * self.density) {
             self.crash(victim);
             let member = self.members.get_mut(&victim).unwrap();
             if !member.copies.is_empty() {
@@ -391,6 +398,7 @@
         let now = self.now();
         for member in self.members.values() {
             let Some(node) = &member.node else { continue };
+            self.checks.stale += usize::from(node.status(now).stale);
             if node.read_is_current(now) {
                 self.checks.read(node.state().revision);
             }
