Report recovery and lease only after the state is in effect

Cause: an entry reported that it had recovered, and could report its lease, before the state of the same heartbeat was in effect, and a new leader granted leases to entries without any state. Change: goals are pursued before grants are taken; a leader grants no lease without a state in effect; members ask for the whole list again after 4, 20 and 60 rounds. Conclusion: recovery and lease events now imply a state to serve.

--- a/crates/membership/examples/dissemination.rs
+++ b/crates/membership/examples/dissemination.rs
@@ -2,7 +2,8 @@
 //! fan-out, one relay per failure domain, and gossip; and for the failure detector. Sizes are those of
 //! the postcard encoding with sender, receiver, incarnation and stamp. Links take 1.5 ms and lose 1%.
 //!
-//! Usage: `cargo run -p comfreyhold-membership --example dissemination`
+//! Usage: `cargo run -p comfreyhold-membership --example dissemination [install|detector] [warm-up of
+//! the detector in seconds]`
 
 #[path = "../tests/support/mod.rs"]
 mod support;
@@ -401,7 +402,7 @@
     }
 }
 
-fn measure_detector(count: u16) {
+fn measure_detector(count: u16, warm_up_s: u64) {
     let now = Instant::now();
     let mut net: Net<DetectorMessage> = lossy(3);
     let seeds = [InstanceId(1), InstanceId(2), InstanceId(3)];
@@ -413,7 +414,8 @@
         })
         .collect();
     let mut counted = Counted::default();
-    let (warm_up, end) = (now + ms(60_000), now + ms(70_000));
+    let warm_up = now + ms(warm_up_s * 1_000);
+    let end = warm_up + ms(10_000);
     let mut at = now;
     while at < end {
         at += ms(5);
@@ -447,11 +449,17 @@
 }
 
 fn main() {
+    let part = std::env::args().nth(1).unwrap_or_default();
+    let warm_up_s = std::env::args().nth(2).and_then(|text| text.parse().ok()).unwrap_or(60);
     println!("sent and received, mean per process of each role");
-    for count in SIZES {
-        measure("flat", count, &mut Installed::new(count, usize::MAX));
-        measure("relay", count, &mut Installed::new(count, 0));
-        measure("gossip", count, &mut Gossiped::new(count));
+    if part != "detector" {
+        for count in SIZES {
+            measure("flat", count, &mut Installed::new(count, usize::MAX));
+            measure("relay", count, &mut Installed::new(count, 0));
+            measure("gossip", count, &mut Gossiped::new(count));
+        }
+    }
+    if part != "install" {
+        SIZES.into_iter().for_each(|count| measure_detector(count, warm_up_s));
     }
-    SIZES.into_iter().for_each(measure_detector);
 }
--- a/crates/membership/src/detector.rs
+++ b/crates/membership/src/detector.rs
@@ -40,6 +40,10 @@
 /// Members listed by one `Sync` message.
 pub const SYNC_MEMBERS: usize = 32;
 
+/// Rounds after the start in which the whole member list is asked for again: when many members start
+/// together, the first one asked knows few of them.
+pub const RESYNC_ROUNDS: [u64; 3] = [4, 20, 60];
+
 /// Time that a dead member outside the seeds is remembered: longer than regions lose contact.
 pub const DEAD_KEPT: Duration = Duration::from_secs(7_200);
 
@@ -275,7 +279,7 @@
         if !(is_deaf && accused_here) {
             self.gossip.push(update, self.known.len());
         }
-        if let Some(change) = change_between(old.map(|old| old.update), update) {
+        if let Some(change) = Change::between(old.map(|old| old.update), update) {
             self.out.push(Action::Changed { change, member: update });
         }
     }
@@ -294,6 +298,10 @@
         for target in self.round_targets() {
             self.probe(now, target);
         }
+        if RESYNC_ROUNDS.contains(&self.round) {
+            let to = self.pick_live(1, &BTreeSet::new()).pop_first();
+            to.into_iter().for_each(|to| self.send(to, DetectorBody::Sync { want: true }));
+        }
         if self.round.is_multiple_of(SYNC_ROUNDS) {
             self.send_part();
             self.forget_dead(now);
@@ -470,19 +478,6 @@
     }
 }
 
-fn change_between(old: Option<Update>, new: Update) -> Option<Change> {
-    match new.state {
-        MemberState::Suspect => Some(Change::Suspected),
-        MemberState::Dead => Some(Change::Dead),
-        MemberState::Left => Some(Change::Left),
-        MemberState::Alive => match old {
-            Some(old) if old.rank.incarnation < new.rank.incarnation => Some(Change::Restarted),
-            Some(old) if old.state == MemberState::Alive => None,
-            _ => Some(Change::Alive),
-        },
-    }
-}
-
 /// Random choice into an ordered set, so that the order of sends does not depend on the sampler.
 trait ChooseSorted: Iterator<Item = InstanceId> + Sized {
     fn choose_multiple_sorted(self, rng: &mut impl RngExt, count: usize) -> BTreeSet<InstanceId> {
--- a/crates/membership/src/installer.rs
+++ b/crates/membership/src/installer.rs
@@ -188,14 +188,14 @@
                     self.relay.begin_round(now, (term, from), goal, members);
                     let grants = self.relay.grants(&granted, &withheld);
                     self.forward_beats(now, &grants);
-                    self.grant(now, grants.get(&self.own).copied());
                     self.pursue(now, self.own, from, goal);
+                    self.grant(now, grants.get(&self.own).copied());
                 }
             }
             InstallMessage::Beat { term, leader, goal, granted } => {
                 if self.accept(now, from, leader, term, goal) {
-                    self.grant(now, granted);
                     self.pursue(now, from, from, goal);
+                    self.grant(now, granted);
                 }
             }
             InstallMessage::Install { term, goal, delta } => {
--- a/crates/membership/src/probes.rs
+++ b/crates/membership/src/probes.rs
@@ -1,6 +1,6 @@
 //! Messages and actions of the failure detector.
 
-use crate::members::Update;
+use crate::members::{MemberState, Update};
 use comfreyhold_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -68,6 +68,23 @@
     Left,
 }
 
+impl Change {
+    /// The change from one statement about a member to the next, if it matters.
+    #[must_use]
+    pub fn between(old: Option<Update>, new: Update) -> Option<Self> {
+        match new.state {
+            MemberState::Suspect => Some(Self::Suspected),
+            MemberState::Dead => Some(Self::Dead),
+            MemberState::Left => Some(Self::Left),
+            MemberState::Alive => match old {
+                Some(old) if old.rank.incarnation < new.rank.incarnation => Some(Self::Restarted),
+                Some(old) if old.state == MemberState::Alive => None,
+                _ => Some(Self::Alive),
+            },
+        }
+    }
+}
+
 /// What the daemon has to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
--- a/crates/membership/src/rollout.rs
+++ b/crates/membership/src/rollout.rs
@@ -351,7 +351,8 @@
             return progress.active >= self.settled;
         }
         let newest = self.entries.values().map(|entry| entry.progress.active).max();
-        now >= self.elected + FIRST_GRANT_AFTER && Some(progress.active) >= newest
+        let has_state = progress.active > Revision(0);
+        has_state && now >= self.elected + FIRST_GRANT_AFTER && Some(progress.active) >= newest
     }
 
     /// Grants the reports that an entry or relay has sent since the last heartbeat to it.
--- a/crates/membership/tests/support/fleet.rs
+++ b/crates/membership/tests/support/fleet.rs
@@ -189,9 +189,15 @@
                 InstallAction::Send { to, message } => self.net.send(self.now, id, to, message),
                 InstallAction::Activate(state) => self.check_activation(id, &state),
                 InstallAction::Recovered => {
-                    let active = self.nodes[&id].core.progress().active;
+                    let active = self.nodes[&id].served;
+                    assert!(active > Revision(0), "seed {}: {id} has nothing to serve", self.seed);
                     self.nodes.get_mut(&id).unwrap().recovered = Some(active);
                 }
+                InstallAction::LeaseRegained => {
+                    let node = &self.nodes[&id];
+                    let active = node.core.progress().active;
+                    assert_eq!(node.served, active, "seed {}: {id} leased too early", self.seed);
+                }
                 _ => {}
             }
         }
