--- a/crates/request/src/baselines.rs
+++ b/crates/request/src/baselines.rs
@@ -14,8 +14,7 @@
 /// How an entry that decides by itself picks a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LocalRule {
-    /// At random among targets where it has less than its limit in flight: the slots divided by the
-    /// number of entries, at least 1.
+    /// At random among targets where it has less in flight than the target's slots.
     Random,
     /// The target where it has the least in flight, at most the target's slots.
     LeastLoaded,
@@ -43,16 +42,11 @@
     /// Creates the admission with seeded randomness.
     #[must_use]
     pub fn new(rule: LocalRule, layout: &Layout, rng: StdRng) -> Self {
-        let count = u32::try_from(layout.entries.len()).unwrap_or(1);
-        let limit = |target: &TargetRecord| match rule {
-            LocalRule::Random => (u32::from(target.slots) / count).max(1),
-            LocalRule::LeastLoaded => u32::from(target.slots),
-        };
         let in_flight = vec![0; layout.targets.len()];
         let entry = || LocalEntry { in_flight: in_flight.clone(), ..LocalEntry::default() };
         Self {
             rule,
-            limits: layout.targets.iter().map(limit).collect(),
+            limits: layout.targets.iter().map(|target| target.slots.into()).collect(),
             queue_limit: usize::try_from(layout.profile.queue_limit).unwrap_or(usize::MAX),
             entries: layout.entries.iter().map(|_| entry()).collect(),
             rng,
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -115,6 +115,9 @@
     #[must_use]
     pub fn next_wake(&self) -> Instant {
         let mut wake = self.next_load;
+        if let Phase::Collecting(takeover) = &self.phase {
+            wake = wake.min(takeover.next_wake());
+        }
         let expiry = self.grants.next_expiry();
         let rested = self.targets.next_wake().filter(|_| !self.queue.is_empty());
         let witness = self.self_grants.next_wake();
--- a/crates/request/src/takeover.rs
+++ b/crates/request/src/takeover.rs
@@ -71,6 +71,12 @@
         ended && (self.awaited.is_empty() || now >= self.lease_ends + REPORT_WAIT)
     }
 
+    /// When the takeover next has something to do.
+    #[must_use]
+    pub fn next_wake(&self) -> Instant {
+        if self.awaited.is_empty() { self.lease_ends } else { self.next_ask }
+    }
+
     /// Entries whose grants are unknown.
     #[must_use]
     pub fn missing(&self) -> BTreeSet<InstanceId> {
--- a/crates/request/tests/dispatcher.rs
+++ b/crates/request/tests/dispatcher.rs
@@ -237,6 +237,19 @@
     assert_eq!(d.occupied(address(1)), 0);
 }
 
+/// Guards against granting while the earlier dispatcher may still grant, when all reports come early.
+#[test]
+fn early_reports_do_not_shorten_the_lease() {
+    let t = Instant::now();
+    for (at, granted) in [(ms(1_999), false), (ms(2_000), true)] {
+        let mut d = dispatcher(warm_profile(8), vec![target(1, 1)], t);
+        d.handle(t, takeover(t + ms(2_000), &[1], &[]));
+        d.handle(t, report(1, Vec::new()));
+        let actions = d.handle(t + at, acquire(1, Priority::High, ms(5_000)));
+        assert_eq!(!answers(&actions).is_empty(), granted, "after {at:?}");
+    }
+}
+
 /// Guards against counting an adopted grant for ever when its release overtakes the report.
 #[test]
 fn a_release_that_overtakes_the_report_counts() {
