Drive the packet side and planned stops of entries

Cause: the flow core needs sockets, tables from the declarations and the live entries; a stopping entry has to hand over before it ends. Change: a UDP socket with packet threads, return path by the target's address, frames between entries, a notice of planned stops, witnesses and restarted entries for dispatchers. Targets of the own domain that are announced but not declared keep their flows, so that a healed partition breaks none. Conclusion: all three sides of an entry share one state.

--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -16,7 +16,7 @@
     let records = match command {
         Command::Targets(batch) => batch.upserts.len() + batch.removals.len(),
         Command::Voters(voters) => voters.len(),
-        Command::Noop | Command::Publish(_) => 1,
+        Command::Noop | Command::Publish(_) | Command::OpenRegister => 1,
     };
     (records + 1) * APPROXIMATE_RECORD_BYTES
 }
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -442,7 +442,7 @@
                     self.counts.merge(from, &report);
                 }
             }
-            Topic::Flow | Topic::Request => {
+            Topic::Flow | Topic::Request | Topic::Lifecycle => {
                 let reason = format!("{} messages are for entries", envelope.topic);
                 return Err(WireError::BadFrame(reason));
             }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -4,11 +4,13 @@
 use crate::context::{Context, lock};
 use crate::entry_counts::EntryCounts;
 use crate::entry_keys::Keys;
+use crate::entry_packets::Packets;
 use crate::entry_requests::Requests;
 use crate::entry_roles::Roles;
 use crate::entry_view::View;
 use crate::peers;
 use crate::upstream::Pool;
+use comfreyhold_flow::{Frame, Peer, PeerState};
 use comfreyhold_membership::counters::CounterMessage;
 use comfreyhold_membership::detector::{self, Change, Detector, DetectorMessage};
 use comfreyhold_membership::installer::{InstallAction, Installer};
@@ -23,6 +25,7 @@
 use comfreyhold_wire::envelope::{Envelope, Topic, decode_body};
 use comfreyhold_wire::error::WireError;
 use comfreyhold_wire::transport::Inbox;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -33,16 +36,23 @@
 /// themselves to another entry: the default lease of targets.
 const ENTRY_LOST_DELAY: Duration = Duration::from_secs(3);
 
+/// Time between two notices of a stopping entry.
+const NOTICE_INTERVAL: Duration = Duration::from_millis(200);
+
 struct Members {
     detector: Detector,
     registry: Registry,
     installer: Installer,
     lost_entries: BTreeMap<InstanceId, Instant>,
     left: BTreeSet<InstanceId>,
+    leaving: BTreeSet<InstanceId>,
+    restarted: BTreeMap<InstanceId, Instant>,
     /// Last announcement of each target taken in here.
     sequences: BTreeMap<SocketAddr, (Incarnation, u64)>,
     /// Whether this process saw the idempotency register before it was opened.
     seen_closed: bool,
+    /// When a stopping entry tells the others again.
+    next_notice: Option<Instant>,
     /// Whether something changed that the request and packet sides must know.
     changed: bool,
 }
@@ -59,11 +69,20 @@
     pub counts: EntryCounts,
     /// Connections to targets.
     pub pool: Pool,
+    /// The packet side.
+    pub packets: Arc<Packets>,
     members: Mutex<Members>,
     view: RwLock<Arc<View>>,
     stopping: AtomicBool,
 }
 
+/// Messages between entries about planned stops.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LifecycleMessage {
+    /// The sender has ended its dispatchers and stops once its requests have ended.
+    Leaving,
+}
+
 /// State of an entry for operators.
 #[derive(Clone, Debug)]
 pub struct EntryStatus {
@@ -98,8 +117,11 @@
             installer: Installer::new(now, cx.instance(), neighbours, cx.seed(2)),
             lost_entries: BTreeMap::new(),
             left: BTreeSet::new(),
+            leaving: BTreeSet::new(),
+            restarted: BTreeMap::new(),
             sequences: BTreeMap::new(),
             seen_closed: false,
+            next_notice: None,
             changed: true,
         };
         Arc::new(Self {
@@ -107,6 +129,7 @@
             keys: Keys::new(Arc::clone(&cx)),
             counts: EntryCounts::new(Arc::clone(&cx)),
             pool: Pool::default(),
+            packets: Arc::new(Packets::new(Arc::clone(&cx))),
             members: Mutex::new(members),
             view: RwLock::default(),
             stopping: AtomicBool::new(false),
@@ -180,10 +203,27 @@
         Ok(())
     }
 
-    /// Begins the graceful stop: nothing new is taken, and the dispatchers of this entry end.
+    /// Begins the graceful stop: nothing new is taken, the dispatchers of this entry end, and the other
+    /// entries take over its roles while it still answers.
     pub fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Release);
         self.requests.stop_dispatching();
+        let mut members = lock(&self.members);
+        members.leaving.insert(self.cx.instance());
+        members.changed = true;
+        self.refresh(&mut members);
+    }
+
+    /// Tells the other entries that this one is leaving. Repeated, since messages may get lost.
+    fn announce_stop(&self, members: &mut Members, now: Instant) {
+        if !self.is_stopping() || members.next_notice.is_some_and(|at| now < at) {
+            return;
+        }
+        members.next_notice = Some(now + NOTICE_INTERVAL);
+        let entries = self.cx.settings.with_role(crate::settings::Role::Entry);
+        for to in entries.into_keys().filter(|id| *id != self.cx.instance()) {
+            self.cx.send(to, Topic::Lifecycle, &LifecycleMessage::Leaving);
+        }
     }
 
     /// Tells the others that this entry is gone. Comes after its last request has ended, so that a new
@@ -208,8 +248,10 @@
         self.on_registry(&mut members, actions);
         self.drop_lost_entries(&mut members, now);
         self.start_keys(&mut members, now);
+        self.announce_stop(&mut members, now);
         self.refresh(&mut members);
         drop(members);
+        self.packets.tick();
         self.requests.tick();
         self.keys.tick();
         self.counts.tick();
@@ -262,12 +304,19 @@
             Change::Alive | Change::Restarted => {
                 members.lost_entries.remove(&id);
                 members.left.remove(&id);
+                if change == Change::Restarted {
+                    members.leaving.remove(&id);
+                    members.restarted.insert(id, self.cx.now());
+                    self.requests.entry_restarted(id);
+                }
             }
             Change::Dead => {
+                members.leaving.remove(&id);
                 members.lost_entries.insert(id, self.cx.now() + ENTRY_LOST_DELAY);
             }
             Change::Left => {
                 members.left.insert(id);
+                members.leaving.remove(&id);
                 members.lost_entries.insert(id, self.cx.now() + ENTRY_LOST_DELAY);
             }
             Change::Suspected => {}
@@ -281,11 +330,28 @@
                 RegistryAction::Changed(kind, target) => {
                     members.changed = true;
                     peers::record_target(&self.cx, kind, &target);
+                    self.end_old_flows(members, kind, &target);
                 }
             }
         }
     }
 
+    /// Ends flows that a target can no longer have: those of an earlier start, or of another service
+    /// that had the address before. An isolated entry also ends those of a lost target.
+    fn end_old_flows(&self, members: &Members, kind: EventKind, target: &TargetRecord) {
+        let isolated = !members.installer.has_lease(self.cx.now());
+        match kind {
+            EventKind::TargetLost if isolated => {
+                self.packets.target_lost(target.address, target.incarnation);
+            }
+            EventKind::TargetJoined => {
+                let earlier = Incarnation(target.incarnation.0.saturating_sub(1));
+                self.packets.target_lost(target.address, earlier);
+            }
+            _ => {}
+        }
+    }
+
     fn on_installer(&self, members: &mut Members, actions: Vec<InstallAction>) {
         for action in actions {
             match action {
@@ -298,10 +364,12 @@
                 InstallAction::Recovered => members.changed = true,
                 InstallAction::LeaseRegained => {
                     members.changed = true;
+                    self.packets.set_isolated(false);
                     self.cx.record(EventKind::LeaseRegained, &[]);
                 }
                 InstallAction::LeaseLost => {
                     members.changed = true;
+                    self.packets.set_isolated(true);
                     self.cx.record(EventKind::LeaseLost, &[]);
                 }
             }
@@ -310,6 +378,7 @@
 
     fn on_activate(&self, members: &mut Members, state: &Arc<Declarations>) {
         members.changed = true;
+        self.packets.activate(state.revision);
         self.cx.set_position(members.installer.term(), state.revision);
         metrics::gauge!("comfreyhold_revision").set(state.revision.0 as f64);
         self.cx.record(EventKind::Activated, &[("revision", state.revision.0.to_string())]);
@@ -335,10 +404,12 @@
         }
         let roles = self.roles(members);
         let declared = Arc::clone(members.installer.active());
-        let view = Arc::new(View::new(declared, members.registry.targets().iter()));
+        let announced = members.registry.targets().iter();
+        let view = Arc::new(View::new(declared, announced, roles.isolated));
         *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::clone(&view);
         members.registry.set_peers(registry_peers(&roles, members.installer.leader()));
         self.pool.retain(|target| view.has_target(target));
+        self.packets.set_peers(&flow_peers(&roles, members, self.cx.incarnation));
         self.requests.update(&roles, &view);
     }
 
@@ -350,8 +421,10 @@
         Roles {
             own: self.cx.instance(),
             own_domain: self.cx.member.domain,
+            leaving: members.leaving.iter().copied().filter(|id| live.contains_key(id)).collect(),
             live,
             left: members.left.clone(),
+            restarted: members.restarted.clone(),
             isolated: !members.installer.has_lease(self.cx.now()),
         }
     }
@@ -392,7 +465,16 @@
                 let message: CounterMessage = decode_body(&envelope.body)?;
                 self.counts.on_message(from, &message);
             }
-            Topic::Flow => {}
+            Topic::Flow => {
+                let frame: Frame = decode_body(&envelope.body)?;
+                self.packets.on_frame(from, frame);
+            }
+            Topic::Lifecycle => {
+                let LifecycleMessage::Leaving = decode_body(&envelope.body)?;
+                let mut members = lock(&self.members);
+                members.changed |= members.leaving.insert(from);
+                self.refresh(&mut members);
+            }
             Topic::Consensus => {
                 let reason = "consensus messages are for control daemons".to_owned();
                 return Err(WireError::BadFrame(reason));
@@ -417,6 +499,18 @@
     }
 }
 
+/// Live entries as the packet side sees them, in order.
+fn flow_peers(roles: &Roles, members: &Members, own: Incarnation) -> Vec<Peer> {
+    let starts: BTreeMap<InstanceId, Incarnation> =
+        members.detector.live().map(|member| (member.id, member.rank.incarnation)).collect();
+    let peer = |id: &InstanceId| Peer {
+        id: *id,
+        incarnation: starts.get(id).copied().unwrap_or(own),
+        state: if roles.leaving.contains(id) { PeerState::Leaving } else { PeerState::Serving },
+    };
+    roles.live.keys().map(peer).collect()
+}
+
 fn allowed_domains(cx: &Context) -> BTreeSet<DomainId> {
     let named = cx.settings.entry.as_ref().map(|entry| entry.allowed_domains.clone());
     let named = named.unwrap_or_default();
--- a/crates/daemon/src/entry_admin.rs
+++ b/crates/daemon/src/entry_admin.rs
@@ -46,7 +46,11 @@
         let status = self.entry.status();
         let (keys, keys_vote) = self.entry.keys.status();
         let (pools, granting) = self.entry.requests.dispatching();
+        let (flows, moving_slots, flows_synced) = self.entry.packets.status();
         let details = [
+            ("flows", flows.to_string()),
+            ("moving_slots", moving_slots.to_string()),
+            ("flows_synced", flows_synced.to_string()),
             ("leased", status.leased.to_string()),
             ("live", status.live.to_string()),
             ("open_requests", self.entry.requests.open().to_string()),
--- a/crates/daemon/src/entry_requests.rs
+++ b/crates/daemon/src/entry_requests.rs
@@ -48,6 +48,8 @@
     retry_rules: BTreeMap<ServiceId, RetryRule>,
     /// Targets last passed to each dispatcher.
     given: BTreeMap<Pool, Vec<TargetRecord>>,
+    /// Witness last named to each dispatcher.
+    witnesses: BTreeMap<Pool, Option<InstanceId>>,
     epoch: u64,
     /// Whether this entry takes the role of a dispatcher.
     dispatching: bool,
@@ -78,6 +80,7 @@
             waiting: BTreeMap::new(),
             retry_rules: BTreeMap::new(),
             given: BTreeMap::new(),
+            witnesses: BTreeMap::new(),
             epoch: 0,
             dispatching: true,
             roles: Roles::default(),
@@ -177,6 +180,7 @@
         self.dispatch_all(&mut core, |_| dispatcher::Event::Stop);
         core.dispatchers.clear();
         core.given.clear();
+        core.witnesses.clear();
         core.dispatching = false;
     }
 
@@ -232,6 +236,7 @@
             self.dispatch(core, pool, dispatcher::Event::Stop);
             core.dispatchers.remove(&pool);
             core.given.remove(&pool);
+            core.witnesses.remove(&pool);
         }
         if !core.dispatching {
             return;
@@ -251,6 +256,11 @@
         let targets = core.view.targets_of(pool);
         let Some(profile) = core.view.profile(pool.service).cloned() else { return };
         let state = core.view.domain_state(pool.domain);
+        let witness = core.roles.witness(pool);
+        if core.witnesses.get(&pool) != Some(&witness) {
+            core.witnesses.insert(pool, witness);
+            self.dispatch(core, pool, dispatcher::Event::Witness(witness));
+        }
         if core.given.get(&pool) != Some(&targets) {
             core.given.insert(pool, targets.clone());
             self.dispatch(core, pool, dispatcher::Event::Targets(targets));
@@ -269,12 +279,10 @@
         self.refresh_dispatcher(core, pool);
         // An entry that stopped gracefully has ended its dispatchers; any other may grant until its
         // lease ends.
-        let left = before.is_some_and(|id| core.roles.left.contains(&id));
-        let lease_ends = if left { now } else { now + FENCE };
-        let live: BTreeSet<InstanceId> = core.roles.live.keys().copied().collect();
-        let configured = self.cx.settings.with_role(crate::settings::Role::Entry);
-        let gone = |id: &InstanceId| !live.contains(id) && !core.roles.left.contains(id);
-        let failed = configured.into_keys().filter(gone).collect();
+        let handed_over = before.is_some_and(|id| core.roles.has_handed_over(id));
+        let lease_ends = if handed_over { now } else { now + FENCE };
+        let longest = core.view.profile(pool.service).map_or(Duration::ZERO, Profile::deadline);
+        let (live, failed) = self.grant_holders(&core.roles, now, longest);
         self.cx.record(
             EventKind::DispatcherTakeover,
             &[
@@ -287,13 +295,38 @@
         self.dispatch(core, pool, event);
     }
 
+    /// Entries to ask for their grants, and entries whose grants can't be known: those that are down and
+    /// those that restarted less than the longest deadline ago.
+    fn grant_holders(
+        &self,
+        roles: &Roles,
+        now: Instant,
+        longest: Duration,
+    ) -> (BTreeSet<InstanceId>, BTreeSet<InstanceId>) {
+        let restarted = |id: &InstanceId| {
+            roles.restarted.get(id).is_some_and(|at| now.saturating_duration_since(*at) < longest)
+        };
+        let configured = self.cx.settings.with_role(crate::settings::Role::Entry).into_keys();
+        let (live, rest): (BTreeSet<_>, BTreeSet<_>) =
+            configured.partition(|id| roles.live.contains_key(id) && !restarted(id));
+        let failed = rest.into_iter().filter(|id| !roles.left.contains(id)).collect();
+        (live, failed)
+    }
+
+    /// Entries restarted: grants of their former start are lost.
+    pub fn entry_restarted(&self, entry: InstanceId) {
+        let mut core = lock(&self.core);
+        self.dispatch_all(&mut core, |_| dispatcher::Event::EntryFailed(entry));
+    }
+
     fn route(&self, core: &mut Core, from: InstanceId, message: Message, work: &mut Work) {
         let now = self.cx.now();
         match &message {
             Message::Acquire { pool, .. }
             | Message::Release { pool, .. }
             | Message::Cancel { pool, .. }
-            | Message::HeldGrants { pool, .. } => {
+            | Message::HeldGrants { pool, .. }
+            | Message::Witnessed { pool, .. } => {
                 let pool = *pool;
                 match core.dispatchers.get_mut(&pool) {
                     Some(dispatcher) => {
@@ -320,6 +353,8 @@
             Message::Grant { .. }
             | Message::Refuse { .. }
             | Message::Released { .. }
+            | Message::Witness { .. }
+            | Message::Forget { .. }
             | Message::ReportGrants { .. } => {
                 let actions = core.client.handle(now, client::Event::Message(from, message));
                 self.queue_client(core, actions, work);
--- a/crates/daemon/src/entry_roles.rs
+++ b/crates/daemon/src/entry_roles.rs
@@ -6,6 +6,7 @@
 use siphasher::sip::SipHasher13;
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
+use std::time::Instant;
 
 /// The entries that a process counts with.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -16,13 +17,23 @@
     pub own_domain: DomainId,
     /// Live entries, this one included, with their failure domains.
     pub live: BTreeMap<InstanceId, DomainId>,
+    /// Live entries in a planned stop: they have ended their dispatchers and still finish requests.
+    pub leaving: BTreeSet<InstanceId>,
     /// Entries that stopped gracefully; they hold no lease and no grants.
     pub left: BTreeSet<InstanceId>,
+    /// When live entries were last found to have restarted.
+    pub restarted: BTreeMap<InstanceId, Instant>,
     /// Whether this entry's lease has expired.
     pub isolated: bool,
 }
 
 impl Roles {
+    /// Whether an entry has ended its dispatchers, so that a successor need not wait for its lease.
+    #[must_use]
+    pub fn has_handed_over(&self, id: InstanceId) -> bool {
+        self.leaving.contains(&id) || self.left.contains(&id)
+    }
+
     /// The dispatcher of each pool: the first in rendezvous order among the live entries of the pool's
     /// failure domain, or of all where that domain has none. An isolated entry has dispatchers for its
     /// own domain only.
@@ -36,13 +47,28 @@
         if self.isolated && pool.domain != self.own_domain {
             return None;
         }
-        let weight = |instance: &InstanceId| {
-            let mut hasher = SipHasher13::new();
-            (pool, instance).hash(&mut hasher);
-            hasher.finish()
-        };
-        let local = self.live.iter().filter(|(_, domain)| **domain == pool.domain);
+        let weight = |instance: &InstanceId| weight(pool, *instance);
+        let staying = || self.live.iter().filter(|(id, _)| !self.leaving.contains(id));
+        let local = staying().filter(|(_, domain)| **domain == pool.domain);
         let local = local.map(|(id, _)| *id).max_by_key(weight);
-        local.or_else(|| self.live.keys().copied().max_by_key(weight))
+        local.or_else(|| staying().map(|(id, _)| *id).max_by_key(weight))
+    }
+
+    /// The entry that records the grants which the dispatcher here gives to this entry itself: one of
+    /// another failure domain where possible, since a domain may fail as a whole.
+    #[must_use]
+    pub fn witness(&self, pool: Pool) -> Option<InstanceId> {
+        let others =
+            self.live.iter().filter(|(id, _)| **id != self.own && !self.leaving.contains(id));
+        let rank = |(id, domain): &(&InstanceId, &DomainId)| {
+            (**domain != self.own_domain, weight(pool, **id))
+        };
+        others.max_by_key(rank).map(|(id, _)| *id)
     }
 }
+
+fn weight(pool: Pool, instance: InstanceId) -> u64 {
+    let mut hasher = SipHasher13::new();
+    (pool, instance).hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/daemon/src/entry_run.rs
+++ b/crates/daemon/src/entry_run.rs
@@ -21,6 +21,9 @@
 /// Longest wait for requests in flight at a graceful stop; covers the longest default deadline.
 const DRAIN_LIMIT: Duration = Duration::from_secs(20);
 
+/// Time in which the other entries take over slots in transition from a stopping one.
+const HANDOVER: Duration = Duration::from_secs(3);
+
 /// Longest wait for the control instances to confirm the final counts.
 const FINAL_COUNT_LIMIT: Duration = Duration::from_secs(3);
 
@@ -62,6 +65,10 @@
     let http = process::into_tokio(process::bind(settings.http)?)?;
     let admin = process::into_tokio(process::bind(cx.member.admin)?)?;
     let in_flight = InFlight::default();
+    let packets = &entry.packets;
+    packets
+        .start(settings.packets, settings.packet_threads)
+        .with_context(|| format!("can't receive packets on {}", settings.packets))?;
     let (stop, stopped) = watch::channel(false);
     let callers = EntryHttp::new(Arc::clone(entry), in_flight.clone());
     let operators = EntryAdmin::new(Arc::clone(entry), metrics);
@@ -74,17 +81,24 @@
     entry.begin_stop();
     stop.send_replace(true);
     callers.await?;
+    let handed_over = tokio::time::sleep(HANDOVER);
     drain(entry, &in_flight).await;
+    handed_over.await;
+    finish(entry).await;
     operators.abort();
     Ok(())
 }
 
-/// Waits for the requests in flight, then hands over.
+/// Waits for the requests in flight.
 async fn drain(entry: &Arc<Entry>, in_flight: &InFlight) {
     if !in_flight.idle(DRAIN_LIMIT).await {
         log::warn!("{} requests are still in flight", in_flight.count());
         entry.requests.stop_waiting();
     }
+}
+
+/// Sends the final counts and leaves.
+async fn finish(entry: &Arc<Entry>) {
     entry.counts.stop();
     let confirmed = async {
         while !entry.counts.is_confirmed() {
--- a/crates/daemon/src/entry_view.rs
+++ b/crates/daemon/src/entry_view.rs
@@ -19,10 +19,12 @@
 
 impl View {
     /// Overlays the declared targets with the announced ones: a target that announced a newer state
-    /// counts with it at once, and one whose lease has ended everywhere is left out.
+    /// counts with it at once. Only the leader knows all hearings, so a target that no known entry hears
+    /// stays until the leader removes it; an isolated entry leaves it out by itself.
     pub fn new<'a>(
         declared: Arc<Declarations>,
         announced: impl Iterator<Item = &'a Announced>,
+        isolated: bool,
     ) -> Self {
         let mut targets = declared.targets.clone();
         for known in announced {
@@ -35,7 +37,7 @@
             }
             if known.is_heard() {
                 targets.insert(address, record.clone());
-            } else {
+            } else if isolated {
                 targets.remove(&address);
             }
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 mod entry_exchange;
 pub mod entry_http;
 pub mod entry_keys;
+pub mod entry_packets;
 pub mod entry_requests;
 pub mod entry_roles;
 pub mod entry_run;
--- a/crates/wire/src/envelope.rs
+++ b/crates/wire/src/envelope.rs
@@ -32,6 +32,8 @@
     Rollout = 6,
     /// Counters.
     Counters = 7,
+    /// Planned stops of entries.
+    Lifecycle = 8,
 }
 
 /// One message from one process to another.
