Move unwritten requests away from a domain that is out

Cause: a granted request that was not written yet was refused when its domain was taken out, though another domain could run it; isolation did not stop its write. Change: such grants are returned and the request asks elsewhere; written requests end with a separate event, so that a withdrawal time can be kept.

--- a/crates/request/src/client.rs
+++ b/crates/request/src/client.rs
@@ -124,7 +124,8 @@
     #[must_use]
     pub fn may_write(&mut self, now: Instant, attempt: AttemptId) -> bool {
         let Some(mut request) = self.take(attempt.request) else { return false };
-        let in_time = now < request.new.deadline;
+        let domain = request.stage.pool().domain;
+        let in_time = now < request.new.deadline && self.directory.domain_allowed(domain);
         let (stage, allowed) = match request.stage {
             Stage::Granted(granted) if granted.id == attempt && in_time => {
                 (Stage::Written(granted.written(now)), true)
@@ -167,6 +168,7 @@
             Event::Dispatchers(current) => self.on_dispatchers(now, &current, &mut out),
             Event::Isolated(isolated) => self.on_isolated(now, isolated, &mut out),
             Event::DomainsOut(domains) => self.on_domains_out(now, domains, &mut out),
+            Event::EndInFlight(domain) => self.on_end_in_flight(now, domain, &mut out),
             Event::Stopping => self.on_stopping(now, &mut out),
             Event::Tick => {}
         }
@@ -373,7 +375,7 @@
         Some(Action::Send(to, acquire))
     }
 
-    fn release(
+    pub(crate) fn release(
         &mut self,
         now: Instant,
         pool: Pool,
--- a/crates/request/src/client_event.rs
+++ b/crates/request/src/client_event.rs
@@ -43,8 +43,10 @@
     Dispatchers(BTreeMap<Pool, InstanceId>),
     /// Whether this entry's lease has expired.
     Isolated(bool),
-    /// Failure domains that operators took out.
+    /// Failure domains that operators took out. Requests not yet written move elsewhere.
     DomainsOut(BTreeSet<DomainId>),
+    /// Requests that still run in this domain end, at once or when the withdrawal time is over.
+    EndInFlight(DomainId),
     /// Graceful shutdown: queued requests end, granted ones finish.
     Stopping,
     /// Time has passed.
--- a/crates/request/src/open_request.rs
+++ b/crates/request/src/open_request.rs
@@ -62,6 +62,10 @@
         }
     }
 
+    pub fn is_written(&self) -> bool {
+        matches!(self, Self::Written(_))
+    }
+
     pub fn grant(&self) -> Option<GrantId> {
         match self {
             Self::Queued(..) => None,
