Drop what an entry heard before its restart

Cause: a restarted entry knows nothing of the targets it heard before, yet its old statements kept them declared for good; it also did not get what the others hear. Removing one line at a time showed three rules that no test covered. Change: registry and collector take note of a new incarnation, drop older hearings after the grace period and send the restarted peer everything again. Tests for this and for the three rules. Conclusion: a target outlives its entry's restart only if an entry hears it again.

--- a/crates/membership/src/collector.rs
+++ b/crates/membership/src/collector.rs
@@ -29,6 +29,7 @@
     started: Instant,
     map: TargetMap,
     lost_entries: BTreeMap<InstanceId, Instant>,
+    restarted: BTreeMap<InstanceId, (Incarnation, Instant)>,
     lost_targets: BTreeMap<SocketAddr, Instant>,
     proposed: Option<(Instant, TargetBatch)>,
 }
@@ -41,6 +42,7 @@
             started: now,
             map: TargetMap::default(),
             lost_entries: BTreeMap::new(),
+            restarted: BTreeMap::new(),
             lost_targets: BTreeMap::new(),
             proposed: None,
         }
@@ -65,6 +67,13 @@
         self.lost_entries.remove(&entry);
     }
 
+    /// Notes that an entry runs under a new incarnation: what its earlier starts heard no longer counts
+    /// after `ENTRY_GRACE`.
+    pub fn entry_restarted(&mut self, now: Instant, entry: InstanceId, incarnation: Incarnation) {
+        self.lost_entries.remove(&entry);
+        self.restarted.insert(entry, (incarnation, now + ENTRY_GRACE));
+    }
+
     /// The merged records.
     #[must_use]
     pub fn targets(&self) -> &TargetMap {
@@ -77,6 +86,11 @@
         if last.is_some_and(|last| now < last + BATCH_INTERVAL) {
             return None;
         }
+        for (entry, (incarnation, due)) in &self.restarted {
+            if *due <= now {
+                self.map.drop_hearings(*entry, Some(*incarnation));
+            }
+        }
         self.forget_lost(now);
         let batch = self.batch(now, declared);
         let is_empty = batch.upserts.is_empty() && batch.removals.is_empty();
--- a/crates/membership/src/registry.rs
+++ b/crates/membership/src/registry.rs
@@ -1,6 +1,7 @@
 //! Targets' announcements at an entry, their leases, and the exchange of changes with the entries of
 //! the same failure domain and the control leader.
 
+use crate::collector::ENTRY_GRACE;
 use crate::targets::{Announced, Hearing, TargetMap};
 use comfreyhold_types::prelude::*;
 use comfreyhold_types::profile::check_name;
@@ -116,6 +117,7 @@
     map: TargetMap,
     leases: BTreeMap<SocketAddr, Lease>,
     lost: BTreeMap<SocketAddr, Instant>,
+    restarted: BTreeMap<InstanceId, (Incarnation, Instant)>,
     peers: BTreeMap<InstanceId, Peer>,
     change: u64,
     out: Vec<RegistryAction>,
@@ -138,6 +140,7 @@
             map: TargetMap::default(),
             leases: BTreeMap::new(),
             lost: BTreeMap::new(),
+            restarted: BTreeMap::new(),
             peers: BTreeMap::new(),
             change: 0,
             out: Vec::new(),
@@ -159,8 +162,17 @@
         }
     }
 
-    /// Sends everything heard here again. Call it when the own lease is regained, since the leader may
-    /// have dropped what this entry reported before.
+    /// Notes that an entry runs under a new incarnation. It gets everything heard here again, and what
+    /// its earlier starts heard no longer counts after `ENTRY_GRACE`.
+    pub fn peer_restarted(&mut self, now: Instant, id: InstanceId, incarnation: Incarnation) {
+        self.restarted.insert(id, (incarnation, now + ENTRY_GRACE));
+        if let Some(peer) = self.peers.get_mut(&id) {
+            peer.pending.extend(self.leases.keys().map(|address| (*address, self.change)));
+        }
+    }
+
+    /// Sends everything heard here again. Call it when the own lease is regained and when a new term
+    /// begins, since the leader may not have what this entry reported before.
     pub fn resend_all(&mut self) {
         let held: Vec<SocketAddr> = self.leases.keys().copied().collect();
         held.into_iter().for_each(|address| self.mark_pending(address));
@@ -216,6 +228,7 @@
         let is_due = |(_, lease): &(&SocketAddr, &Lease)| lease.until <= now;
         let due: Vec<SocketAddr> = self.leases.iter().filter(is_due).map(|(a, _)| *a).collect();
         due.into_iter().for_each(|address| self.end_lease(now, address));
+        self.drop_restarted(now);
         self.forget_lost(now);
         self.share(now);
         std::mem::take(&mut self.out)
@@ -231,22 +244,9 @@
     }
 
     /// Drops the hearings of an entry that was found dead or isolated. Its targets have one lease to
-    /// announce themselves elsewhere; call this that much later than the finding.
+    /// announce themselves elsewhere; call this `ENTRY_GRACE` later than the finding.
     pub fn entry_lost(&mut self, now: Instant, entry: InstanceId) -> Vec<RegistryAction> {
-        let heard: Vec<Announced> = self.map.iter().cloned().collect();
-        for mut announced in heard {
-            let was_heard = announced.is_heard();
-            let Some(hearing) = announced.heard_by.get_mut(&entry) else { continue };
-            hearing.hears = false;
-            let address = announced.record.address;
-            self.map.retain(|known| known.record.address != address);
-            self.map.merge_one(&announced);
-            if was_heard && !announced.is_heard() {
-                self.lost.insert(address, now);
-                let action = RegistryAction::Changed(EventKind::TargetLost, announced.record);
-                self.out.push(action);
-            }
-        }
+        self.drop_hearings(now, entry, None);
         std::mem::take(&mut self.out)
     }
 
@@ -269,6 +269,23 @@
         self.map.iter().filter(usable).map(|known| &known.record)
     }
 
+    fn drop_hearings(&mut self, now: Instant, entry: InstanceId, before: Option<Incarnation>) {
+        for record in self.map.drop_hearings(entry, before) {
+            self.lost.insert(record.address, now);
+            self.out.push(RegistryAction::Changed(EventKind::TargetLost, record));
+        }
+    }
+
+    /// Also repeated after later merges: other entries may pass on what they have not dropped yet.
+    fn drop_restarted(&mut self, now: Instant) {
+        let is_due = |(_, (_, due)): &(&InstanceId, &(Incarnation, Instant))| *due <= now;
+        let due = self.restarted.iter().filter(is_due);
+        let due: Vec<_> = due.map(|(entry, (incarnation, _))| (*entry, *incarnation)).collect();
+        for (entry, incarnation) in due {
+            self.drop_hearings(now, entry, Some(incarnation));
+        }
+    }
+
     fn check(
         &self,
         announcement: &Announcement,
--- a/crates/membership/src/targets.rs
+++ b/crates/membership/src/targets.rs
@@ -100,6 +100,28 @@
         }
     }
 
+    /// Marks targets as no longer heard by an entry, or by its starts before an incarnation. Returns
+    /// the targets that nobody hears any more. The mark is local: a later statement of the entry
+    /// replaces it.
+    pub fn drop_hearings(
+        &mut self,
+        entry: InstanceId,
+        before: Option<Incarnation>,
+    ) -> Vec<TargetRecord> {
+        let mut lost = Vec::new();
+        for announced in self.targets.values_mut() {
+            let hearing = announced.heard_by.get_mut(&entry).filter(|hearing| {
+                hearing.hears && before.is_none_or(|before| hearing.version.0 < before)
+            });
+            let Some(hearing) = hearing else { continue };
+            hearing.hears = false;
+            if !announced.is_heard() {
+                lost.push(announced.record.clone());
+            }
+        }
+        lost
+    }
+
     /// Forgets targets for which `keep` returns false.
     pub fn retain(&mut self, mut keep: impl FnMut(&Announced) -> bool) {
         self.targets.retain(|_, announced| keep(announced));
--- a/crates/membership/tests/detector.rs
+++ b/crates/membership/tests/detector.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use comfreyhold_membership::detector::{Action, Change, Detector, DetectorMessage};
+use comfreyhold_membership::detector::{Action, Change, Detector, DetectorBody, DetectorMessage};
 use comfreyhold_membership::members::{MemberState, Role, Update};
 use comfreyhold_types::prelude::*;
 use rand::RngExt;
@@ -172,6 +172,36 @@
     }
 }
 
+/// Guards against a member being removed on the word of another one while it was heard here lately.
+#[test]
+fn reported_death_of_a_member_heard_lately_is_a_suspicion() {
+    let mut group = Group::new(11, 3, loss(0.0));
+    group.run(5_000);
+    let (now, reporter, id) = (group.now, InstanceId(2), InstanceId(3));
+    let sender = group.members[&reporter].own();
+    let dead = Update { state: MemberState::Dead, ..group.members[&id].own() };
+    let body = DetectorBody::Sync { want: false };
+    let message = DetectorMessage { sender, updates: vec![dead], body };
+    let member = group.members.get_mut(&InstanceId(1)).unwrap();
+    let actions = member.on_message(now, reporter, message);
+    let expected = Update { state: MemberState::Suspect, ..dead };
+    assert_eq!(actions, [Action::Changed { change: Change::Suspected, member: expected }]);
+    group.run(5_000);
+    assert!(group.deaths().is_empty() && group.all_see_all());
+}
+
+/// Guards against a member being suspected while its messages arrive, because the way back is cut.
+#[test]
+fn member_that_is_heard_is_not_suspected() {
+    let mut group = Group::new(12, 2, loss(0.0));
+    group.run(5_000);
+    let (hearing, cut_off) = (InstanceId(1), InstanceId(2));
+    group.net.cuts.insert((hearing, cut_off));
+    group.changes.clear();
+    group.run(2_000);
+    assert!(group.changes.iter().all(|(by, _, _)| *by != hearing), "{:?}", group.changes);
+}
+
 /// Guards against a restarted member being mistaken for the old start, or refuted by it.
 #[test]
 fn restart_replaces_the_older_start() {
--- a/crates/membership/tests/registry.rs
+++ b/crates/membership/tests/registry.rs
@@ -239,6 +239,62 @@
     assert_eq!(declared, [moved.record.address]);
 }
 
+impl Exchange {
+    /// Replaces an entry by a new start and tells the others, as the failure detector would.
+    fn restart(&mut self, id: InstanceId, incarnation: Incarnation) {
+        let mut fresh = Registry::new((id, incarnation), DomainId(1), [DomainId(1)]);
+        fresh.set_peers([InstanceId(1), InstanceId(2), InstanceId(3), LEADER]);
+        self.entries.insert(id, fresh);
+        for registry in self.entries.values_mut() {
+            registry.peer_restarted(self.now, id, incarnation);
+        }
+        self.collector.entry_restarted(self.now, id, incarnation);
+    }
+}
+
+/// Guards against a target staying declared because the entry that heard it restarted and knows
+/// nothing of it, and against a restarted entry not learning what the others hear.
+#[test]
+fn restarted_entry_no_longer_vouches_for_targets() {
+    let mut exchange = Exchange::new(4, Faults::default());
+    let silent = Announcement { lease_ms: 60_000, ..announcement(1, 5) };
+    let kept = Announcement { lease_ms: 60_000, ..announcement(2, 5) };
+    let elsewhere = Announcement { lease_ms: 60_000, ..announcement(3, 5) };
+    exchange.announce(1, &silent);
+    exchange.announce(1, &kept);
+    exchange.announce(2, &elsewhere);
+    exchange.run(2_500);
+    exchange.restart(InstanceId(1), Incarnation(2));
+    exchange.run(1_000);
+    exchange.announce(1, &kept);
+    exchange.run(8_000);
+    let expected = [kept.record.address, elsewhere.record.address];
+    let declared: Vec<_> = exchange.state.targets.keys().copied().collect();
+    assert_eq!(declared, expected);
+    for registry in exchange.entries.values() {
+        let heard = registry.targets().iter().filter(|known| known.is_heard());
+        let heard: Vec<_> = heard.map(|known| known.record.address).collect();
+        assert_eq!(heard, expected);
+    }
+}
+
+/// Guards against an entry vouching for a target on the word of its own earlier start.
+#[test]
+fn restarted_entry_corrects_what_others_say_about_it() {
+    let mut exchange = Exchange::new(5, Faults::default());
+    let target = announcement(1, 5);
+    exchange.announce(1, &Announcement { lease_ms: 60_000, ..target.clone() });
+    exchange.announce(2, &target);
+    exchange.run(2_500);
+    let fresh = Registry::new((InstanceId(1), Incarnation(2)), DomainId(1), [DomainId(1)]);
+    exchange.entries.insert(InstanceId(1), fresh);
+    let peers = [InstanceId(2), InstanceId(3), LEADER];
+    exchange.entries.get_mut(&InstanceId(1)).unwrap().set_peers(peers);
+    exchange.entries.get_mut(&InstanceId(2)).unwrap().resend_all();
+    exchange.run(6_000);
+    assert!(exchange.state.targets.is_empty());
+}
+
 /// Guards against more than one batch per second, and against a batch without a change.
 #[test]
 fn batches_come_at_most_once_a_second() {
