Prepare packet tables before confirming; gather targets with the collector

Change: the prepare is passed on; the leader uses the membership collector in place of a second implementation here; requests in flight in a withdrawn domain end after the time that their profile gives them.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -3,17 +3,17 @@
 
 use crate::context::{Context, lock};
 use crate::control_counts::CountStore;
-use crate::control_targets::TargetWatch;
 use crate::settings::Role;
 use comfreyhold_consensus::durable::Batch;
 use comfreyhold_consensus::message::Message as LogMessage;
 use comfreyhold_consensus::node::{Action, Event, Node, RequestId, Status};
+use comfreyhold_membership::collector::Collector;
 use comfreyhold_membership::counters::CounterMessage;
 use comfreyhold_membership::detector::{self, Change, Detector, DetectorMessage};
 use comfreyhold_membership::effects::EffectRecord;
-use comfreyhold_membership::members::Role as MemberRole;
+use comfreyhold_membership::members::{Role as MemberRole, Update};
 use comfreyhold_membership::messages::InstallMessage;
-use comfreyhold_membership::registry::{RegistryAction, RegistryMessage};
+use comfreyhold_membership::registry::RegistryMessage;
 use comfreyhold_membership::rollout::{Rollout, RolloutAction};
 use comfreyhold_request::keys::{SHARDS, ShardMap};
 use comfreyhold_types::declarations::{Outcome, Voter};
@@ -66,7 +66,8 @@
     /// Last revision passed on to the rollout.
     rolled: Revision,
     detector: Detector,
-    targets: TargetWatch,
+    /// Gathers the announced targets while this instance leads.
+    collector: Option<Collector>,
     proposals: BTreeMap<u64, oneshot::Sender<ProposalResult>>,
     next_request: u64,
     /// Whether this leader has proposed to open the idempotency register.
@@ -99,13 +100,12 @@
         let identity = (cx.instance(), cx.incarnation);
         let role = (MemberRole::Control, cx.member.domain);
         let detector = Detector::new(now, identity, role, seeds, cx.seed(1));
-        let targets = TargetWatch::new(&cx);
         let core = Core {
             node,
             rollout: None,
             rolled: Revision(0),
             detector,
-            targets,
+            collector: None,
             proposals: BTreeMap::new(),
             next_request: 1,
             register_proposed: false,
@@ -227,14 +227,12 @@
         self.follow_leadership(&mut core, now);
         if let Some(rollout) = core.rollout.as_mut() {
             let actions = rollout.tick(now);
-            self.on_rollout(actions);
+            self.on_rollout(&mut core, actions);
         }
         if now >= core.detector.next_wake() {
             let actions = core.detector.tick(now);
             self.on_detector(&mut core, actions);
         }
-        let actions = core.targets.tick(now);
-        self.on_registry(actions);
         self.propose_targets(&mut core, now);
         self.open_register(&mut core, now);
         drop(core);
@@ -276,6 +274,7 @@
             }
             Action::SteppedDown(term) => {
                 core.rollout = None;
+                core.collector = None;
                 self.cx.record(EventKind::LeaderSteppedDown, &[("term", term.0.to_string())]);
             }
         }
@@ -299,7 +298,7 @@
             }
             let now = self.cx.now();
             let actions = core.rollout.as_mut().map(|rollout| rollout.accepted(now, command));
-            self.on_rollout(actions.unwrap_or_default());
+            self.on_rollout(core, actions.unwrap_or_default());
         }
     }
 
@@ -310,18 +309,19 @@
         let outdated = core.rollout.as_ref().is_some_and(|rollout| rollout.term() != term);
         if outdated {
             core.rollout = None;
+            core.collector = None;
         }
         if leads && core.rollout.is_none() {
             let state = Arc::new(core.node.state().clone());
             core.rolled = state.revision;
             core.rollout = Some(Rollout::new(now, term, state, &self.entries));
-            core.targets.lead(now);
+            core.collector = Some(Collector::new(now));
             core.register_proposed = false;
             core.register_ready = None;
         }
     }
 
-    fn on_rollout(&self, actions: Vec<RolloutAction>) {
+    fn on_rollout(&self, core: &mut Core, actions: Vec<RolloutAction>) {
         for action in actions {
             match action {
                 RolloutAction::Send { to, message } => self.cx.send(to, Topic::Rollout, &message),
@@ -329,9 +329,15 @@
                     log::debug!("{revision} is in effect; missing: {missing:?}");
                 }
                 RolloutAction::Fenced(entry) => {
+                    if let Some(collector) = core.collector.as_mut() {
+                        collector.entry_lost(self.cx.now(), entry);
+                    }
                     self.cx.record(EventKind::LeaseLost, &[("entry", entry.to_string())]);
                 }
                 RolloutAction::Regained(entry) => {
+                    if let Some(collector) = core.collector.as_mut() {
+                        collector.entry_back(entry);
+                    }
                     self.cx.record(EventKind::LeaseRegained, &[("entry", entry.to_string())]);
                 }
                 RolloutAction::NewerTerm(term) => {
@@ -349,37 +355,17 @@
                 }
                 detector::Action::Changed { change, member } => {
                     crate::peers::record_change(&self.cx, change, &member);
-                    if matches!(change, Change::Dead | Change::Left) {
-                        core.targets.entry_lost(self.cx.now(), member.id);
-                    }
+                    note_entry(core, self.cx.now(), change, &member);
                 }
                 detector::Action::Superseded(newer) => crate::peers::superseded(&self.cx, newer),
             }
         }
     }
 
-    fn on_registry(&self, actions: Vec<RegistryAction>) {
-        for action in actions {
-            match action {
-                RegistryAction::Send { to, message } => self.cx.send(to, Topic::Registry, &message),
-                RegistryAction::Changed(kind, target) => {
-                    crate::peers::record_target(&self.cx, kind, &target);
-                }
-            }
-        }
-    }
-
     /// As leader, proposes the changes of the target set, at most one batch at a time.
     fn propose_targets(&self, core: &mut Core, now: Instant) {
-        if core.rollout.is_none() {
-            return;
-        }
-        let unreachable: Vec<InstanceId> =
-            core.rollout.iter().flat_map(|rollout| rollout.unreachable(now)).collect();
-        let reachable = |domain: DomainId| {
-            self.entries.iter().any(|(id, at)| *at == domain && !unreachable.contains(id))
-        };
-        let Some(batch) = core.targets.due_batch(now, core.node.state(), reachable) else { return };
+        let Some(collector) = core.collector.as_mut() else { return };
+        let Some(batch) = collector.tick(now, core.node.state()) else { return };
         let request = RequestId(core.next_request);
         core.next_request += 1;
         self.drive(core, Event::Propose { request, command: Command::Targets(batch) });
@@ -427,14 +413,16 @@
             }
             Topic::Registry => {
                 let message: RegistryMessage = decode_body(&envelope.body)?;
-                let actions = core.targets.on_message(now, from, message);
-                self.on_registry(actions);
+                let reply = core.collector.as_mut().and_then(|c| c.on_message(&message));
+                if let Some(reply) = reply {
+                    self.cx.send(from, Topic::Registry, &reply);
+                }
             }
             Topic::Rollout => {
                 let message: InstallMessage = decode_body(&envelope.body)?;
                 let rollout = core.rollout.as_mut();
                 let actions = rollout.map(|rollout| rollout.on_message(now, from, message));
-                self.on_rollout(actions.unwrap_or_default());
+                self.on_rollout(&mut core, actions.unwrap_or_default());
             }
             Topic::Counters => {
                 let message: CounterMessage = decode_body(&envelope.body)?;
@@ -472,3 +460,16 @@
         let _ = waiting.send(result);
     }
 }
+
+/// Tells the collector which entries it can count on.
+fn note_entry(core: &mut Core, now: Instant, change: Change, member: &Update) {
+    let Some(collector) = core.collector.as_mut() else { return };
+    match change {
+        Change::Dead | Change::Left => collector.entry_lost(now, member.id),
+        Change::Alive => collector.entry_back(member.id),
+        Change::Restarted => {
+            collector.entry_restarted(now, member.id, member.rank.incarnation);
+        }
+        Change::Suspected => {}
+    }
+}
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -11,6 +11,7 @@
 use crate::peers;
 use crate::upstream::Pool;
 use comfreyhold_flow::{Frame, Peer, PeerState};
+use comfreyhold_membership::collector::ENTRY_GRACE;
 use comfreyhold_membership::counters::CounterMessage;
 use comfreyhold_membership::detector::{self, Change, Detector, DetectorMessage};
 use comfreyhold_membership::installer::{InstallAction, Installer};
@@ -32,10 +33,6 @@
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
-/// A dead entry's hearings of targets are dropped this much later, so that its targets can announce
-/// themselves to another entry: the default lease of targets.
-const ENTRY_LOST_DELAY: Duration = Duration::from_secs(3);
-
 /// Time between two notices of a stopping entry.
 const NOTICE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -53,6 +50,8 @@
     seen_closed: bool,
     /// When a stopping entry tells the others again.
     next_notice: Option<Instant>,
+    /// Term whose leader was sent all announced targets.
+    reported_term: Term,
     /// Whether something changed that the request and packet sides must know.
     changed: bool,
 }
@@ -122,6 +121,7 @@
             sequences: BTreeMap::new(),
             seen_closed: false,
             next_notice: None,
+            reported_term: Term(0),
             changed: true,
         };
         Arc::new(Self {
@@ -291,14 +291,20 @@
                 }
                 detector::Action::Changed { change, member } => {
                     peers::record_change(&self.cx, change, &member);
-                    self.on_change(members, change, member.id);
+                    self.on_change(members, change, member.id, member.rank.incarnation);
                 }
                 detector::Action::Superseded(newer) => peers::superseded(&self.cx, newer),
             }
         }
     }
 
-    fn on_change(&self, members: &mut Members, change: Change, id: InstanceId) {
+    fn on_change(
+        &self,
+        members: &mut Members,
+        change: Change,
+        id: InstanceId,
+        incarnation: Incarnation,
+    ) {
         members.changed = true;
         match change {
             Change::Alive | Change::Restarted => {
@@ -308,16 +314,17 @@
                     members.leaving.remove(&id);
                     members.restarted.insert(id, self.cx.now());
                     self.requests.entry_restarted(id);
+                    members.registry.peer_restarted(self.cx.now(), id, incarnation);
                 }
             }
             Change::Dead => {
                 members.leaving.remove(&id);
-                members.lost_entries.insert(id, self.cx.now() + ENTRY_LOST_DELAY);
+                members.lost_entries.insert(id, self.cx.now() + ENTRY_GRACE);
             }
             Change::Left => {
                 members.left.insert(id);
                 members.leaving.remove(&id);
-                members.lost_entries.insert(id, self.cx.now() + ENTRY_LOST_DELAY);
+                members.lost_entries.insert(id, self.cx.now() + ENTRY_GRACE);
             }
             Change::Suspected => {}
         }
@@ -357,6 +364,8 @@
             match action {
                 InstallAction::Send { to, message } => self.cx.send(to, Topic::Rollout, &message),
                 InstallAction::Prepare(state) => {
+                    let kept = members.registry.isolated_targets();
+                    self.packets.prepare(&state, kept);
                     self.cx
                         .record(EventKind::Prepared, &[("revision", state.revision.0.to_string())]);
                 }
@@ -364,6 +373,7 @@
                 InstallAction::Recovered => members.changed = true,
                 InstallAction::LeaseRegained => {
                     members.changed = true;
+                    members.registry.resend_all();
                     self.packets.set_isolated(false);
                     self.cx.record(EventKind::LeaseRegained, &[]);
                 }
@@ -403,6 +413,10 @@
             return;
         }
         let roles = self.roles(members);
+        let term = members.installer.term();
+        if std::mem::replace(&mut members.reported_term, term) != term {
+            members.registry.resend_all();
+        }
         let declared = Arc::clone(members.installer.active());
         let announced = members.registry.targets().iter();
         let view = Arc::new(View::new(declared, announced, roles.isolated));
--- a/crates/daemon/src/entry_requests.rs
+++ b/crates/daemon/src/entry_requests.rs
@@ -50,6 +50,8 @@
     given: BTreeMap<Pool, Vec<TargetRecord>>,
     /// Witness last named to each dispatcher.
     witnesses: BTreeMap<Pool, Option<InstanceId>>,
+    /// When requests in flight end in domains that are out; `None` once they have.
+    withdrawals: BTreeMap<DomainId, Option<Instant>>,
     epoch: u64,
     /// Whether this entry takes the role of a dispatcher.
     dispatching: bool,
@@ -81,6 +83,7 @@
             retry_rules: BTreeMap::new(),
             given: BTreeMap::new(),
             witnesses: BTreeMap::new(),
+            withdrawals: BTreeMap::new(),
             epoch: 0,
             dispatching: true,
             roles: Roles::default(),
@@ -144,6 +147,7 @@
             let actions = core.client.handle(now, client::Event::Tick);
             self.on_client(&mut core, actions);
         }
+        self.end_withdrawn(&mut core, now);
         let due = core.dispatchers.iter().filter(|(_, d)| d.next_wake() <= now);
         let due: Vec<Pool> = due.map(|(pool, _)| *pool).collect();
         for pool in due {
@@ -163,6 +167,7 @@
         for entry in old_live.keys().filter(|id| !roles.live.contains_key(id)) {
             self.dispatch_all(&mut core, |_| dispatcher::Event::EntryFailed(*entry));
         }
+        self.schedule_withdrawals(&mut core, now);
         let events = [
             client::Event::Isolated(roles.isolated),
             client::Event::DomainsOut(view.domains_out()),
@@ -202,6 +207,32 @@
         (core.dispatchers.len(), core.dispatchers.values().filter(|d| d.is_active()).count())
     }
 
+    /// Sets when the requests in flight end in domains that were taken out: at once, or after the time
+    /// that the profiles give them to finish.
+    fn schedule_withdrawals(&self, core: &mut Core, now: Instant) {
+        let out = core.view.domains_out();
+        core.withdrawals.retain(|domain, _| out.contains(domain));
+        let limit = core.view.withdrawal_limit();
+        for domain in out {
+            core.withdrawals.entry(domain).or_insert(Some(now + limit));
+        }
+    }
+
+    fn end_withdrawn(&self, core: &mut Core, now: Instant) {
+        let is_due = |at: &Option<Instant>| at.is_some_and(|at| at <= now);
+        let due = core.withdrawals.iter_mut().filter(|(_, at)| is_due(at));
+        let due: Vec<DomainId> = due
+            .map(|(domain, at)| {
+                *at = None;
+                *domain
+            })
+            .collect();
+        for domain in due {
+            let actions = core.client.handle(now, client::Event::EndInFlight(domain));
+            self.on_client(core, actions);
+        }
+    }
+
     fn update_budgets(&self, core: &mut Core, now: Instant) {
         let view = Arc::clone(&core.view);
         for (service, profile) in view.profiles() {
--- a/crates/daemon/src/entry_view.rs
+++ b/crates/daemon/src/entry_view.rs
@@ -5,9 +5,11 @@
 use comfreyhold_request::message::Pool;
 use comfreyhold_types::declarations::DomainState;
 use comfreyhold_types::prelude::*;
+use comfreyhold_types::profile::WithdrawalRule;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Declarations and targets as used for requests.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -110,6 +112,15 @@
         marked.filter(|(_, state)| **state == DomainState::Out).map(|(id, _)| *id).collect()
     }
 
+    /// Longest time that a profile gives requests in flight to finish in a domain that is taken out.
+    #[must_use]
+    pub fn withdrawal_limit(&self) -> Duration {
+        let finishing =
+            self.profiles().filter(|(_, p)| p.withdrawal == WithdrawalRule::FinishRequests);
+        let longest = finishing.map(|(_, profile)| profile.withdrawal_ms).max();
+        Duration::from_millis(longest.unwrap_or(0))
+    }
+
     /// Whether operators let a failure domain take traffic.
     #[must_use]
     pub fn domain_state(&self, domain: DomainId) -> DomainState {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,7 +7,6 @@
 pub mod control_api;
 pub mod control_counts;
 pub mod control_run;
-pub mod control_targets;
 pub mod entry;
 pub mod entry_admin;
 mod entry_body;
