Bound prepared versions and check the budget of reports

Cause: versions that are prepared and never activated were kept without bound, and no test showed that reports keep to 3,000 bytes per second. Change: at most 16 prepared versions are kept; a test counts the bytes that a node reports over 12 seconds with 20,000 flows. Conclusion: the budget holds, up to the size of one tick's batch.

--- a/crates/flow/examples/harness/mod.rs
+++ b/crates/flow/examples/harness/mod.rs
@@ -278,10 +278,8 @@
     }
 
     fn send_due(&mut self) {
-        while let Some((at, flow)) =
-            self.retry.front().copied().filter(|(at, _)| *at <= self.now_ms)
+        while let Some((_, flow)) = self.retry.front().copied().filter(|(at, _)| *at <= self.now_ms)
         {
-            debug_assert!(at <= self.now_ms);
             self.retry.pop_front();
             self.send(flow);
         }
--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -16,6 +16,10 @@
 use std::time::Instant;
 use thiserror::Error;
 
+/// Most versions that are prepared and not in force. Activating an older one is then refused as not
+/// prepared; its slots stay in transition, so no flow is lost by it.
+const MAX_PREPARED: usize = 16;
+
 /// Why an event is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum ControlError {
@@ -325,6 +329,9 @@
             tables.insert(service.service, computed);
         }
         control.prepared.insert(version, Prepared { sets: sets.clone(), tables });
+        while control.prepared.len() > MAX_PREPARED {
+            control.prepared.pop_first();
+        }
         control.set_next();
         control.scan = Some(0);
         control.pending.clear();
--- a/crates/flow/tests/node.rs
+++ b/crates/flow/tests/node.rs
@@ -4,8 +4,8 @@
 
 use comfreyhold_flow::targets::TargetKey;
 use comfreyhold_flow::{
-    Action, DropReason, FiveTuple, FlowNode, NodeSettings, Outgoing, Packet, Peer, PeerState,
-    Protocol, SLOTS_PER_SERVICE, ServiceTargets, SlotTable, TargetSets, TargetSpec,
+    Action, DropReason, FiveTuple, FlowNode, Frame, Message, NodeSettings, Outgoing, Packet, Peer,
+    PeerState, Protocol, SLOTS_PER_SERVICE, ServiceTargets, SlotTable, TargetSets, TargetSpec,
 };
 use comfreyhold_types::keys::{DomainId, Incarnation, InstanceId, Revision, ServiceId};
 use comfreyhold_types::target::TargetState;
@@ -59,11 +59,15 @@
 
 impl Fixture {
     fn new(sets: &TargetSets) -> Self {
+        Self::with_room(sets, 640)
+    }
+
+    fn with_room(sets: &TargetSets, max_flows: usize) -> Self {
         let settings = NodeSettings {
             me: InstanceId(1),
             domain: DomainId(0),
             hash_key: (3, 4),
-            max_flows: 640,
+            max_flows,
             seed: 1,
         };
         let now = Instant::now();
@@ -181,6 +185,57 @@
     assert_eq!(fixture.node.stats().flows, 0);
 }
 
+/// Guards against reports that take more than the bytes set aside for them.
+#[test]
+fn reports_keep_to_their_budget() {
+    let mut fixture = Fixture::with_room(&sets(vec![spec(0)], vec![]), 100_000);
+    let peer =
+        |id| Peer { id: InstanceId(id), incarnation: Incarnation(1), state: PeerState::Serving };
+    let (now, mut out) = (fixture.now, Vec::new());
+    for flow in 0..20_000 {
+        fixture.send(flow, true);
+    }
+    fixture.node.live_changed(&[peer(1), peer(2)], now, &mut out);
+    // The marker follows once the state before it is acknowledged.
+    let acks = out.iter().map(|sent| sent.frame.seq).collect();
+    fixture.node.message(InstanceId(2), &Frame { acks, ..Frame::default() }, now, &mut out);
+    fixture.node.tick(now, &mut out);
+    let marker = out.iter().find_map(|sent| match sent.frame.message {
+        Some(Message::Marker { view }) => Some(Message::Marker { view }),
+        _ => None,
+    });
+    let services = Vec::new();
+    let state = Message::State { synced: true, active: Revision(1), services };
+    for message in [state, marker.unwrap()] {
+        let frame = Frame { message: Some(message), ..Frame::default() };
+        fixture.node.message(InstanceId(2), &frame, now, &mut out);
+    }
+    fixture.install(2, &sets(vec![spec(0), spec(2)], vec![]));
+    let (mut total, mut flows) = (0, 0);
+    for second in 1..=12 {
+        for _ in 0..20 {
+            fixture.now += Duration::from_millis(50);
+            let mut out = Vec::new();
+            fixture.node.tick(fixture.now, &mut out);
+            for Outgoing { to, frame } in out {
+                let acks = vec![frame.seq];
+                fixture.node.message(
+                    to,
+                    &Frame { acks, ..Frame::default() },
+                    fixture.now,
+                    &mut Vec::new(),
+                );
+                let Some(Message::Pins { groups, .. }) = &frame.message else { continue };
+                flows += groups.iter().map(|group| group.flows.len()).sum::<usize>();
+                total += postcard::to_stdvec(&frame).unwrap().len();
+            }
+        }
+        // One tick's batch may go over the budget before it counts.
+        assert!(total <= 3_000 * (second + 1) + 4_200, "{total} bytes after {second} s");
+    }
+    assert!(flows > 3_000, "only {flows} flows were reported");
+}
+
 /// Guards against old or unprepared versions that take effect.
 #[test]
 fn versions_never_revert() {
