Ask the peers again when the first version comes after the live entries

Cause: an entry that heard of transitions before it had tables skipped them and took every slot for stable. The thread test removed a target while threads opened flows; such packets are deferred by design between prepare and activate, so the test failed in one run for a reason it did not mean. Change: an entry without a version is not synced, and asks again after its first activation; the thread test changes weights and now accepts nothing but placement.

--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -360,7 +360,11 @@
         if control.view.isolated {
             control.build_own_tables();
         }
+        if active == Revision(0) {
+            self.ask_again(&mut control);
+        }
         self.publish(&control);
+        self.try_ready(&mut control, now);
         Ok(())
     }
 
@@ -387,6 +391,14 @@
         }
     }
 
+    /// What peers told of slots before the first version was in force could not be taken in.
+    fn ask_again(&self, control: &mut Control) {
+        control.progress.values_mut().for_each(|progress| progress.state = None);
+        for peer in control.view.others() {
+            self.outbox().barrier(peer, Message::Sync);
+        }
+    }
+
     pub(crate) fn begin_pending_moves(&self, control: &mut Control, now: Instant) {
         control.begin_prepared_moves(self.stamp(now));
     }
--- a/crates/flow/src/decide.rs
+++ b/crates/flow/src/decide.rs
@@ -71,7 +71,8 @@
         self.decide(packet, Origin::FABRIC, now, out)
     }
 
-    /// Decides on a packet that came in [`Message::Forward`] from a peer.
+    /// Decides on a packet that came in [`Message::Forward`] from a peer, given as the peer, the hops
+    /// and the proxy flag of the message.
     pub fn forwarded(
         &self,
         (from, hops, proxy): (InstanceId, u8, bool),
--- a/crates/flow/src/handover.rs
+++ b/crates/flow/src/handover.rs
@@ -286,6 +286,7 @@
         let others: Vec<_> = control.view.others().collect();
         let progress = |id| control.progress.get(id).cloned().unwrap_or_default();
         if control.view.live.is_empty()
+            || control.view.active == Revision(0)
             || others.iter().any(|id| progress(id).marker != Some(digest))
         {
             return;
--- a/crates/flow/tests/node.rs
+++ b/crates/flow/tests/node.rs
@@ -236,6 +236,44 @@
     assert!(flows > 3_000, "only {flows} flows were reported");
 }
 
+/// Guards against an entry that hears of transitions before it has tables, and then takes all slots
+/// for stable.
+#[test]
+fn an_entry_without_tables_asks_again_once_it_has_them() {
+    let settings = NodeSettings {
+        me: InstanceId(1),
+        domain: DomainId(0),
+        hash_key: (3, 4),
+        max_flows: 640,
+        seed: 2,
+    };
+    let now = Instant::now();
+    let fixture = Fixture { node: FlowNode::new(settings, now), now };
+    let peer =
+        |id| Peer { id: InstanceId(id), incarnation: Incarnation(1), state: PeerState::Serving };
+    fixture.node.live_changed(&[peer(1), peer(2)], now, &mut Vec::new());
+    let state = Message::State { synced: true, active: Revision(1), services: Vec::new() };
+    let frame = Frame { message: Some(state), ..Frame::default() };
+    fixture.node.message(InstanceId(2), &frame, now, &mut Vec::new());
+    fixture.install(1, &sets(vec![spec(0)], vec![]));
+    assert!(!fixture.node.is_synced());
+    assert!(matches!(fixture.send(1, true), Action::Forward { to: InstanceId(2), .. }));
+    let mut asked = false;
+    for _ in 0..10 {
+        let mut out = Vec::new();
+        fixture.node.tick(now + Duration::from_secs(1), &mut out);
+        asked |= out.iter().any(|sent| sent.frame.message == Some(Message::Sync));
+        let acks = out.iter().map(|sent| sent.frame.seq).collect();
+        fixture.node.message(
+            InstanceId(2),
+            &Frame { acks, ..Frame::default() },
+            now,
+            &mut Vec::new(),
+        );
+    }
+    assert!(asked);
+}
+
 /// Guards against old or unprepared versions that take effect.
 #[test]
 fn versions_never_revert() {
@@ -248,26 +286,28 @@
     assert_eq!(fixture.send(1, true), Action::ToTarget(address(2)));
 }
 
-/// Guards against a node that can't be shared between threads or deadlocks under changes.
+/// Guards against a node that can't be shared between threads, deadlocks under changes, or refuses
+/// packets while a change is taken in.
 #[test]
 fn threads_share_a_node() {
-    let fixture = Fixture::new(&sets((0..4).map(spec).collect(), vec![]));
+    let weighted = |version: u64| {
+        let mut targets: Vec<_> = (0..4).map(spec).collect();
+        targets[0].weight = 100 + 200 * (version % 2) as u32;
+        sets(targets, vec![])
+    };
+    let fixture = Fixture::with_room(&weighted(1), 100_000);
     std::thread::scope(|scope| {
         for part in 0..3 {
             let fixture = &fixture;
             scope.spawn(move || {
                 for flow in 0..2_000 {
                     let action = fixture.send(part * 2_000 + flow, true);
-                    assert!(
-                        matches!(action, Action::ToTarget(_) | Action::Reject(_)),
-                        "{action:?}"
-                    );
+                    assert!(matches!(action, Action::ToTarget(_)), "{action:?}");
                 }
             });
         }
         for version in 2..20 {
-            let count = 4 + (version % 2) as u8;
-            fixture.install(version, &sets((0..count).map(spec).collect(), vec![]));
+            fixture.install(version, &weighted(version));
             fixture.node.tick(fixture.now, &mut Vec::new());
         }
     });
