--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -16,6 +16,10 @@
 use std::time::Instant;
 use thiserror::Error;
 
+/// Most versions that are prepared and not in force. Activating an older one is then refused as not
+/// prepared; its slots stay in transition, so no flow is lost by it.
+const MAX_PREPARED: usize = 16;
+
 /// Why an event is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum ControlError {
@@ -325,6 +329,9 @@
             tables.insert(service.service, computed);
         }
         control.prepared.insert(version, Prepared { sets: sets.clone(), tables });
+        while control.prepared.len() > MAX_PREPARED {
+            control.prepared.pop_first();
+        }
         control.set_next();
         control.scan = Some(0);
         control.pending.clear();
@@ -353,7 +360,11 @@
         if control.view.isolated {
             control.build_own_tables();
         }
+        if active == Revision(0) {
+            self.ask_again(&mut control);
+        }
         self.publish(&control);
+        self.try_ready(&mut control, now);
         Ok(())
     }
 
@@ -380,6 +391,14 @@
         }
     }
 
+    /// What peers told of slots before the first version was in force could not be taken in.
+    fn ask_again(&self, control: &mut Control) {
+        control.progress.values_mut().for_each(|progress| progress.state = None);
+        for peer in control.view.others() {
+            self.outbox().barrier(peer, Message::Sync);
+        }
+    }
+
     pub(crate) fn begin_pending_moves(&self, control: &mut Control, now: Instant) {
         control.begin_prepared_moves(self.stamp(now));
     }
