Relay messages between processes that reach only a third one

Cause: the failure detector kept such members alive, but messages were still sent the direct way and lost. Change: messages other than probes go through the member that the detector names; an envelope is relayed only once. Before: no message arrived.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -4,7 +4,8 @@
 use comfreyhold_membership::timeline::{EventRing, Filter};
 use comfreyhold_types::api::TimelineReply;
 use comfreyhold_types::prelude::*;
-use comfreyhold_wire::envelope::{Envelope, Topic, encode_body};
+use comfreyhold_wire::envelope::{Envelope, Topic, decode_body, encode_body};
+use comfreyhold_wire::error::WireError;
 use comfreyhold_wire::transport::Sender;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -29,6 +30,8 @@
     ring: Mutex<EventRing>,
     newest: Mutex<BTreeMap<InstanceId, Incarnation>>,
     sender: OnceLock<Sender>,
+    /// Members that this process can't reach, and through whom it sends to them.
+    routes: Mutex<BTreeMap<InstanceId, InstanceId>>,
 }
 
 impl Context {
@@ -45,6 +48,7 @@
             ring: Mutex::new(ring),
             newest: Mutex::default(),
             sender: OnceLock::new(),
+            routes: Mutex::default(),
         })
     }
 
@@ -90,9 +94,51 @@
                 return;
             }
         };
+        let envelope = self.seal(to, topic, body);
+        // Probes always go directly, since they tell whether the direct way works.
+        let route = lock(&self.routes).get(&to).copied().filter(|_| topic != Topic::Detector);
+        match route {
+            None => self.queue(envelope),
+            Some(hop) => match encode_body(&envelope) {
+                Ok(body) => self.queue(self.seal(hop, Topic::Relay, body)),
+                Err(error) => log::error!("{topic} message to {to} dropped: {error}"),
+            },
+        }
+    }
+
+    /// Sets through whom a member is reached; `None` when it is reached directly.
+    pub fn set_route(&self, to: InstanceId, hop: Option<InstanceId>) {
+        let mut routes = lock(&self.routes);
+        match hop {
+            Some(hop) => routes.insert(to, hop),
+            None => routes.remove(&to),
+        };
+    }
+
+    /// Unpacks a relayed envelope: returns it when it is for this process, otherwise passes it on.
+    ///
+    /// # Errors
+    /// The body is not an envelope.
+    pub fn unpack_relay(&self, envelope: &Envelope) -> Result<Option<Envelope>, WireError> {
+        let inner: Envelope = decode_body(&envelope.body)?;
+        if inner.topic == Topic::Relay {
+            return Err(WireError::BadFrame("an envelope is relayed only once".to_owned()));
+        }
+        if inner.to == self.instance() {
+            return Ok(Some(inner));
+        }
+        self.queue(inner);
+        Ok(None)
+    }
+
+    fn seal(&self, to: InstanceId, topic: Topic, body: Vec<u8>) -> Envelope {
         let stamp = lock(&self.ring).stamp(self.clock.wall_millis());
         let from = self.instance();
-        let envelope = Envelope { from, to, incarnation: self.incarnation, stamp, topic, body };
+        Envelope { from, to, incarnation: self.incarnation, stamp, topic, body }
+    }
+
+    fn queue(&self, envelope: Envelope) {
+        let (to, topic) = (envelope.to, envelope.topic);
         let queued = self.sender.get().is_some_and(|sender| sender.send(envelope));
         if !queued {
             log::debug!("{topic} message to {to} dropped: no queue");
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -231,6 +231,7 @@
         }
         if now >= core.detector.next_wake() {
             let actions = core.detector.tick(now);
+            crate::peers::set_routes(&self.cx, &core.detector);
             self.on_detector(&mut core, actions);
         }
         self.propose_targets(&mut core, now);
@@ -400,6 +401,12 @@
     fn on_envelope(&self, envelope: &Envelope) -> Result<(), WireError> {
         let now = self.cx.now();
         let from = envelope.from;
+        if envelope.topic == Topic::Relay {
+            return match self.cx.unpack_relay(envelope)? {
+                Some(inner) if self.cx.accept(&inner) => self.on_envelope(&inner),
+                _ => Ok(()),
+            };
+        }
         let mut core = lock(&self.core);
         match envelope.topic {
             Topic::Consensus => {
@@ -409,6 +416,7 @@
             Topic::Detector => {
                 let message: DetectorMessage = decode_body(&envelope.body)?;
                 let actions = core.detector.on_message(now, from, message);
+                crate::peers::set_routes(&self.cx, &core.detector);
                 self.on_detector(&mut core, actions);
             }
             Topic::Registry => {
@@ -430,7 +438,7 @@
                     self.counts.merge(from, &report);
                 }
             }
-            Topic::Flow | Topic::Request | Topic::Lifecycle => {
+            Topic::Flow | Topic::Request | Topic::Lifecycle | Topic::Relay => {
                 let reason = format!("{} messages are for entries", envelope.topic);
                 return Err(WireError::BadFrame(reason));
             }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -240,6 +240,7 @@
         let mut members = lock(&self.members);
         if now >= members.detector.next_wake() {
             let actions = members.detector.tick(now);
+            peers::set_routes(&self.cx, &members.detector);
             self.on_detector(&mut members, actions);
         }
         let actions = members.installer.tick(now);
@@ -447,6 +448,13 @@
         let now = self.cx.now();
         let from = envelope.from;
         match envelope.topic {
+            Topic::Relay => {
+                if let Some(inner) = self.cx.unpack_relay(envelope)?
+                    && self.cx.accept(&inner)
+                {
+                    self.on_envelope(&inner)?;
+                }
+            }
             Topic::Request => {
                 let message: RequestMessage = decode_body(&envelope.body)?;
                 match message {
@@ -458,6 +466,7 @@
                 let message: DetectorMessage = decode_body(&envelope.body)?;
                 let mut members = lock(&self.members);
                 let actions = members.detector.on_message(now, from, message);
+                peers::set_routes(&self.cx, &members.detector);
                 self.on_detector(&mut members, actions);
                 self.refresh(&mut members);
             }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -1,7 +1,7 @@
 //! Events of the time line that entries and control daemons record alike.
 
 use crate::context::Context;
-use comfreyhold_membership::detector::Change;
+use comfreyhold_membership::detector::{Change, Detector};
 use comfreyhold_membership::members::Update;
 use comfreyhold_types::prelude::*;
 
@@ -42,3 +42,10 @@
         cx.instance()
     );
 }
+
+/// Takes over from the detector through whom each member is reached.
+pub fn set_routes(cx: &Context, detector: &Detector) {
+    for member in detector.members() {
+        cx.set_route(member.update.id, member.via);
+    }
+}
--- a/crates/wire/src/envelope.rs
+++ b/crates/wire/src/envelope.rs
@@ -3,8 +3,8 @@
 use crate::error::WireError;
 use crate::peer_capnp::envelope;
 use comfreyhold_types::prelude::*;
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use strum::{Display, FromRepr};
 
 /// Protocol version of this build.
@@ -14,7 +14,20 @@
 pub const MAX_BODY_BYTES: usize = 1024 * 1024;
 
 /// Which core a message is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Display, FromRepr)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    FromRepr,
+)]
 #[strum(serialize_all = "kebab-case")]
 #[repr(u16)]
 pub enum Topic {
@@ -34,10 +47,12 @@
     Counters = 7,
     /// Planned stops of entries.
     Lifecycle = 8,
+    /// An envelope to be passed on to a process that its sender can't reach.
+    Relay = 9,
 }
 
 /// One message from one process to another.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Envelope {
     /// Sender.
     pub from: InstanceId,
