--- a/crates/request/src/key_replica.rs
+++ b/crates/request/src/key_replica.rs
@@ -173,17 +173,18 @@
             return None;
         }
         let place = (shard, key.clone());
-        if let Some(record) = self.records.get(&place) {
+        let known = self.records.get(&place);
+        if let Some(record) = known.filter(|record| !record.is_free_for(attempt)) {
             let verdict = record.verdict(attempt, digest);
             return Some(self.vote(shard, key, attempt, verdict));
         }
         let verdict = if !self.is_ready(shard) {
             Verdict::NotReady
-        } else if self.records.len() >= self.cfg.max_records {
+        } else if known.is_none() && self.records.len() >= self.cfg.max_records {
             Verdict::Full
         } else {
-            let keep = self.keep_time(retention, remaining);
-            let keep_until = now + keep;
+            let kept = known.map_or(now, |record| record.keep_until);
+            let keep_until = kept.max(now + self.keep_time(retention, remaining));
             let record = Record { attempt, digest, outcome: None, voted: true, keep_until };
             self.put(place, record);
             Verdict::Accepted
@@ -191,7 +192,8 @@
         Some(self.vote(shard, key, attempt, verdict))
     }
 
-    /// Only the winner finishes, so its outcome replaces whatever is recorded.
+    /// Only the winner finishes, so its outcome replaces whatever is recorded. A winner that provably did
+    /// not run frees the key; by the time this arrives another attempt may hold it, which stays.
     fn on_finish(
         &mut self,
         now: Instant,
@@ -205,7 +207,12 @@
         let place = (shard, key.clone());
         let reply = KeyMessage::Finished { key, attempt };
         let known = self.records.get(&place);
-        if known.is_some_and(|record| record.outcome.is_some()) {
+        let frees = outcome.code.family() == Family::NotRun;
+        let is_obsolete = |record: &Record| {
+            let finished = record.outcome.is_some() && !record.is_free();
+            finished || (frees && record.attempt != attempt)
+        };
+        if known.is_some_and(is_obsolete) {
             return Some(reply);
         }
         if known.is_none() && self.records.len() >= self.cfg.max_records {
@@ -288,11 +295,11 @@
 
     /// Stores a copied record. The bound does not apply: a refill must be whole to be of use.
     fn copy_in(&mut self, now: Instant, shard: u16, copy: KeyRecord) {
-        let place = (shard, copy.key);
+        let place = (shard, copy.key.clone());
         let keep_until = now + copy.keep + TRANSIT_MARGIN;
         let known = self.records.get(&place);
         if let Some(known) = known
-            && (known.outcome.is_some() || copy.outcome.is_none())
+            && known.has_precedence(&copy)
         {
             let mut kept = known.clone();
             kept.keep_until = kept.keep_until.max(keep_until);
@@ -366,6 +373,29 @@
 }
 
 impl Record {
+    /// Whether the winner provably did not run, so that another attempt may win the key.
+    fn is_free(&self) -> bool {
+        self.outcome.as_ref().is_some_and(|outcome| outcome.code.family() == Family::NotRun)
+    }
+
+    /// A late claim of the attempt that freed the key must not take it again.
+    fn is_free_for(&self, attempt: RequestId) -> bool {
+        self.is_free() && self.attempt != attempt
+    }
+
+    /// Whether a copied record leaves this one in place. A freed key never replaces one that another
+    /// attempt may hold, and any other record replaces a freed key.
+    fn has_precedence(&self, copy: &KeyRecord) -> bool {
+        let copy_is_free =
+            copy.outcome.as_ref().is_some_and(|outcome| outcome.code.family() == Family::NotRun);
+        if self.is_free() {
+            return copy_is_free;
+        }
+        self.outcome.is_some()
+            || copy.outcome.is_none()
+            || (copy_is_free && copy.attempt != self.attempt)
+    }
+
     fn verdict(&self, attempt: RequestId, digest: ContentDigest) -> Verdict {
         if self.voted && self.attempt == attempt && self.outcome.is_none() {
             return Verdict::Accepted;
--- a/crates/request/tests/key_schedules.rs
+++ b/crates/request/tests/key_schedules.rs
@@ -35,6 +35,10 @@
     /// Wins: attempt, time and end of the possible run.
     wins: Vec<(RequestId, Instant, Instant)>,
     deadlines: BTreeMap<RequestId, Instant>,
+    /// How and when each winner ended.
+    ended: BTreeMap<RequestId, (ResultCode, Instant)>,
+    /// Share of winners that provably don't run.
+    not_run_share: f64,
 }
 
 enum Packet {
@@ -80,6 +84,8 @@
             slow_share,
             wins: Vec::new(),
             deadlines: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            not_run_share: 0.0,
         };
         for id in 1..=REPLICAS {
             run.start_replica(InstanceId(id), 1);
@@ -212,8 +218,16 @@
             let Some(client) = self.clients.get_mut(&attempt) else { continue };
             let mut actions = client.tick(self.now);
             if self.rng.random_bool(0.02) {
-                let outcome = KeyOutcome { code: ResultCode::Ok, response: Some(vec![1]) };
-                actions.extend(client.finish(self.now, attempt, outcome));
+                let code = match self.rng.random_bool(self.not_run_share) {
+                    true => ResultCode::TargetUnreachable,
+                    false => ResultCode::Ok,
+                };
+                let outcome = KeyOutcome { code, response: Some(vec![1]) };
+                let sent = client.finish(self.now, attempt, outcome);
+                if !sent.is_empty() {
+                    self.ended.entry(attempt).or_insert((code, self.now));
+                }
+                actions.extend(sent);
             }
             self.act(attempt, actions);
         }
@@ -250,6 +264,32 @@
     assert!(won > 1_000, "schedules without winners prove nothing; {won} had one");
 }
 
+/// Guards against a key that stays lost for its caller after a request that was not run, and against a
+/// freed key that two attempts win: an attempt may win only after every earlier winner has ended as not
+/// run.
+#[test]
+fn a_freed_key_is_won_by_one_attempt_at_a_time() {
+    let (mut won, mut again) = (0, 0);
+    for seed in 0..SCHEDULES {
+        let mut run = Run::new(seed, Duration::from_secs(60));
+        run.not_run_share = 0.7;
+        let restart_chance = if seed % 4 == 0 { 0.0 } else { run.rng.random_range(0.001..0.05) };
+        run.run(300, restart_chance);
+        for pair in run.wins.windows(2) {
+            let ((first, ..), (_, second_begins, _)) = (pair[0], pair[1]);
+            let freed = run
+                .ended
+                .get(&first)
+                .is_some_and(|(code, at)| code.family() == Family::NotRun && *at <= second_begins);
+            assert!(freed, "seed {seed}: {:?} {:?}", run.wins, run.ended);
+            again += 1;
+        }
+        won += run.wins.len();
+    }
+    assert!(won > 1_000, "schedules without winners prove nothing; {won} had one");
+    assert!(again > 100, "freed keys must be won again in some schedules; {again} were");
+}
+
 /// Guards against a replica that forgets a key, or votes again without its records, while an attempt
 /// that won it can still run. Retention is shorter than the run here.
 #[test]
