Give refreshes their own budget, so that transitions end under load

Cause: with many live pins and a short idle timeout, refreshes took the bytes that exceptions need, so transitions did not end and pins stayed pins. Change: reports and exceptions keep 3,000 bytes per second; refreshes have another 3,000; a test opens 1,000 flows per second through two handovers. Conclusion: the end of a transition no longer depends on the refresh load.

--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -82,7 +82,10 @@
     pub scan: Option<usize>,
     pub pending: Vec<Pending>,
     pub reported: Revision,
+    /// Bytes that reports and exceptions may take now.
     pub tokens: i64,
+    /// Bytes that refreshes may take now.
+    pub refresh_tokens: i64,
     pub refilled: Option<Instant>,
     pub sweep: usize,
     pub checked: u32,
@@ -108,6 +111,7 @@
             pending: Vec::new(),
             reported: Revision(0),
             tokens: 0,
+            refresh_tokens: 0,
             refilled: None,
             sweep: 0,
             checked: 0,
--- a/crates/flow/src/report.rs
+++ b/crates/flow/src/report.rs
@@ -14,10 +14,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Most bytes per second that reports, exceptions and refreshes take per entry. Entries have a few
-/// kilobytes per second for all control traffic.
+/// Most bytes per second that reports and exceptions take per entry. Entries have a few kilobytes
+/// per second for all control traffic.
 pub const EXCEPTION_BYTES_PER_S: i64 = 3_000;
 
+/// Bytes per second above which refreshes wait for up to the idle time. They have their own budget:
+/// out of a common one, many live pins would keep transitions from ending, and so stay pins.
+pub const REFRESH_BYTES_PER_S: i64 = 3_000;
+
 /// Shards swept per tick.
 const SWEEP_SHARDS: usize = 4;
 
@@ -176,7 +180,7 @@
             let mut shard = self.records.shard(control.sweep);
             control.sweep = (control.sweep + 1) % SHARDS;
             let may_send = control.view.synced && !control.view.isolated;
-            let in_budget = control.tokens > 0;
+            let in_budget = control.refresh_tokens > 0;
             shard.retain(|flow, record| {
                 let Some(service) = control.view.service(record.service) else { return false };
                 let moving = service.moving.get(&flow.slot());
@@ -209,7 +213,7 @@
         }
         let sent = self.send_batches(control, &pins, PinKind::Refresh, now, out)
             + self.send_batches(control, &exceptions, PinKind::Exception, now, out);
-        control.tokens -= sent;
+        control.refresh_tokens = (control.refresh_tokens - sent).max(-REFRESH_BYTES_PER_S);
     }
 
     fn end_transitions(&self, control: &mut Control, now: Instant, out: &mut Vec<Outgoing>) {
@@ -336,6 +340,8 @@
             i64::try_from(elapsed.as_millis()).unwrap_or(0) * EXCEPTION_BYTES_PER_S / 1_000;
         if tokens > 0 {
             self.tokens = (self.tokens + tokens).min(EXCEPTION_BYTES_PER_S);
+            let refresh = tokens * REFRESH_BYTES_PER_S / EXCEPTION_BYTES_PER_S;
+            self.refresh_tokens = (self.refresh_tokens + refresh).min(REFRESH_BYTES_PER_S);
             self.refilled = Some(now);
         }
     }
--- a/crates/flow/tests/faults.rs
+++ b/crates/flow/tests/faults.rs
@@ -15,6 +15,9 @@
 const TARGETS: u8 = 6;
 const FLOWS: usize = 150;
 const NEW_PER_S: usize = 20;
+/// Enough for some new flow to meet each short step of a handover.
+const MANY_NEW_PER_S: usize = 1_000;
+const HANDOVER_SEEDS: u64 = 12;
 const IDLE_MS: u64 = 4_000;
 
 type Node = World<FlowNode>;
@@ -206,3 +209,28 @@
     // A decision that was on its way when the arbiter was lost may break its flow, and no other.
     assert!(broken * 5_000 <= opened, "unplanned losses broke {broken} of {opened} flows");
 }
+
+/// Guards against flows that open while their slot's arbiter changes and are then taken for old.
+#[test]
+fn handovers_under_many_new_flows() {
+    for seed in 0..HANDOVER_SEEDS {
+        let mut world: Node = World::new(options(seed));
+        world.open(FLOWS);
+        world.run(1_000);
+        weight(&mut world, 0, 1_000);
+        world.run_with(2 * world.options.uneven_ms + 50, MANY_NEW_PER_S);
+        world.add_entry(InstanceId(9), 1);
+        world.announce(world.options.uneven_ms);
+        world.run_with(1_500, MANY_NEW_PER_S);
+        world.stop_entry(InstanceId(2));
+        world.run_with(1_500, MANY_NEW_PER_S);
+        world.run(40_000);
+        let moving: usize = world.nodes.values().map(|node| node.stats().moving_slots).sum();
+        let stats = world.stats;
+        assert_eq!(
+            (stats.broken, stats.wrong_service, moving),
+            (0, 0, 0),
+            "seed {seed}: {stats:?}"
+        );
+    }
+}
