Tell the packet side of its peers only once they are known

Cause: a starting entry named itself as the only live one, and would have taken over every slot in transition without the others' records. Change: the live entries are passed on after two probe rounds and a lease.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -33,6 +33,9 @@
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
+/// Time that a starting entry gives the others to answer its first probes: two rounds.
+const PEER_DISCOVERY: Duration = Duration::from_secs(1);
+
 /// Time between two notices of a stopping entry.
 const NOTICE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -48,6 +51,9 @@
     sequences: BTreeMap<SocketAddr, (Incarnation, u64)>,
     /// Whether this process saw the idempotency register before it was opened.
     seen_closed: bool,
+    started: Instant,
+    /// Whether the other entries were given time to answer.
+    peers_known: bool,
     /// When a stopping entry tells the others again.
     next_notice: Option<Instant>,
     /// Term whose leader was sent all announced targets.
@@ -120,6 +126,8 @@
             restarted: BTreeMap::new(),
             sequences: BTreeMap::new(),
             seen_closed: false,
+            started: now,
+            peers_known: false,
             next_notice: None,
             reported_term: Term(0),
             changed: true,
@@ -424,10 +432,23 @@
         *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::clone(&view);
         members.registry.set_peers(registry_peers(&roles, members.installer.leader()));
         self.pool.retain(|target| view.has_target(target));
-        self.packets.set_peers(&flow_peers(&roles, members, self.cx.incarnation));
+        if self.knows_peers(members) {
+            self.packets.set_peers(&flow_peers(&roles, members, self.cx.incarnation));
+        }
         self.requests.update(&roles, &view);
     }
 
+    /// Whether the failure detector had time to find the other entries. A packet side that is told of
+    /// itself alone would decide about every slot in transition without the others' records.
+    fn knows_peers(&self, members: &mut Members) -> bool {
+        let now = self.cx.now();
+        members.peers_known |=
+            now >= members.started + PEER_DISCOVERY && members.installer.has_lease(now);
+        // Looked at again with the next tick.
+        members.changed |= !members.peers_known;
+        members.peers_known
+    }
+
     fn roles(&self, members: &Members) -> Roles {
         let entries = members.detector.live().filter(|member| member.role == MemberRole::Entry);
         let mut live: BTreeMap<InstanceId, DomainId> =
