Relay TCP streams with half-close; bound the key retention

Cause: some networks keep a connection on one instance and need no packet spraying; and a profile could ask for a key retention (24 h) that replicas silently cut to 10 minutes. Change: stream listeners that choose the serving target with the fewest connections per slot, reset a stream whose target or domain is withdrawn, and pass on each direction's end; key_retention_ms is bounded to 600,000.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -157,6 +157,15 @@
         self.stopping.load(Ordering::Acquire)
     }
 
+    /// Whether targets of a failure domain may be used: operators have not taken it out, and this entry
+    /// has a lease or belongs to it.
+    #[must_use]
+    pub fn may_use_domain(&self, domain: DomainId) -> bool {
+        let leased = lock(&self.members).installer.has_lease(self.cx.now());
+        let in_service = self.view().domain_state(domain) == DomainState::In;
+        in_service && (leased || domain == self.cx.member.domain)
+    }
+
     /// Whether new work is taken.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/daemon/src/entry_keys.rs
+++ b/crates/daemon/src/entry_keys.rs
@@ -7,6 +7,7 @@
 use comfreyhold_request::keys::{ContentDigest, KeyMessage, KeyName, KeyOutcome, ShardMap};
 use comfreyhold_request::message::{Message, RequestId};
 use comfreyhold_types::prelude::*;
+use comfreyhold_types::profile::MAX_KEY_RETENTION_MS;
 use comfreyhold_wire::envelope::Topic;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Arc, Mutex};
@@ -16,8 +17,9 @@
 /// Longest deadline that a profile may set.
 const MAX_ATTEMPT: Duration = Duration::from_secs(600);
 
-/// Retention that bounds how long a replica which can't copy its records stays without a vote.
-const MAX_RETENTION: Duration = Duration::from_secs(600);
+/// Longest retention that a profile may set. It bounds how long a replica that can't copy its records
+/// stays without a vote.
+const MAX_RETENTION: Duration = Duration::from_millis(MAX_KEY_RETENTION_MS);
 
 struct Core {
     client: KeyClient,
--- a/crates/daemon/src/entry_run.rs
+++ b/crates/daemon/src/entry_run.rs
@@ -4,6 +4,7 @@
 use crate::entry::Entry;
 use crate::entry_admin::EntryAdmin;
 use crate::entry_http::EntryHttp;
+use crate::entry_streams::StreamRelay;
 use crate::http_server::{self, InFlight};
 use crate::process::{self, Ticker};
 use crate::settings::{Role, Settings};
@@ -70,6 +71,9 @@
         .start(settings.packets, settings.packet_threads)
         .with_context(|| format!("can't receive packets on {}", settings.packets))?;
     let (stop, stopped) = watch::channel(false);
+    for cfg in &settings.streams {
+        StreamRelay::start(Arc::clone(entry), cfg, stopped.clone()).await?;
+    }
     let callers = EntryHttp::new(Arc::clone(entry), in_flight.clone());
     let operators = EntryAdmin::new(Arc::clone(entry), metrics);
     let callers = tokio::spawn(http_server::serve(http, callers, stopped));
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod entry_requests;
 pub mod entry_roles;
 pub mod entry_run;
+pub mod entry_streams;
 pub mod entry_view;
 pub mod http_server;
 pub mod logging;
--- a/crates/types/src/profile.rs
+++ b/crates/types/src/profile.rs
@@ -10,6 +10,10 @@
 /// Longest profile or service name, in bytes.
 pub const MAX_NAME_BYTES: usize = 64;
 
+/// Longest time that idempotency keys may be kept, in milliseconds. After the loss of more than one
+/// replica at once, keyed requests are answered as unknown for this long.
+pub const MAX_KEY_RETENTION_MS: u64 = 600_000;
+
 /// Largest YAML document of an operator, in bytes.
 pub const MAX_DOCUMENT_BYTES: usize = 64 * 1024;
 
@@ -159,7 +163,7 @@
     #[serde(default = "defaults::flow_idle_ms")]
     #[builder(default = defaults::flow_idle_ms())]
     pub flow_idle_ms: u64,
-    /// Time that idempotency keys are kept after their last write, in milliseconds (1,000 to 86,400,000).
+    /// Time that idempotency keys are kept after their last write, in milliseconds (1,000 to 600,000).
     #[serde(default = "defaults::key_retention_ms")]
     #[builder(default = defaults::key_retention_ms())]
     pub key_retention_ms: u64,
@@ -265,7 +269,7 @@
         check_range("retry.floor_per_s", self.retry.floor_per_s.into(), 0, 1_000)?;
         check_range("drain_ms", self.drain_ms, 0, 86_400_000)?;
         check_range("flow_idle_ms", self.flow_idle_ms, 1_000, 86_400_000)?;
-        check_range("key_retention_ms", self.key_retention_ms, 1_000, 86_400_000)?;
+        check_range("key_retention_ms", self.key_retention_ms, 1_000, MAX_KEY_RETENTION_MS)?;
         check_range("withdrawal_ms", self.withdrawal_ms, 0, 3_000)
     }
 
