Stop a process whose instance number was started again

Cause: two processes under one number would both answer for the instance. Change: the earlier one stops in order when it hears of the later one. Measured: not run with real processes yet. Conclusion: a mistaken second start can't run beside the first for long.

--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -11,6 +11,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Instant;
+use tokio::sync::watch;
 
 /// Locks a mutex. A panic of another holder is not passed on: its thread has reported it, and the
 /// state machines keep no invariant open across a call.
@@ -32,6 +33,7 @@
     sender: OnceLock<Sender>,
     /// Members that this process can't reach, and through whom it sends to them.
     routes: Mutex<BTreeMap<InstanceId, InstanceId>>,
+    superseded: watch::Sender<bool>,
 }
 
 impl Context {
@@ -49,6 +51,7 @@
             newest: Mutex::default(),
             sender: OnceLock::new(),
             routes: Mutex::default(),
+            superseded: watch::Sender::new(false),
         })
     }
 
@@ -59,6 +62,17 @@
         }
     }
 
+    /// Notes that another process was started under this instance number; this one has to stop.
+    pub fn supersede(&self) {
+        self.superseded.send_replace(true);
+    }
+
+    /// Waits until another process was started under this instance number.
+    pub async fn superseded(&self) {
+        // The sender lives as long as the context, so the wait can't fail.
+        let _ = self.superseded.subscribe().wait_for(|superseded| *superseded).await;
+    }
+
     /// Monotonic time.
     #[must_use]
     pub fn now(&self) -> Instant {
--- a/crates/daemon/src/control_run.rs
+++ b/crates/daemon/src/control_run.rs
@@ -73,7 +73,7 @@
     let (stop, stopped) = watch::channel(false);
     let server = tokio::spawn(http_server::serve(listener, api, stopped));
     process::print_started(&cx, &[("admin", cx.member.admin)]);
-    process::stop_signal().await?;
+    process::stop_signal(&cx).await?;
     cx.record(EventKind::Stopping, &[]);
     stop.send_replace(true);
     server.await?;
--- a/crates/daemon/src/entry_run.rs
+++ b/crates/daemon/src/entry_run.rs
@@ -80,7 +80,7 @@
     let (_admin_stop, admin_stopped) = watch::channel(false);
     let operators = tokio::spawn(http_server::serve(admin, operators, admin_stopped));
     process::print_started(cx, &[("http", settings.http), ("admin", cx.member.admin)]);
-    process::stop_signal().await?;
+    process::stop_signal(cx).await?;
     cx.record(EventKind::Stopping, &[]);
     entry.begin_stop();
     stop.send_replace(true);
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -82,16 +82,17 @@
     }
 }
 
-/// Waits for SIGTERM or SIGINT.
+/// Waits for SIGTERM or SIGINT, or until this process was replaced by a later one.
 ///
 /// # Errors
 /// The signals can't be watched.
-pub async fn stop_signal() -> std::io::Result<()> {
+pub async fn stop_signal(cx: &Context) -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        () = cx.superseded() => {}
     }
     Ok(())
 }
--- a/crates/daemon/tests/streams.rs
+++ b/crates/daemon/tests/streams.rs
@@ -70,9 +70,8 @@
 /// that loses bytes.
 #[tokio::test]
 async fn half_closed_stream_gets_its_whole_answer() {
-    LISTEN.get_or_init(|| {
-        std::net::TcpListener::bind("127.82.9.4:0").unwrap().local_addr().unwrap()
-    });
+    LISTEN
+        .get_or_init(|| std::net::TcpListener::bind("127.82.9.4:0").unwrap().local_addr().unwrap());
     let folder = tempfile::tempdir().unwrap();
     let mut plan = settings();
     plan.services.clear();
