Add the demo and scenario commands of the lab (first build)

Cause: no command starts a whole deployment of the real daemons and measures it. Change: demo, scenario, deployment files, links with delays, trial report.

--- /dev/null
+++ b/crates/lab/src/binaries.rs
@@ -0,0 +1,32 @@
+//! Finds the daemons' binaries next to this program, and builds them when cargo runs it.
+
+use anyhow::{Context as _, Result, bail};
+use std::path::PathBuf;
+use tokio::process::Command;
+
+const DAEMONS: [&str; 2] = ["comfreyhold-entry", "comfreyhold-control"];
+
+/// Folder with the daemons' binaries. `cargo run` builds one package only; the daemons are then
+/// built here, so that they are never older than the lab.
+///
+/// # Errors
+/// The binaries are missing and can't be built.
+pub async fn folder() -> Result<PathBuf> {
+    let program = std::env::current_exe()?;
+    let folder = program.parent().context("this program has no folder")?.to_owned();
+    let missing = DAEMONS.iter().any(|name| !folder.join(name).exists());
+    let cargo = std::env::var_os("CARGO");
+    if cargo.is_none() && !missing {
+        return Ok(folder);
+    }
+    let mut command = Command::new(cargo.unwrap_or_else(|| "cargo".into()));
+    command.args(["build", "--package", "comfreyhold-daemon", "--bins"]);
+    if folder.ends_with("release") {
+        command.arg("--release");
+    }
+    let status = command.status().await.context("start cargo to build the daemons")?;
+    if !status.success() {
+        bail!("cargo build of the daemons failed: {status}");
+    }
+    Ok(folder)
+}
--- a/crates/lab/src/cmd/load.rs
+++ b/crates/lab/src/cmd/load.rs
@@ -3,6 +3,7 @@
 //! Runs the load, prints the report and writes it to the folder. Exit status 2 means that a check
 //! does not hold.
 
+use super::verdict;
 use anyhow::Result;
 use bpaf::Bpaf;
 use comfreyhold_lab::load::{self, LoadSettings};
@@ -10,8 +11,6 @@
 use std::process::ExitCode;
 use tokio::process::Command;
 
-const CHECK_FAILED: u8 = 2;
-
 #[derive(Clone, Debug, Bpaf)]
 pub struct Args {
     /// YAML settings of the load
@@ -36,11 +35,11 @@
     if let Some(folder) = args.out {
         report.write(&folder)?;
     }
-    let holds = report.checks.holds();
-    Ok(if holds { ExitCode::SUCCESS } else { ExitCode::from(CHECK_FAILED) })
+    Ok(verdict(&report))
 }
 
-async fn current_revision() -> String {
+/// Revision of the source in the current folder.
+pub async fn current_revision() -> String {
     let output = Command::new("git").args(["describe", "--always", "--dirty"]).output().await;
     match output {
         Ok(output) if output.status.success() => {
--- a/crates/lab/src/cmd/mod.rs
+++ b/crates/lab/src/cmd/mod.rs
@@ -1,17 +1,22 @@
 //! Commands of `comfreyhold-lab`, one file each.
 
+mod demo;
 mod fabric;
 mod load;
 mod proxy;
+mod scenario;
 mod target;
 mod up;
 
 use anyhow::Result;
 use bpaf::Bpaf;
 use comfreyhold_lab::lifetime::{DEFAULT_RUN_LIMIT, wait_for_stop};
+use comfreyhold_lab::report::Report;
 use std::process::ExitCode;
 use std::time::Duration;
 
+const CHECK_FAILED: u8 = 2;
+
 /// Stand-ins that the comfreyhold daemons are tested against
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options)]
@@ -31,6 +36,12 @@
     /// Run a whole local deployment
     #[bpaf(command)]
     Up(#[bpaf(external(up::args))] up::Args),
+    /// Show a shipped deployment at work
+    #[bpaf(command)]
+    Demo(#[bpaf(external(demo::args))] demo::Args),
+    /// Run a measured scenario on a shipped deployment
+    #[bpaf(command)]
+    Scenario(#[bpaf(external(scenario::args))] scenario::Args),
 }
 
 /// When a stand-in stops by itself.
@@ -52,6 +63,11 @@
     }
 }
 
+/// Exit status 2 means that a check does not hold.
+fn verdict(report: &Report) -> ExitCode {
+    if report.checks.holds() { ExitCode::SUCCESS } else { ExitCode::from(CHECK_FAILED) }
+}
+
 /// Parses the command line and runs the command.
 pub fn run() -> ExitCode {
     let command = command().run();
@@ -74,6 +90,8 @@
             Command::Proxy(args) => proxy::run(args).await,
             Command::Load(args) => load::run(args).await,
             Command::Up(args) => up::run(args).await,
+            Command::Demo(args) => demo::run(args).await,
+            Command::Scenario(args) => scenario::run(args).await,
         }
     })
 }
--- a/crates/lab/src/daemon_settings.rs
+++ b/crates/lab/src/daemon_settings.rs
@@ -32,7 +32,7 @@
     Settings {
         instance: daemon.instance,
         domains: domains(plan),
-        members: plan.daemons.iter().map(member).collect(),
+        members: plan.daemons.iter().map(|other| member(plan, daemon, other)).collect(),
         entry,
         data_folder: (daemon.kind == DaemonKind::Control).then(|| daemon.data.clone()),
         bootstrap: true,
@@ -44,7 +44,10 @@
     (1..=plan.settings.domains).map(|id| (DomainId(id), format!("domain-{id}"))).collect()
 }
 
-fn member(daemon: &DaemonPlan) -> Member {
+/// The record of a member as `viewer` has it; members of other domains are reached through a link.
+fn member(plan: &Plan, viewer: &DaemonPlan, daemon: &DaemonPlan) -> Member {
+    let mut links = plan.links.iter();
+    let link = links.find(|link| link.from == viewer.domain && link.to == daemon.instance);
     Member {
         instance: daemon.instance,
         name: daemon.name.clone(),
@@ -53,7 +56,7 @@
             DaemonKind::Control => Role::Control,
         },
         domain: daemon.domain,
-        peer: daemon.peer,
+        peer: link.map_or(daemon.peer, |link| link.address),
         admin: daemon.http,
     }
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,13 +1,16 @@
 //! Stand-ins that the daemons are tested against: target, packet fabric, fault-injecting proxy, load
 //! generator and a local deployment. All of them listen on loopback addresses.
 
+pub mod binaries;
 pub mod checks;
 pub mod daemon_settings;
+pub mod deployments;
 pub mod echo;
 pub mod fabric;
 pub mod flow_load;
 pub mod http;
 pub mod lifetime;
+pub mod links;
 pub mod load;
 pub mod packet;
 pub mod plot;
@@ -21,6 +24,9 @@
 pub mod target;
 pub mod target_http;
 pub mod target_tasks;
+pub mod trial;
+pub mod trial_report;
+pub mod trial_run;
 pub mod up;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- a/crates/lab/src/plot.rs
+++ b/crates/lab/src/plot.rs
@@ -48,6 +48,13 @@
             .label(name)
             .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], color));
     }
+    for mark in &report.marks {
+        let x = mark.at_ms as f64 / 1_000.0;
+        let line = vec![(x, 0.0), (x, top)];
+        chart.draw_series(std::iter::once(PathElement::new(line, BLACK.mix(0.6))))?;
+        let style = ("sans-serif", 14);
+        chart.draw_series(std::iter::once(Text::new(mark.what.clone(), (x, top * 0.98), style)))?;
+    }
     let mut labels = chart.configure_series_labels();
     labels.border_style(BLACK).background_style(WHITE).draw()?;
     area.present()?;
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -110,6 +110,15 @@
     pub broken_flows: u64,
 }
 
+/// Something that was done during a load.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    /// Time from the start of the load, in milliseconds.
+    pub at_ms: u64,
+    /// What was done.
+    pub what: String,
+}
+
 /// Report of a load run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -127,6 +136,9 @@
     pub step_ms: u64,
     /// Counts over time.
     pub timeline: Vec<Step>,
+    /// What was done during the load.
+    #[serde(default)]
+    pub marks: Vec<Mark>,
 }
 
 impl Report {
@@ -147,6 +159,7 @@
             checks,
             step_ms: u64::try_from(STEP.as_millis()).unwrap_or(u64::MAX),
             timeline: timeline(results),
+            marks: Vec::new(),
         }
     }
 
--- /dev/null
+++ b/crates/lab/src/trial.rs
@@ -0,0 +1,262 @@
+//! A shipped deployment of the real daemons, and what a trial does to it.
+
+use crate::daemon_settings;
+use crate::deployments::{DeploymentFile, Shipped};
+use crate::http::{self, Client, Sent};
+use crate::links::{Delays, Links};
+use crate::scenario::wait_for;
+use crate::up::{DaemonKind, DaemonPlan, Deployment};
+use anyhow::{Context as _, Result, bail};
+use comfreyhold_types::api::{ApplyReply, CountsReply, StatusReply};
+use comfreyhold_types::prelude::*;
+use hyper::{Method, header};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Limit for a condition of a starting deployment.
+const START_LIMIT: Duration = Duration::from_secs(60);
+
+/// Time after which the fabric stops sending packets to an entry that has died.
+const ROUTE_WITHDRAWAL: Duration = Duration::from_secs(1);
+
+const STOP_LIMIT: Duration = Duration::from_secs(20);
+
+/// A running deployment.
+pub struct Trial {
+    /// Which deployment it is.
+    pub shipped: Shipped,
+    /// Its file.
+    pub file: DeploymentFile,
+    /// Daemons, targets, fabric and links.
+    pub deployment: Deployment,
+    folder: PathBuf,
+    versions: BTreeMap<String, u64>,
+}
+
+impl Trial {
+    /// Starts the deployment, publishes its declarations and waits until every service is served
+    /// by every entry. Prints its progress.
+    ///
+    /// # Errors
+    /// A part does not start, or the deployment does not serve within the limit.
+    pub async fn start(
+        shipped: Shipped,
+        binaries: &Path,
+        seed: u64,
+        folder: &Path,
+    ) -> Result<Self> {
+        let file = shipped.file()?;
+        let delays = Delays {
+            between_domains_us: file.between_domains_us,
+            to_callers_us: file.to_callers_us,
+        };
+        println!(
+            "starting {shipped}: {} entries, {} control daemons, {} domains, {} targets",
+            file.entries,
+            file.controls,
+            file.domains,
+            file.services.iter().map(|s| s.targets).sum::<u16>()
+        );
+        let settings = file.up_settings(binaries, seed);
+        let render = daemon_settings::render;
+        let deployment = Deployment::start_with(settings, Some(delays), folder, render).await?;
+        let folder = folder.to_owned();
+        let trial = Self { shipped, file, deployment, folder, versions: BTreeMap::new() };
+        println!("publishing profiles and services");
+        trial.publish(shipped.profiles()).await?;
+        trial.publish(&trial.file.service_documents()).await?;
+        trial.wait_serving().await?;
+        println!("serving on all entries");
+        Ok(trial)
+    }
+
+    /// Addresses of the entries for callers.
+    #[must_use]
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.deployment.links.as_ref().map(Links::callers).unwrap_or_default()
+    }
+
+    /// Addresses of the targets.
+    #[must_use]
+    pub fn targets(&self) -> Vec<SocketAddr> {
+        self.deployment.targets.iter().map(|target| target.address().into()).collect()
+    }
+
+    /// Publishes documents through the control daemon that leads.
+    ///
+    /// # Errors
+    /// No leader answers within the limit, or a document is refused.
+    pub async fn publish(&self, documents: &str) -> Result<ApplyReply> {
+        let reply = wait_for("a leader accepts the publication", START_LIMIT, || async {
+            for control in self.deployment.plan.of(DaemonKind::Control) {
+                let path = "/v1/declarations?operator=lab";
+                let body = documents.as_bytes().to_vec();
+                let answer = http::call(Method::POST, control.http, path, body).await;
+                let reply = answer.ok().and_then(|body| serde_json::from_slice(&body).ok());
+                if let Some(reply) = reply {
+                    return Some(reply);
+                }
+            }
+            None
+        });
+        let reply: ApplyReply = reply.await?;
+        match reply.results.iter().find(|result| result.code != 0) {
+            Some(refused) => bail!("{}: {}", refused.subject, refused.message),
+            None => Ok(reply),
+        }
+    }
+
+    /// Takes a failure domain out or in, and returns the time until that was in effect.
+    ///
+    /// # Errors
+    /// As [`Trial::publish`].
+    pub async fn set_domain(&mut self, domain: DomainId, state: &str) -> Result<Option<u64>> {
+        let version = self.next_version(&format!("domain/{}", domain.0), 1);
+        let document =
+            format!("kind: domain\nversion: {version}\ndomain: {}\nstate: {state}\n", domain.0);
+        let reply = self.publish(&document).await?;
+        let effect = reply.results.first().and_then(|result| result.effect.as_ref());
+        Ok(effect.and_then(|effect| effect.complete_after_ms))
+    }
+
+    /// Publishes the next version of the first service's profile, with another queue limit.
+    ///
+    /// # Errors
+    /// As [`Trial::publish`].
+    pub async fn publish_profile(&mut self) -> Result<Option<u64>> {
+        let text = self.shipped.profiles();
+        let mut publications = comfreyhold_types::document::parse(text, "lab")?;
+        let first = publications.swap_remove(0);
+        let comfreyhold_types::declarations::Content::Profile(mut profile) = first.content else {
+            bail!("the first shipped document is no profile");
+        };
+        profile.version = self.next_version(&format!("profile/{}", profile.name), 2);
+        profile.queue_limit += u32::try_from(profile.version % 2)?;
+        let mut document = serde_yaml_ng::to_value(&profile)?;
+        if let Some(mapping) = document.as_mapping_mut() {
+            mapping.insert("kind".into(), "profile".into());
+        }
+        let reply = self.publish(&serde_yaml_ng::to_string(&document)?).await?;
+        let effect = reply.results.first().and_then(|result| result.effect.as_ref());
+        Ok(effect.and_then(|effect| effect.complete_after_ms))
+    }
+
+    fn next_version(&mut self, subject: &str, first: u64) -> u64 {
+        let version = self.versions.entry(subject.to_owned()).or_insert(first);
+        *version += 1;
+        *version - 1
+    }
+
+    /// Kills an entry as a crash does. The fabric notices it a second later.
+    ///
+    /// # Errors
+    /// There is no such entry, or it can't be killed.
+    pub async fn kill_entry(&mut self, name: &str) -> Result<()> {
+        let (index, plan) = self.daemon(name)?;
+        self.deployment.daemons[index].kill().await?;
+        if let Some(links) = &mut self.deployment.links {
+            links.close_caller(plan.instance);
+        }
+        tokio::time::sleep(ROUTE_WITHDRAWAL).await;
+        self.deployment.fabric.remove_entry(plan.packets);
+        Ok(())
+    }
+
+    /// Stops an entry as operators do.
+    ///
+    /// # Errors
+    /// There is no such entry, or it does not stop cleanly.
+    pub async fn stop_entry(&mut self, name: &str) -> Result<()> {
+        let (index, plan) = self.daemon(name)?;
+        let status = self.deployment.daemons[index].terminate(STOP_LIMIT).await?;
+        self.deployment.fabric.remove_entry(plan.packets);
+        if let Some(links) = &mut self.deployment.links {
+            links.close_caller(plan.instance);
+        }
+        if !status.success() {
+            bail!("{name} stopped with {status}");
+        }
+        Ok(())
+    }
+
+    /// Starts an entry that has ended, and waits until it is ready.
+    ///
+    /// # Errors
+    /// There is no such entry, or it does not become ready.
+    pub async fn restart_entry(&mut self, name: &str) -> Result<()> {
+        let (index, plan) = self.daemon(name)?;
+        let process = self.deployment.start_daemon(&plan, &self.folder).await?;
+        self.deployment.daemons[index] = process;
+        self.deployment.fabric.add_entry(plan.packets);
+        if let Some(links) = &mut self.deployment.links {
+            links.open_caller(&plan).await?;
+        }
+        wait_for("the entry is ready", START_LIMIT, || async {
+            status(plan.http).await?.ready.then_some(())
+        })
+        .await
+    }
+
+    /// Cuts a failure domain off from the others, or heals the cut.
+    pub fn set_cut(&mut self, domain: DomainId, cut: bool) {
+        if let Some(links) = &mut self.deployment.links {
+            links.set_cut(domain, cut);
+        }
+    }
+
+    /// Counts of the control daemon that has received most.
+    pub async fn counts(&self) -> CountsReply {
+        let mut best = CountsReply::default();
+        let total = |reply: &CountsReply| reply.rows.iter().map(|row| row.count).sum::<u64>();
+        for control in self.deployment.plan.of(DaemonKind::Control) {
+            let reply = http::get_json::<CountsReply>(control.http, "/v1/counts").await;
+            if let Ok(reply) = reply
+                && total(&reply) >= total(&best)
+            {
+                best = reply;
+            }
+        }
+        best
+    }
+
+    fn daemon(&self, name: &str) -> Result<(usize, DaemonPlan)> {
+        let mut daemons = self.deployment.plan.daemons.iter().enumerate();
+        let found = daemons.find(|(_, daemon)| daemon.name == name);
+        let (index, plan) = found.with_context(|| format!("no daemon is named {name}"))?;
+        Ok((index, plan.clone()))
+    }
+
+    async fn wait_serving(&self) -> Result<()> {
+        for caller in self.callers() {
+            for service in &self.file.services {
+                let what = format!("{caller} serves {}", service.name);
+                let ready = || async { answers(caller, &service.name).await.then_some(()) };
+                wait_for(&what, START_LIMIT, ready).await?;
+            }
+        }
+        for entry in self.deployment.plan.of(DaemonKind::Entry) {
+            wait_for("the key replicas vote", START_LIMIT, || async {
+                let status = status(entry.http).await?;
+                (status.details.get("keys_vote")? == "true").then_some(())
+            })
+            .await?;
+        }
+        Ok(())
+    }
+}
+
+async fn status(address: SocketAddr) -> Option<StatusReply> {
+    http::get_json(address, "/v1/status").await.ok()
+}
+
+async fn answers(caller: SocketAddr, service: &str) -> bool {
+    let Ok(mut request) = http::request(Method::GET, caller, "/ready", "") else { return false };
+    let Ok(host) = service.parse() else { return false };
+    request.headers_mut().insert(header::HOST, host);
+    match Client::default().send(caller, request, http::CONTROL_TIMEOUT).await {
+        Sent::Answered(response) => response.status().is_success(),
+        Sent::NotWritten(_) | Sent::Lost(_) => false,
+    }
+}
--- /dev/null
+++ b/crates/lab/src/trial_report.rs
@@ -0,0 +1,220 @@
+//! Report of a trial: the three measures, the ramp, and the counts of both sides.
+
+use crate::deployments::{DeploymentFile, Shipped};
+use crate::plot;
+use crate::report::{Report, Step};
+use anyhow::{Context as _, Result};
+use comfreyhold_types::api::CountsReply;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::path::Path;
+
+/// The machine that a trial ran on.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Machine {
+    /// Processor cores available.
+    pub cores: usize,
+    /// Memory as the system reports it.
+    pub memory: String,
+    /// Load averages when the report was made; other programs may have run at the same time.
+    pub load: String,
+}
+
+/// Service while a failure domain was out.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Away {
+    /// Start of the window, from the start of the load: 4 s after the domain was taken out.
+    pub from_ms: u64,
+    /// End of the window: the domain was taken in.
+    pub until_ms: u64,
+    /// Requests offered per second, over all services.
+    pub offered_per_s: f64,
+    /// Requests per second that the remaining targets could handle.
+    pub remaining_capacity_per_s: f64,
+    /// Sum over services of the lower of both.
+    pub bearable_per_s: f64,
+    /// Requests completed per second.
+    pub completed_per_s: f64,
+    /// Completed over bearable.
+    pub share: f64,
+    /// Runs that started at targets of the domain within the window.
+    pub runs_in_domain: u64,
+}
+
+/// Report of a trial.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TrialReport {
+    /// Name.
+    pub scenario: String,
+    /// Deployment.
+    pub deployment: Shipped,
+    /// Seed.
+    pub seed: u64,
+    /// Factor on the rates of requests.
+    pub rate_factor: f64,
+    /// Machine.
+    pub machine: Machine,
+    /// Settings of the deployment.
+    pub file: DeploymentFile,
+    /// Profiles that were published.
+    pub profiles: String,
+    /// The load before the measurement, by second.
+    pub ramp: Vec<Step>,
+    /// What the actions gave.
+    pub notes: Vec<String>,
+    /// Service while a domain was out.
+    pub away: Option<Away>,
+    /// Counts of the control daemons over the measured load, by service and code.
+    pub control_counts: BTreeMap<String, BTreeMap<u16, i64>>,
+    /// The measured load.
+    pub load: Report,
+}
+
+/// Sums the steps of a timeline by second.
+#[must_use]
+pub fn per_second(timeline: &[Step]) -> Vec<Step> {
+    let sum = |steps: &[Step]| {
+        steps.iter().fold(Step::default(), |sum, step| Step {
+            intended: sum.intended + step.intended,
+            completed: sum.completed + step.completed,
+            refused: sum.refused + step.refused,
+            failed: sum.failed + step.failed,
+            broken_flows: sum.broken_flows + step.broken_flows,
+        })
+    };
+    timeline.chunks(4).map(sum).collect()
+}
+
+/// Counts that were added between two answers.
+#[must_use]
+pub fn count_difference(
+    before: &CountsReply,
+    after: &CountsReply,
+) -> BTreeMap<String, BTreeMap<u16, i64>> {
+    let mut counts: BTreeMap<String, BTreeMap<u16, i64>> = BTreeMap::new();
+    for (reply, sign) in [(after, 1), (before, -1)] {
+        for row in &reply.rows {
+            let count = i64::try_from(row.count).unwrap_or(i64::MAX);
+            *counts.entry(row.service.clone()).or_default().entry(row.code).or_default() +=
+                sign * count;
+        }
+    }
+    for codes in counts.values_mut() {
+        codes.retain(|_, count| *count != 0);
+    }
+    counts
+}
+
+/// Describes this machine.
+#[must_use]
+pub fn machine() -> Machine {
+    let read = |path: &str| std::fs::read_to_string(path).unwrap_or_default();
+    let memory = read("/proc/meminfo");
+    let total = memory.lines().find_map(|line| line.strip_prefix("MemTotal:"));
+    Machine {
+        cores: std::thread::available_parallelism().map_or(0, usize::from),
+        memory: total.unwrap_or("unknown").trim().to_owned(),
+        load: read("/proc/loadavg").trim().to_owned(),
+    }
+}
+
+impl TrialReport {
+    /// Renders the report as text.
+    #[must_use]
+    pub fn table(&self) -> String {
+        let mut out = String::new();
+        // Writing to a string does not fail.
+        let _ = self.write_table(&mut out);
+        out
+    }
+
+    fn write_table(&self, out: &mut String) -> std::fmt::Result {
+        writeln!(
+            out,
+            "\nscenario {}  deployment {}  seed {}  rate factor {}",
+            self.scenario, self.deployment, self.seed, self.rate_factor
+        )?;
+        writeln!(out, "machine: {:?}", self.machine)?;
+        self.write_ramp(out)?;
+        for note in &self.notes {
+            writeln!(out, "{note}")?;
+        }
+        write!(out, "{}", self.load.table())?;
+        writeln!(out, "flows on several targets: {:?}", self.load.checks.flows_on_several_targets)?;
+        self.write_measures(out)?;
+        self.write_counts(out)
+    }
+
+    fn write_ramp(&self, out: &mut String) -> std::fmt::Result {
+        let refused: Vec<u64> = self.ramp.iter().map(|step| step.refused).collect();
+        let total: u64 = self.ramp.iter().map(|step| step.intended).sum();
+        let last = refused.iter().rposition(|refused| *refused > 0);
+        writeln!(out, "ramp: {total} requests; refused by second {refused:?}")?;
+        match last {
+            Some(second) => writeln!(out, "ramp: last refusal in second {}", second + 1),
+            None => writeln!(out, "ramp: nothing refused"),
+        }
+    }
+
+    fn write_measures(&self, out: &mut String) -> std::fmt::Result {
+        writeln!(out, "\nmeasures")?;
+        let flows: u64 = self.load.flows.iter().flat_map(|flow| flow.ends.values()).sum();
+        writeln!(out, "  broken flows       {} of {flows}", self.load.broken_flows())?;
+        for (service, imbalance) in &self.load.checks.imbalance {
+            writeln!(out, "  imbalance          {service} {imbalance:.3} (max over mean)")?;
+        }
+        let Some(away) = &self.away else { return Ok(()) };
+        writeln!(
+            out,
+            "  domain away        {:.1}/s completed of {:.1}/s bearable ({:.1}%); offered {:.1}/s, \
+             remaining targets handle {:.0}/s; {} runs in the domain",
+            away.completed_per_s,
+            away.bearable_per_s,
+            away.share * 100.0,
+            away.offered_per_s,
+            away.remaining_capacity_per_s,
+            away.runs_in_domain
+        )
+    }
+
+    fn write_counts(&self, out: &mut String) -> std::fmt::Result {
+        writeln!(out, "\ncounts of the measured load, by result code")?;
+        for service in &self.file.services {
+            let name = &service.name;
+            let runs = self.load.checks.runs_per_target.get(name);
+            let runs: u64 = runs.into_iter().flatten().sum();
+            let control = self.control_counts.get(name).cloned().unwrap_or_default();
+            writeln!(out, "  {name}: callers' last answers {:?}", self.caller_codes(name))?;
+            writeln!(out, "  {name}: control daemons       {control:?}")?;
+            writeln!(out, "  {name}: targets started       {runs}")?;
+        }
+        Ok(())
+    }
+
+    fn caller_codes(&self, service: &str) -> BTreeMap<u16, u64> {
+        let mut codes = BTreeMap::new();
+        let kinds = self.load.settings.kinds.iter().filter(|kind| kind.service == service);
+        for report in kinds.filter_map(|kind| self.load.kinds.get(&kind.name)) {
+            for (code, count) in &report.codes {
+                *codes.entry(*code).or_default() += count;
+            }
+        }
+        codes
+    }
+
+    /// Writes `trial.json`, `trial.txt` and `trial.svg` to the folder.
+    ///
+    /// # Errors
+    /// A file can't be written.
+    pub fn write(&self, folder: &Path) -> Result<()> {
+        std::fs::create_dir_all(folder)?;
+        let write = |name: &str, text: &str| {
+            let path = folder.join(name);
+            std::fs::write(&path, text).with_context(|| format!("write {}", path.display()))
+        };
+        write("trial.json", &serde_json::to_string_pretty(self)?)?;
+        write("trial.txt", &self.table())?;
+        plot::timeline(&self.load, &folder.join("trial.svg"))
+    }
+}
--- a/crates/lab/src/up.rs
+++ b/crates/lab/src/up.rs
@@ -1,6 +1,7 @@
 //! Local deployment: daemons as child processes, fabric and targets in this process.
 
 use crate::fabric::{Fabric, FabricSettings, PathSettings};
+use crate::links::{Delays, LinkPlan, Links};
 use crate::scenario::Process;
 use crate::service_time::ServiceTime;
 use crate::target::{Target, TargetSettings};
@@ -103,6 +104,9 @@
     pub daemons: Vec<DaemonPlan>,
     /// Settings of the deployment.
     pub settings: UpSettings,
+    /// Proxies between failure domains; daemons reach each other directly without them.
+    #[serde(default)]
+    pub links: Vec<LinkPlan>,
 }
 
 impl Plan {
@@ -125,6 +129,8 @@
     pub daemons: Vec<Process>,
     /// Targets, in the order of the services.
     pub targets: Vec<Target>,
+    /// Proxies between failure domains and to callers.
+    pub links: Option<Links>,
 }
 
 impl Deployment {
@@ -134,6 +140,19 @@
     /// # Errors
     /// The settings are out of range, or a part does not start.
     pub async fn start(settings: UpSettings, folder: &Path, render: Render) -> Result<Self> {
+        Self::start_with(settings, None, folder, render).await
+    }
+
+    /// As [`Deployment::start`], with proxies that delay and cut the links between failure domains.
+    ///
+    /// # Errors
+    /// As [`Deployment::start`].
+    pub async fn start_with(
+        settings: UpSettings,
+        delays: Option<Delays>,
+        folder: &Path,
+        render: Render,
+    ) -> Result<Self> {
         check(&settings)?;
         std::fs::create_dir_all(folder)?;
         let daemons = plan_daemons(&settings, folder)?;
@@ -145,8 +164,17 @@
             .build();
         let fabric = Fabric::start(fabric_settings).await?;
         let (packets, control) = (fabric.packets(), fabric.control());
-        let plan = Plan { fabric: packets, fabric_control: control, daemons, settings };
-        let mut deployment = Self { plan, fabric, daemons: Vec::new(), targets: Vec::new() };
+        let (links, link_plans) = match delays {
+            Some(delays) => {
+                let (links, plans) = Links::start(delays, &daemons).await?;
+                (Some(links), plans)
+            }
+            None => (None, Vec::new()),
+        };
+        let plan =
+            Plan { fabric: packets, fabric_control: control, daemons, settings, links: link_plans };
+        let (daemons, targets) = (Vec::new(), Vec::new());
+        let mut deployment = Self { plan, fabric, daemons, targets, links };
         deployment.start_daemons(folder, render).await?;
         deployment.start_targets().await?;
         let plan = serde_json::to_string_pretty(&deployment.plan)?;
@@ -179,28 +207,41 @@
     }
 
     async fn start_targets(&mut self) -> Result<()> {
-        let settings = &self.plan.settings;
-        let entries: Vec<_> = self.plan.of(DaemonKind::Entry).map(|d| d.http).collect();
-        let mut started = 0;
-        for service in &settings.services {
-            let service_time: ServiceTime = service.service_time.parse()?;
+        for service in self.plan.settings.services.clone() {
             for index in 0..service.targets {
-                let target = TargetSettings::builder()
-                    .service(&service.name)
-                    .domain(domain(settings, index))
-                    .slots(service.slots)
-                    .entries(rotated(&entries, started))
-                    .fabric(self.plan.fabric)
-                    .seed(settings.seed.wrapping_add(started as u64))
-                    .service_time(service_time)
-                    .build();
-                self.targets.push(Target::start(target).await?);
-                started += 1;
+                let domain = domain(&self.plan.settings, index);
+                self.start_target(&service, domain, false).await?;
             }
         }
         Ok(())
     }
 
+    /// Starts one more target of a service, and returns its position in the list.
+    ///
+    /// # Errors
+    /// The service time is malformed, or an address can't be bound.
+    pub async fn start_target(
+        &mut self,
+        service: &UpService,
+        domain: DomainId,
+        cold: bool,
+    ) -> Result<usize> {
+        let entries: Vec<_> = self.plan.of(DaemonKind::Entry).map(|d| d.http).collect();
+        let started = self.targets.len();
+        let target = TargetSettings::builder()
+            .service(&service.name)
+            .domain(domain)
+            .slots(service.slots)
+            .entries(rotated(&entries, started))
+            .fabric(self.plan.fabric)
+            .seed(self.plan.settings.seed.wrapping_add(started as u64))
+            .service_time(service.service_time.parse()?)
+            .start_cold(cold)
+            .build();
+        self.targets.push(Target::start(target).await?);
+        Ok(started)
+    }
+
     /// Stops targets, then entries, then control daemons.
     ///
     /// # Errors
