--- a/crates/lab/src/trial_report.rs
+++ b/crates/lab/src/trial_report.rs
@@ -65,6 +65,8 @@
     pub notes: Vec<String>,
     /// Service while a domain was out.
     pub away: Option<Away>,
+    /// Imbalance over the targets outside the domain that trials take out.
+    pub imbalance_elsewhere: BTreeMap<String, f64>,
     /// Counts of the control daemons over the measured load, by service and code.
     pub control_counts: BTreeMap<String, BTreeMap<u16, i64>>,
     /// The measured load.
@@ -165,6 +167,9 @@
             writeln!(out, "  imbalance          {service} {imbalance:.3} (max over mean)")?;
         }
         let Some(away) = &self.away else { return Ok(()) };
+        for (service, imbalance) in &self.imbalance_elsewhere {
+            writeln!(out, "  imbalance          {service} {imbalance:.3} without the domain")?;
+        }
         writeln!(
             out,
             "  domain away        {:.1}/s completed of {:.1}/s bearable ({:.1}%); offered {:.1}/s, \
--- a/crates/lab/src/trial_run.rs
+++ b/crates/lab/src/trial_run.rs
@@ -1,5 +1,6 @@
 //! Scenarios on a shipped deployment: a ramp, then a measured load during which something happens.
 
+use crate::checks::imbalance;
 use crate::deployments::Shipped;
 use crate::load::{self, LoadResults, LoadSettings};
 use crate::report::{Mark, Report};
@@ -9,13 +10,14 @@
 use anyhow::Result;
 use comfreyhold_types::prelude::*;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use strum::{Display, EnumIter, EnumString};
 use tokio::time::Instant;
 
 /// Load before the measurement. Longer than the shipped profiles' ramp of 10 s.
-const RAMP: Duration = Duration::from_secs(20);
+const RAMP: Duration = Duration::from_secs(14);
 
 /// Time that counters take to reach the control daemons: they are sent every second.
 const COUNTS_SETTLE: Duration = Duration::from_millis(2_500);
@@ -184,6 +186,7 @@
         ramp: per_second(&ramp.timeline),
         notes,
         away,
+        imbalance_elsewhere: imbalance_elsewhere(trial, &report),
         control_counts: counts,
         load: report,
     })
@@ -253,6 +256,17 @@
     Ok("done".to_owned())
 }
 
+/// Imbalance over the targets outside the domain that is taken out.
+fn imbalance_elsewhere(trial: &Trial, report: &Report) -> BTreeMap<String, f64> {
+    let domains = trial.file.domains;
+    let elsewhere = |runs: &[u64]| {
+        let runs = (0_u16..).zip(runs).filter(|(i, _)| i % domains + 1 != OUT_DOMAIN.0);
+        imbalance(&runs.map(|(_, runs)| *runs).collect::<Vec<_>>())
+    };
+    let per_target = &report.checks.runs_per_target;
+    per_target.iter().map(|(service, runs)| (service.clone(), elsewhere(runs))).collect()
+}
+
 /// What was completed while the domain was out, from the time it must receive nothing more.
 fn away(settings: &TrialSettings, trial: &Trial, report: &Report, start_us: u64) -> Option<Away> {
     let at = |action: Action| {
