Let a deployment stop cleanly after a daemon was killed on purpose

Cause: the scenario entry-killed ended with status 1, since the stop reported the killed entry as one that had not stopped cleanly. Change: a process that was ended by Process::kill is no failed stop; one test.

--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -22,6 +22,7 @@
     child: Child,
     log: PathBuf,
     start: StartLine,
+    killed: bool,
 }
 
 impl Process {
@@ -57,7 +58,7 @@
             .with_context(|| format!("{name} printed no valid start line: {line}"))?;
         // Further output is read, so that the process never blocks on a full pipe.
         tokio::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
-        Ok(Self { name: name.to_owned(), child, log, start })
+        Ok(Self { name: name.to_owned(), child, log, start, killed: false })
     }
 
     /// The start line that it printed.
@@ -121,7 +122,15 @@
     /// # Errors
     /// The process can't be killed.
     pub async fn kill(&mut self) -> Result<()> {
-        Ok(self.child.kill().await?)
+        self.child.kill().await?;
+        self.killed = true;
+        Ok(())
+    }
+
+    /// Whether [`Process::kill`] ended it.
+    #[must_use]
+    pub fn was_killed(&self) -> bool {
+        self.killed
     }
 }
 
--- a/crates/lab/tests/up.rs
+++ b/crates/lab/tests/up.rs
@@ -69,6 +69,15 @@
     deployment.stop().await.unwrap();
 }
 
+/// Guards against a stop that reports a daemon which was killed on purpose.
+#[tokio::test]
+async fn killed_daemon_is_no_failed_stop() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut deployment = Deployment::start(settings(), folder.path(), render).await.unwrap();
+    deployment.daemons[1].kill().await.unwrap();
+    deployment.stop().await.unwrap();
+}
+
 /// Guards against a daemon that fails at the start and leaves no reason.
 #[tokio::test]
 async fn failed_start_names_the_daemon_and_its_log() {
