daemon: test publications under crashes, races and stalls on real processes

Cause: that an accepted publication is never lost, reverted or accepted twice was proven on the consensus core only, not on daemons that are killed and stopped. Change: publications.rs kills the leader and random control daemons during ten publications (seed 4242), races two operators under one version, stops an entry and a leader with SIGSTOP, and watches that no entry reports a lower revision than before.

--- /dev/null
+++ b/crates/daemon/tests/publications.rs
@@ -0,0 +1,185 @@
+//! Publications while control daemons crash and stall and operators race.
+
+#![allow(clippy::unwrap_used)]
+
+#[path = "support/operator.rs"]
+mod operator;
+mod support;
+
+use comfreyhold_lab::scenario::wait_for;
+use comfreyhold_lab::up::DaemonKind;
+use comfreyhold_types::prelude::*;
+use operator::{Operator, Watch, orders, outcome_in};
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
+use std::time::Duration;
+use support::{Cluster, LIMIT, settings};
+use tokio::sync::{Mutex, MutexGuard};
+
+/// One deployment at a time.
+static DEPLOYMENT: Mutex<()> = Mutex::const_new(());
+
+/// Seed of the crashes.
+const SEED: u64 = 4_242;
+
+/// A crash falls at a random point of this span after the publication is sent.
+const CRASH_SPAN_MS: u64 = 120;
+
+/// A configuration is in effect everywhere within this time.
+const IN_EFFECT_MS: u64 = 4_000;
+
+async fn start() -> (MutexGuard<'static, ()>, Cluster) {
+    let alone = DEPLOYMENT.lock().await;
+    (alone, Cluster::start(settings()).await)
+}
+
+/// Name of the control daemon to crash: the leader every second time, else a random one.
+async fn victim(cluster: &Cluster, operator: &Operator, round: u64, rng: &mut StdRng) -> String {
+    let leader = operator.leader().await.1.name;
+    let names = cluster.deployment.plan.of(DaemonKind::Control).map(|plan| plan.name.clone());
+    let names: Vec<_> = names.collect();
+    if round.is_multiple_of(2) { leader } else { names[rng.random_range(0..names.len())].clone() }
+}
+
+/// Guards against accepted publications that are lost, reverted or accepted twice when control daemons
+/// crash, and against a resend that gets another answer than the first time.
+#[tokio::test]
+async fn crashes_lose_no_accepted_publication() {
+    let (_alone, mut cluster) = start().await;
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let operator = Operator::new("ana", &cluster);
+    let watch = Watch::start(&cluster);
+    let mut accepted: Vec<(u64, Revision)> = Vec::new();
+    for version in 2..=11 {
+        let name = victim(&cluster, &operator, version, &mut rng).await;
+        let document = orders(version, 1_000 + version);
+        let sender = operator.clone();
+        let sending = tokio::spawn(async move { sender.publish(&document).await });
+        let pause = Duration::from_millis(rng.random_range(0..CRASH_SPAN_MS));
+        tokio::time::sleep(pause).await;
+        cluster.kill(&name).await;
+        if rng.random_range(0..3) > 0 {
+            cluster.restart(&name).await;
+        }
+        let (status, reply) = sending.await.unwrap();
+        assert_eq!((status, reply.code), (200, 0), "seed {SEED}, version {version}: {reply:?}");
+        accepted.push((version, reply.revision.unwrap()));
+        let index = cluster.index(&name);
+        if cluster.deployment.daemons[index].id().is_none() {
+            cluster.restart(&name).await;
+        }
+    }
+    assert!(accepted.is_sorted_by(|(_, a), (_, b)| a < b), "seed {SEED}: {accepted:?}");
+    for (version, revision) in &accepted {
+        let (status, again) = operator.publish(&orders(*version, 1_000 + version)).await;
+        assert_eq!((status, again.code, again.revision), (200, 0, Some(*revision)), "seed {SEED}");
+    }
+    let versions = operator.versions().await;
+    let held: Vec<_> = versions.iter().map(|(version, held)| (*version, held.revision)).collect();
+    assert_eq!(held[1..], accepted, "seed {SEED}");
+    watch.finish(&cluster, accepted.last().unwrap().1).await;
+    cluster.deployment.stop().await.unwrap();
+}
+
+/// Guards against two acceptances under one version number, a conflict that doesn't name the winner,
+/// and a lost answer that can't be asked for.
+#[tokio::test]
+async fn one_of_two_racing_operators_wins() {
+    let (_alone, cluster) = start().await;
+    let mut revisions = Vec::new();
+    for version in 2..=7 {
+        let race = ["ana", "rui"].map(|name| {
+            let operator = Operator::new(name, &cluster);
+            let deadline = if name == "ana" { 1_000 } else { 2_000 };
+            tokio::spawn(async move {
+                let (status, reply) = operator.publish(&orders(version, deadline)).await;
+                (operator.name, status, reply)
+            })
+        });
+        let mut winners = Vec::new();
+        let mut conflicts = Vec::new();
+        for operator in race {
+            let (name, status, reply) = operator.await.unwrap();
+            match (status, reply.code) {
+                (200, 0) => winners.push((name, reply.revision.unwrap())),
+                (409, 3003) => conflicts.push(reply.message),
+                _ => unreachable!("{name}: {status} {reply:?}"),
+            }
+        }
+        assert_eq!((winners.len(), conflicts.len()), (1, 1));
+        let (winner, revision) = winners[0].clone();
+        assert!(conflicts[0].contains(&winner), "{}", conflicts[0]);
+        let held = Operator::new("inspector", &cluster).holder(version).await;
+        assert_eq!((held.operator, held.revision), (winner, revision));
+        revisions.push(revision);
+    }
+    assert!(revisions.is_sorted_by(|a, b| a < b));
+    cluster.deployment.stop().await.unwrap();
+}
+
+/// Guards against a publication that waits for an unreachable entry without end or hides it, and
+/// against an entry that doesn't catch up after a stall.
+#[tokio::test]
+async fn stalled_entry_is_named_and_catches_up() {
+    let (_alone, cluster) = start().await;
+    let operator = Operator::new("ana", &cluster);
+    let watch = Watch::start(&cluster);
+    let index = cluster.index("entry-2");
+    let stalled = cluster.deployment.plan.daemons[index].instance;
+    cluster.deployment.daemons[index].signal("STOP").await.unwrap();
+    let (status, reply) = operator.publish(&orders(2, 1_500)).await;
+    assert_eq!((status, reply.code), (200, 0));
+    let effect = reply.effect.unwrap();
+    assert_eq!((&effect.fenced, &effect.waiting), (&vec![stalled], &vec![]), "{effect:?}");
+    assert_eq!(effect.in_effect.len(), 4, "{effect:?}");
+    assert!(effect.complete_after_ms.is_some_and(|ms| ms <= IN_EFFECT_MS), "{effect:?}");
+    cluster.deployment.daemons[index].signal("CONT").await.unwrap();
+    let address = cluster.deployment.plan.daemons[index].http;
+    wait_for("the entry catches up", LIMIT, || async {
+        (cluster.status(address).await?.revision >= reply.revision?).then_some(())
+    })
+    .await
+    .unwrap();
+    wait_for("the entry is leased again", LIMIT, || async {
+        let leader = operator.leader().await.1;
+        leader.entries.get(&stalled)?.leased.then_some(())
+    })
+    .await
+    .unwrap();
+    let (_, next) = operator.publish(&orders(3, 1_600)).await;
+    assert_eq!(next.effect.as_ref().unwrap().in_effect.len(), 5, "{next:?}");
+    watch.finish(&cluster, next.revision.unwrap()).await;
+    cluster.deployment.stop().await.unwrap();
+}
+
+/// Guards against a leader that was stalled for long, accepts a publication in its old term, and so
+/// overwrites what its successor accepted.
+#[tokio::test]
+async fn stalled_leader_accepts_nothing_in_its_old_term() {
+    let (_alone, cluster) = start().await;
+    let operator = Operator::new("ana", &cluster);
+    let watch = Watch::start(&cluster);
+    let (address, before) = operator.leader().await;
+    let index = cluster.index(&before.name);
+    cluster.deployment.daemons[index].signal("STOP").await.unwrap();
+    let late = Operator::new("rui", &cluster);
+    let sender = late.clone();
+    let document = orders(2, 2_000);
+    let waiting = tokio::spawn(async move { sender.send(address, &document, LIMIT).await });
+    let others = operator.controls.iter().copied().filter(|control| *control != address);
+    let successor = Operator { name: "ana".to_owned(), controls: others.collect() };
+    let (status, reply) = successor.publish(&orders(2, 1_000)).await;
+    assert_eq!((status, reply.code), (200, 0), "{reply:?}");
+    cluster.deployment.daemons[index].signal("CONT").await.unwrap();
+    if let Some((_, body)) = waiting.await.unwrap() {
+        assert!(outcome_in(&body).is_none_or(|late| late.code == 3003), "{body:?}");
+    }
+    let (_, again) = late.publish(&orders(2, 2_000)).await;
+    assert_eq!(again.code, 3003, "{again:?}");
+    let held = operator.holder(2).await;
+    assert_eq!((held.operator.as_str(), Some(held.revision)), ("ana", reply.revision));
+    let (_, after) = operator.leader().await;
+    assert!(after.term > before.term, "{before:?} {after:?}");
+    watch.finish(&cluster, reply.revision.unwrap()).await;
+    cluster.deployment.stop().await.unwrap();
+}
