--- /dev/null
+++ b/crates/daemon/tests/disks.rs
@@ -0,0 +1,229 @@
+//! Data folders of control daemons that are torn, damaged, lost or restored from an older copy.
+
+#![allow(clippy::unwrap_used)]
+
+#[path = "support/operator.rs"]
+mod operator;
+mod support;
+
+use comfreyhold_lab::http;
+use comfreyhold_lab::scenario::wait_for;
+use comfreyhold_lab::up::{DaemonKind, DaemonPlan};
+use comfreyhold_types::api::{ReplaceRequest, StatusReply};
+use comfreyhold_types::prelude::*;
+use hyper::Method;
+use operator::{Operator, orders};
+use std::fs;
+use std::path::{Path, PathBuf};
+use support::{Cluster, LIMIT, settings};
+use tokio::sync::{Mutex, MutexGuard};
+
+/// One deployment at a time.
+static DEPLOYMENT: Mutex<()> = Mutex::const_new(());
+
+async fn start() -> (MutexGuard<'static, ()>, Cluster) {
+    let alone = DEPLOYMENT.lock().await;
+    (alone, Cluster::start(settings()).await)
+}
+
+/// Accepted versions of the profile `orders` that the test published.
+struct Series {
+    operator: Operator,
+    accepted: Vec<(u64, Revision)>,
+}
+
+impl Series {
+    fn new(cluster: &Cluster) -> Self {
+        Self { operator: Operator::new("ana", cluster), accepted: Vec::new() }
+    }
+
+    async fn publish(&mut self, count: u64) {
+        for _ in 0..count {
+            let version = self.accepted.len() as u64 + 2;
+            let (status, reply) = self.operator.publish(&orders(version, 1_000 + version)).await;
+            assert_eq!((status, reply.code), (200, 0), "{reply:?}");
+            self.accepted.push((version, reply.revision.unwrap()));
+        }
+    }
+
+    /// Every accepted version is held at its revision.
+    async fn check(&self) {
+        let versions = self.operator.versions().await;
+        let held: Vec<_> =
+            versions.iter().map(|(version, held)| (*version, held.revision)).collect();
+        assert_eq!(held[1..], self.accepted);
+    }
+}
+
+/// A control daemon that follows.
+async fn follower(cluster: &Cluster, operator: &Operator) -> DaemonPlan {
+    let leader = operator.leader().await.0;
+    let mut controls = cluster.deployment.plan.of(DaemonKind::Control);
+    controls.find(|plan| plan.http != leader).unwrap().clone()
+}
+
+/// Waits until the leader knows that an instance has confirmed a revision from a disk as a voter.
+async fn wait_confirmed(operator: &Operator, id: InstanceId, disk: &str, revision: Revision) {
+    let prefix = format!("{id}:{disk}@");
+    wait_for("the folder is up to date", LIMIT, || async {
+        let (_, status) = operator.leader().await;
+        let followers = status.details.get("followers")?;
+        let confirmed = followers.split(',').find_map(|item| item.strip_prefix(&prefix))?;
+        (confirmed.parse::<u64>().ok()? >= revision.0).then_some(())
+    })
+    .await
+    .unwrap();
+}
+
+async fn status_of(cluster: &Cluster, plan: &DaemonPlan) -> StatusReply {
+    wait_for("the process answers", LIMIT, || cluster.status(plan.http)).await.unwrap()
+}
+
+fn newest_segment(data: &Path) -> PathBuf {
+    let names = fs::read_dir(data.join("log")).unwrap().map(|entry| entry.unwrap().path());
+    let segments = names.filter(|path| {
+        path.file_name().is_some_and(|name| name.to_string_lossy().starts_with("log-"))
+    });
+    segments.max().unwrap()
+}
+
+fn copy_folder(from: &Path, to: &Path) {
+    fs::create_dir_all(to).unwrap();
+    for entry in fs::read_dir(from).unwrap() {
+        let path = entry.unwrap().path();
+        let copy = to.join(path.file_name().unwrap());
+        if path.is_dir() {
+            copy_folder(&path, &copy);
+        } else {
+            fs::copy(&path, &copy).unwrap();
+        }
+    }
+}
+
+/// Guards against a process that refuses to start after a crash in the middle of a write, or that goes
+/// on without the record that was cut.
+#[tokio::test]
+async fn torn_tail_restarts() {
+    let (_alone, mut cluster) = start().await;
+    let mut series = Series::new(&cluster);
+    series.publish(3).await;
+    let plan = follower(&cluster, &series.operator).await;
+    let disk = status_of(&cluster, &plan).await.details["disk"].clone();
+    cluster.kill(&plan.name).await;
+    let segment = newest_segment(&plan.data);
+    let length = fs::metadata(&segment).unwrap().len();
+    fs::OpenOptions::new().write(true).open(&segment).unwrap().set_len(length - 3).unwrap();
+    cluster.restart(&plan.name).await;
+    series.publish(1).await;
+    wait_confirmed(&series.operator, plan.instance, &disk, series.accepted.last().unwrap().1).await;
+    let leader = series.operator.leader().await.1.name;
+    cluster.kill(&leader).await;
+    series.publish(1).await;
+    series.check().await;
+    cluster.restart(&leader).await;
+    cluster.deployment.stop().await.unwrap();
+}
+
+/// Guards against a damaged log that is taken for a torn tail, so that what follows the damage is lost,
+/// and against one damaged folder that stops the others.
+#[tokio::test]
+async fn damaged_log_is_refused() {
+    let (_alone, mut cluster) = start().await;
+    let mut series = Series::new(&cluster);
+    series.publish(3).await;
+    let plan = follower(&cluster, &series.operator).await;
+    cluster.kill(&plan.name).await;
+    let segment = newest_segment(&plan.data);
+    let mut bytes = fs::read(&segment).unwrap();
+    let middle = bytes.len() / 2;
+    bytes[middle] = !bytes[middle];
+    fs::write(&segment, &bytes).unwrap();
+    let started = cluster.deployment.start_daemon(&plan, cluster.folder.path()).await;
+    assert!(started.is_err(), "a damaged log was taken in");
+    let log = cluster.folder.path().join(format!("{}.log", plan.name));
+    let log = fs::read_to_string(log).unwrap();
+    assert!(log.contains("Error: 6001 ") && log.contains("log-"), "{log}");
+    assert_eq!(fs::read(&segment).unwrap(), bytes, "the damaged file was changed");
+    series.publish(2).await;
+    series.check().await;
+    fs::remove_dir_all(&plan.data).unwrap();
+    cluster.restart(&plan.name).await;
+    cluster.deployment.stop().await.unwrap();
+}
+
+/// Guards against an empty folder that votes and so lets a minority accept or forget publications, and
+/// against a repair that doesn't restore the protection against the next loss.
+#[tokio::test]
+async fn lost_folder_votes_after_replace() {
+    let (_alone, mut cluster) = start().await;
+    let mut series = Series::new(&cluster);
+    series.publish(3).await;
+    let plan = follower(&cluster, &series.operator).await;
+    let old_disk = status_of(&cluster, &plan).await.details["disk"].clone();
+    cluster.kill(&plan.name).await;
+    fs::remove_dir_all(&plan.data).unwrap();
+    cluster.restart(&plan.name).await;
+    let status = wait_for("the process has joined", LIMIT, || async {
+        let status = cluster.status(plan.http).await?;
+        (status.leader.is_some()).then_some(status)
+    })
+    .await
+    .unwrap();
+    let disk = status.details["disk"].clone();
+    assert_ne!(disk, old_disk);
+    assert_eq!(status.details["state"], "learner");
+    series.publish(1).await;
+    replace(&series.operator, plan.instance, &disk).await;
+    wait_confirmed(&series.operator, plan.instance, &disk, series.accepted.last().unwrap().1).await;
+    let leader = series.operator.leader().await.1.name;
+    cluster.kill(&leader).await;
+    series.publish(2).await;
+    series.check().await;
+    cluster.restart(&leader).await;
+    cluster.deployment.stop().await.unwrap();
+}
+
+/// Asks the leader to let a new folder vote, until it is accepted.
+async fn replace(operator: &Operator, instance: InstanceId, disk: &str) {
+    let disk = u64::from_str_radix(disk, 16).unwrap();
+    let body = serde_json::to_vec(&ReplaceRequest { instance, disk }).unwrap();
+    wait_for("the new folder is accepted", LIMIT, || async {
+        let leader = operator.leader().await.0;
+        http::call(Method::POST, leader, "/v1/replace", body.clone()).await.ok()
+    })
+    .await
+    .unwrap();
+}
+
+/// Guards against an older copy of a folder that counts for what the lost folder had confirmed, so that
+/// a majority with it forgets publications.
+#[tokio::test]
+async fn older_copy_reverts_nothing() {
+    let (_alone, mut cluster) = start().await;
+    let mut series = Series::new(&cluster);
+    series.publish(1).await;
+    let plan = follower(&cluster, &series.operator).await;
+    let disk = status_of(&cluster, &plan).await.details["disk"].clone();
+    let copy = cluster.folder.path().join("older-copy");
+    cluster.kill(&plan.name).await;
+    copy_folder(&plan.data, &copy);
+    cluster.restart(&plan.name).await;
+    series.publish(3).await;
+    wait_confirmed(&series.operator, plan.instance, &disk, series.accepted.last().unwrap().1).await;
+    cluster.kill(&plan.name).await;
+    fs::remove_dir_all(&plan.data).unwrap();
+    copy_folder(&copy, &plan.data);
+    let leader = series.operator.leader().await.1.name;
+    cluster.kill(&leader).await;
+    cluster.restart(&plan.name).await;
+    cluster.restart(&leader).await;
+    series.publish(1).await;
+    series.check().await;
+    wait_confirmed(&series.operator, plan.instance, &disk, series.accepted.last().unwrap().1).await;
+    let leader = series.operator.leader().await.1.name;
+    cluster.kill(&leader).await;
+    series.publish(1).await;
+    series.check().await;
+    cluster.restart(&leader).await;
+    cluster.deployment.stop().await.unwrap();
+}
