--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -2,8 +2,10 @@
 
 use comfreyhold_types::prelude::*;
 use comfreyhold_types::profile::{FieldError, check_name, check_range};
-use serde::{Deserialize, Serialize};
+use serde::de::{self, Unexpected, Visitor};
+use serde::{Deserialize, Deserializer, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Formatter;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use strum::{Display, EnumString};
@@ -35,8 +37,10 @@
     /// Its failure domain.
     pub domain: DomainId,
     /// Address for other processes.
+    #[serde(deserialize_with = "address")]
     pub peer: SocketAddr,
     /// Address for operators, announcements, metrics and health.
+    #[serde(deserialize_with = "address")]
     pub admin: SocketAddr,
 }
 
@@ -45,6 +49,7 @@
 #[serde(deny_unknown_fields)]
 pub struct StreamListener {
     /// Listening address.
+    #[serde(deserialize_with = "address")]
     pub listen: SocketAddr,
     /// Service that connections go to.
     pub service: String,
@@ -55,10 +60,13 @@
 #[serde(deny_unknown_fields)]
 pub struct EntrySettings {
     /// HTTP requests of callers.
+    #[serde(deserialize_with = "address")]
     pub http: SocketAddr,
     /// Packets from the fabric, one IP packet per datagram.
+    #[serde(deserialize_with = "address")]
     pub packets: SocketAddr,
     /// The fabric, which takes packets to targets and callers.
+    #[serde(deserialize_with = "address")]
     pub fabric: SocketAddr,
     /// Relayed streams.
     #[serde(default)]
@@ -73,6 +81,25 @@
     pub flow_secret: String,
 }
 
+/// Reads a socket address and says what is allowed, which the standard parser's error doesn't.
+fn address<'de, D: Deserializer<'de>>(input: D) -> Result<SocketAddr, D::Error> {
+    input.deserialize_str(AddressVisitor)
+}
+
+struct AddressVisitor;
+
+impl Visitor<'_> for AddressVisitor {
+    type Value = SocketAddr;
+
+    fn expecting(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.write_str("a numeric IP address with a port, such as 127.0.0.1:7001")
+    }
+
+    fn visit_str<E: de::Error>(self, text: &str) -> Result<SocketAddr, E> {
+        text.parse().map_err(|_| E::invalid_value(Unexpected::Str(text), &self))
+    }
+}
+
 fn default_packet_threads() -> u16 {
     2
 }
