cli: one test file per command against real daemons; number wrong arguments

Cause: the commands had no tests, and a wrong argument was refused without a result code, against the rule that refusals are numbered. Conclusion: the commands report what the control daemons and entries answer; 'timeline' and 'status' name a killed process.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,9 +5,13 @@
 mod error;
 mod http;
 
-use bpaf::Bpaf;
+use bpaf::{Bpaf, ParseFailure};
+use error::CliError;
 use std::process::ExitCode;
 
+/// Width of the help text.
+const HELP_COLUMNS: usize = 100;
+
 /// Operate a comfreyhold deployment
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
@@ -45,7 +49,11 @@
 }
 
 fn main() -> ExitCode {
-    let result = match command().run() {
+    let command = match command().run_inner(bpaf::Args::current_args()) {
+        Ok(command) => command,
+        Err(failure) => return explain(failure),
+    };
+    let result = match command {
         Command::Apply(args) => cmd::apply::run(&args),
         Command::Check(args) => cmd::check::run(&args),
         Command::Counts(args) => cmd::counts::run(&args),
@@ -59,9 +67,20 @@
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("comfreyhold: {} {error}", error.code().number());
-            ExitCode::FAILURE
-        }
+        Err(error) => report(&error),
+    }
+}
+
+fn report(error: &CliError) -> ExitCode {
+    eprintln!("comfreyhold: {} {error}", error.code().number());
+    ExitCode::FAILURE
+}
+
+/// Help and completions go to standard output; wrong arguments get a number like any other refusal.
+fn explain(failure: ParseFailure) -> ExitCode {
+    if let ParseFailure::Stderr(message) = &failure {
+        return report(&CliError::Argument(message.monochrome(true)));
     }
+    failure.print_message(HELP_COLUMNS);
+    ExitCode::SUCCESS
 }
--- /dev/null
+++ b/crates/cli/tests/targets.rs
@@ -0,0 +1,38 @@
+//! `comfreyhold targets` against a deployment.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use support::{Scratch, assert_refused, filtered, run};
+
+/// Guards against a target that serves and isn't listed, and an entry that doesn't answer and hides it.
+#[tokio::test]
+async fn announced_target_is_listed() {
+    let mut scratch = Scratch::start().await;
+    let ran = scratch.until(&["targets"], |ran| ran.out.contains(" true  true")).await;
+    insta::assert_snapshot!(filtered(&ran.out), @r"
+    service address domain slots incarnation state live declared
+    orders [address] d1 2 1 serving true true
+    ");
+    scratch.kill("entry-1").await;
+    scratch.until(&["targets"], |ran| ran.out.contains("orders")).await;
+    scratch.kill("entry-2").await;
+    let ran = scratch.run(&["targets"]);
+    assert_refused(&ran, 3008);
+    assert!(ran.err.contains("entry-1") && ran.err.contains("entry-2"), "{ran:?}");
+    drop(scratch);
+}
+
+/// Guards against a panic or an unnumbered error for a deployment file that can't be used.
+#[test]
+fn bad_files_are_refused() {
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("bad.yaml"), "members: 3\n").unwrap();
+    for file in ["missing.yaml", "bad.yaml"] {
+        let ran = run(folder.path(), &["targets", "--config", file]);
+        assert_refused(&ran, 3001);
+        assert!(ran.err.contains(file), "{ran:?}");
+    }
+    assert_refused(&run(folder.path(), &["targets", "--no-such-option"]), 3002);
+}
--- /dev/null
+++ b/crates/cli/tests/timeline.rs
@@ -0,0 +1,39 @@
+//! `comfreyhold timeline` against a deployment.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use support::{Scratch, assert_refused, run};
+
+/// Guards against a killed process that is silently left out, events out of order and filters that
+/// pass other events.
+#[tokio::test]
+async fn killed_process_is_named() {
+    let mut scratch = Scratch::start().await;
+    let ran = scratch.run(&["timeline"]);
+    let stamps: Vec<_> = ran.out.lines().map(|line| line.split(' ').next().unwrap()).collect();
+    assert!(stamps.len() > 5 && stamps.is_sorted(), "{ran:?}");
+    let started = scratch.run(&["timeline", "--kind", "started", "--process", "entry-1"]);
+    assert_eq!(started.out.lines().count(), 1, "{started:?}");
+    assert!(started.out.contains("entry-1") && started.out.contains(" started "), "{started:?}");
+    assert_eq!(scratch.run(&["timeline", "--to", "1"]).out, "");
+    scratch.kill("entry-2").await;
+    let ran = scratch.run(&["timeline"]);
+    assert!(ran.out.lines().any(|line| line.starts_with("entry-2: no answer: ")), "{ran:?}");
+    assert_refused(&scratch.run(&["timeline", "--kind", "no-such-kind"]), 3002);
+    drop(scratch);
+}
+
+/// Guards against a panic or an unnumbered error for a deployment file that can't be used.
+#[test]
+fn bad_files_are_refused() {
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("bad.yaml"), "members: 3\n").unwrap();
+    for file in ["missing.yaml", "bad.yaml"] {
+        let ran = run(folder.path(), &["timeline", "--config", file]);
+        assert_refused(&ran, 3001);
+        assert!(ran.err.contains(file), "{ran:?}");
+    }
+    assert_refused(&run(folder.path(), &["timeline", "--no-such-option"]), 3002);
+}
