daemon: send reads to a stalled leader too; take the seed of the crashes from outside

Cause: the stalled leader was only sent a publication, so an answer from its old state would have gone unnoticed; other seeds could not be tried without a change. Change: eight reads wait at the leader when it goes on, each must tell the newest holder or be refused; COMFREYHOLD_TEST_SEED replaces the seed.

--- a/crates/daemon/tests/publications.rs
+++ b/crates/daemon/tests/publications.rs
@@ -6,12 +6,15 @@
 mod operator;
 mod support;
 
+use comfreyhold_lab::http;
 use comfreyhold_lab::scenario::wait_for;
 use comfreyhold_lab::up::DaemonKind;
 use comfreyhold_types::prelude::*;
-use operator::{Operator, Watch, orders, outcome_in};
+use hyper::Method;
+use operator::{Operator, Raw, Watch, orders, outcome_in};
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
+use std::net::SocketAddr;
 use std::time::Duration;
 use support::{Cluster, LIMIT, settings};
 use tokio::sync::{Mutex, MutexGuard};
@@ -19,7 +22,7 @@
 /// One deployment at a time.
 static DEPLOYMENT: Mutex<()> = Mutex::const_new(());
 
-/// Seed of the crashes.
+/// Seed of the crashes, where the environment variable `COMFREYHOLD_TEST_SEED` gives no other.
 const SEED: u64 = 4_242;
 
 /// A crash falls at a random point of this span after the publication is sent.
@@ -28,11 +31,29 @@
 /// A configuration is in effect everywhere within this time.
 const IN_EFFECT_MS: u64 = 4_000;
 
+/// Reads that wait at a stalled leader when it goes on.
+const READS: usize = 8;
+
+/// Asks one control daemon, while it may be stalled, who holds version 2.
+async fn read_version_2(control: SocketAddr) -> Raw {
+    let path = "/v1/outcome?subject=profile/orders&version=2";
+    let request = http::request(Method::GET, control, path, "").unwrap();
+    match http::Client::default().send(control, request, LIMIT).await {
+        http::Sent::Answered(response) => (response.status().as_u16(), response.into_body()),
+        http::Sent::NotWritten(_) | http::Sent::Lost(_) => (503, bytes::Bytes::new()),
+    }
+}
+
 async fn start() -> (MutexGuard<'static, ()>, Cluster) {
     let alone = DEPLOYMENT.lock().await;
     (alone, Cluster::start(settings()).await)
 }
 
+fn seed() -> u64 {
+    let given = std::env::var("COMFREYHOLD_TEST_SEED").ok();
+    given.and_then(|text| text.parse().ok()).unwrap_or(SEED)
+}
+
 /// Name of the control daemon to crash: the leader every second time, else a random one.
 async fn victim(cluster: &Cluster, operator: &Operator, round: u64, rng: &mut StdRng) -> String {
     let leader = operator.leader().await.1.name;
@@ -46,7 +67,8 @@
 #[tokio::test]
 async fn crashes_lose_no_accepted_publication() {
     let (_alone, mut cluster) = start().await;
-    let mut rng = StdRng::seed_from_u64(SEED);
+    let seed = seed();
+    let mut rng = StdRng::seed_from_u64(seed);
     let operator = Operator::new("ana", &cluster);
     let watch = Watch::start(&cluster);
     let mut accepted: Vec<(u64, Revision)> = Vec::new();
@@ -62,21 +84,21 @@
             cluster.restart(&name).await;
         }
         let (status, reply) = sending.await.unwrap();
-        assert_eq!((status, reply.code), (200, 0), "seed {SEED}, version {version}: {reply:?}");
+        assert_eq!((status, reply.code), (200, 0), "seed {seed}, version {version}: {reply:?}");
         accepted.push((version, reply.revision.unwrap()));
         let index = cluster.index(&name);
         if cluster.deployment.daemons[index].id().is_none() {
             cluster.restart(&name).await;
         }
     }
-    assert!(accepted.is_sorted_by(|(_, a), (_, b)| a < b), "seed {SEED}: {accepted:?}");
+    assert!(accepted.is_sorted_by(|(_, a), (_, b)| a < b), "seed {seed}: {accepted:?}");
     for (version, revision) in &accepted {
         let (status, again) = operator.publish(&orders(*version, 1_000 + version)).await;
-        assert_eq!((status, again.code, again.revision), (200, 0, Some(*revision)), "seed {SEED}");
+        assert_eq!((status, again.code, again.revision), (200, 0, Some(*revision)), "seed {seed}");
     }
     let versions = operator.versions().await;
     let held: Vec<_> = versions.iter().map(|(version, held)| (*version, held.revision)).collect();
-    assert_eq!(held[1..], accepted, "seed {SEED}");
+    assert_eq!(held[1..], accepted, "seed {seed}");
     watch.finish(&cluster, accepted.last().unwrap().1).await;
     cluster.deployment.stop().await.unwrap();
 }
@@ -153,7 +175,7 @@
 }
 
 /// Guards against a leader that was stalled for long, accepts a publication in its old term, and so
-/// overwrites what its successor accepted.
+/// overwrites what its successor accepted, or that answers from its old state.
 #[tokio::test]
 async fn stalled_leader_accepts_nothing_in_its_old_term() {
     let (_alone, cluster) = start().await;
@@ -170,7 +192,14 @@
     let successor = Operator { name: "ana".to_owned(), controls: others.collect() };
     let (status, reply) = successor.publish(&orders(2, 1_000)).await;
     assert_eq!((status, reply.code), (200, 0), "{reply:?}");
+    let reads: Vec<_> = (0..READS).map(|_| tokio::spawn(read_version_2(address))).collect();
+    successor.holder(2).await;
     cluster.deployment.daemons[index].signal("CONT").await.unwrap();
+    for read in reads {
+        let (status, body) = read.await.unwrap();
+        let newest = String::from_utf8_lossy(&body).contains("\"ana\"");
+        assert!(status == 503 || (status == 200 && newest), "{status} {body:?}");
+    }
     if let Some((_, body)) = waiting.await.unwrap() {
         assert!(outcome_in(&body).is_none_or(|late| late.code == 3003), "{body:?}");
     }
