--- a/crates/daemon/src/entry_http.rs
+++ b/crates/daemon/src/entry_http.rs
@@ -124,6 +124,10 @@
         let host = headers.get(header::HOST).and_then(|value| value.to_str().ok());
         let host = host.or_else(|| uri.host()).unwrap_or_default();
         let Some((service, name)) = view.service_by_host(host) else {
+            // An entry that has just started knows no service yet, and can't tell that one is missing.
+            if !self.entry.is_ready() {
+                return Err(Refusal::new(None, ResultCode::Stopping, "this entry is not ready"));
+            }
             let message = format!("no service is named {host:?}");
             return Err(Refusal::new(None, ResultCode::NoSuchService, message));
         };
