Test faulty answers and bad input; name an address conflict as such

Cause: no test ran misbehaving targets against a real entry. The new one showed that an announcement of an address under another service got 4003 (old incarnation) when its sequence was lower than that of the owner, which sent operators to the wrong cause. Change: tests/answers.rs has a target that truncates, cuts, never ends, sends no length, no HTTP, and refuses; a caller that leaves; bad requests and announcements. The order of announcements is now checked within one service only; the registry judges others. Figures: before, 4003; after, 4002. Truncated answers 2001, late ones 2002, a cut answer of 1.5 MB aborted, both late requests and the left one cancelled at the target. A lost answer keeps its slot until its deadline, so the test repeats requests that are refused with 1004.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -190,8 +190,11 @@
         let record = &announcement.record;
         let last = members.sequences.get(&record.address).copied().unwrap_or_default();
         let position = (record.incarnation, sequence);
-        if position < last {
-            // An announcement that was delayed on the way must not undo a newer one.
+        let known = members.registry.targets().get(record.address);
+        let same_service = known.is_none_or(|known| known.record.service == record.service);
+        // An announcement that was delayed on the way must not undo a newer one. The registry judges
+        // one of another service, which is no earlier announcement of this target.
+        if same_service && position < last {
             let reason = format!("{} was announced later with sequence {}", record.address, last.1);
             return Err(AnnouncementError { code: ResultCode::OldIncarnation, reason });
         }
--- /dev/null
+++ b/crates/daemon/tests/answers.rs
@@ -0,0 +1,304 @@
+//! Answers of misbehaving targets, callers that leave, and bad input.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+mod traffic;
+
+use comfreyhold_lab::http;
+use comfreyhold_lab::scenario::{wait_for, wait_until};
+use comfreyhold_lab::up::{UpService, UpSettings};
+use comfreyhold_types::api::AnnounceRequest;
+use comfreyhold_types::prelude::*;
+use hyper::{Method, StatusCode};
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use support::{Answer, Cluster, LIMIT, get, result_code, settings};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Service whose only target is the misbehaving one.
+const SERVICE: &str = "faulty";
+
+/// Larger than what an entry reads before it passes on the first byte.
+const OVERSIZED: usize = 1_500_000;
+
+/// Heads of the requests that the target got, and paths of those whose connection was then closed.
+#[derive(Default)]
+struct Seen {
+    heads: Vec<String>,
+    closed: Vec<String>,
+}
+
+type Log = Arc<Mutex<Seen>>;
+
+fn heads(log: &Log, path: &str) -> Vec<String> {
+    let seen = log.lock().unwrap();
+    seen.heads.iter().filter(|head| path_of(head) == path).cloned().collect()
+}
+
+fn path_of(head: &str) -> &str {
+    head.split(' ').nth(1).unwrap_or_default()
+}
+
+fn header(head: &str, name: &str) -> Option<String> {
+    let lines = head.lines().filter_map(|line| line.split_once(':'));
+    lines.into_iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim().to_owned())
+}
+
+/// A target that misbehaves as the path of each request says.
+async fn serve(listener: TcpListener, log: Log) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(answer(stream, Arc::clone(&log)));
+    }
+}
+
+async fn answer(mut stream: TcpStream, log: Log) {
+    let Some(head) = read_head(&mut stream).await else { return };
+    let path = path_of(&head).to_owned();
+    log.lock().unwrap().heads.push(head);
+    let text = match path.as_str() {
+        "/truncated" => "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nonly this".to_owned(),
+        "/chunk-cut" => {
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n64\r\nonly this".to_owned()
+        }
+        "/no-length" => "HTTP/1.1 200 OK\r\n\r\nno length".to_owned(),
+        "/cut" => String::new(),
+        "/no-http" => "220 this is not HTTP\r\n".to_owned(),
+        "/refused" => "HTTP/1.1 503 Service Unavailable\r\nx-request-executed: false\r\n\
+                       content-length: 0\r\n\r\n"
+            .to_owned(),
+        "/oversized" | "/oversized-cut" => {
+            format!("HTTP/1.1 200 OK\r\ncontent-length: {OVERSIZED}\r\n\r\n")
+        }
+        "/silent" | "/endless" => {
+            let start = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+            let start = if path == "/endless" { start } else { "" };
+            return never_end(stream, start, &path, &log).await;
+        }
+        _ => "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok".to_owned(),
+    };
+    let _ = stream.write_all(text.as_bytes()).await;
+    let filler = match path.as_str() {
+        "/oversized" => OVERSIZED,
+        "/oversized-cut" => OVERSIZED - 1,
+        _ => 0,
+    };
+    let _ = stream.write_all(&vec![b'x'; filler]).await;
+    let _ = stream.shutdown().await;
+}
+
+/// Sends chunks, or nothing, until the connection is closed at the other side.
+async fn never_end(mut stream: TcpStream, start: &str, path: &str, log: &Log) {
+    let _ = stream.write_all(start.as_bytes()).await;
+    let mut buf = [0; 64];
+    loop {
+        let chunk: &[u8] = if start.is_empty() { b"" } else { b"1\r\nx\r\n" };
+        tokio::select! {
+            read = stream.read(&mut buf) => if matches!(read, Ok(0) | Err(_)) { break },
+            () = tokio::time::sleep(Duration::from_millis(50)) => {
+                if stream.write_all(chunk).await.is_err() { break }
+            }
+        }
+    }
+    log.lock().unwrap().closed.push(path.to_owned());
+}
+
+async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    String::from_utf8(head).ok()
+}
+
+fn with_faulty_service() -> UpSettings {
+    let mut settings = settings();
+    settings.services.push(UpService {
+        name: SERVICE.to_owned(),
+        address: "10.90.0.3:80".parse().unwrap(),
+        targets: 0,
+        slots: 2,
+        service_time: "constant:20".to_owned(),
+    });
+    settings
+}
+
+fn announcement(service: &str, address: SocketAddr) -> AnnounceRequest {
+    AnnounceRequest {
+        service: service.to_owned(),
+        address,
+        domain: DomainId(1),
+        slots: 8,
+        incarnation: Incarnation(5),
+        state: TargetState::Serving,
+        lease_ms: 10_000,
+        sequence: 1,
+    }
+}
+
+/// Announces and returns the result code.
+async fn announce(entry: SocketAddr, body: Vec<u8>) -> Option<u16> {
+    let request = http::request(Method::POST, entry, "/v1/targets", body).ok()?;
+    match http::Client::default().send(entry, request, LIMIT).await {
+        http::Sent::Answered(response) => result_code(&response),
+        _ => None,
+    }
+}
+
+/// Starts the misbehaving target, which announces itself until the test ends.
+async fn start_target(cluster: &Cluster) -> (SocketAddrV4, Log) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let SocketAddr::V4(address) = listener.local_addr().unwrap() else { unreachable!() };
+    let log = Log::default();
+    tokio::spawn(serve(listener, Arc::clone(&log)));
+    let entry = cluster.entries()[0];
+    tokio::spawn(async move {
+        for sequence in 1.. {
+            let body = AnnounceRequest { sequence, ..announcement(SERVICE, address.into()) };
+            announce(entry, serde_json::to_vec(&body).unwrap()).await;
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+    });
+    traffic::wait_declared(cluster, &[address], true).await;
+    (address, log)
+}
+
+/// Sends a request to the misbehaving target with further headers. `None`: no whole answer came.
+async fn call(
+    to: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&'static str, &str)],
+    body: Vec<u8>,
+) -> Option<Answer> {
+    let mut request = http::request(method, to, path, body).unwrap();
+    request.headers_mut().insert("host", SERVICE.parse().unwrap());
+    for (name, value) in headers {
+        request.headers_mut().insert(*name, value.parse().unwrap());
+    }
+    match http::Client::default().send(to, request, LIMIT).await {
+        http::Sent::Answered(response) => Some(response),
+        http::Sent::NotWritten(_) | http::Sent::Lost(_) => None,
+    }
+}
+
+/// Calls until the request ran. A request whose answer was lost keeps its slot until its deadline, so the
+/// next one may be refused as not run before that.
+async fn post(to: SocketAddr, path: &str) -> Option<Answer> {
+    wait_for("a slot is free", LIMIT, || async {
+        let timeout = [("x-request-timeout-ms", "1500")];
+        let answer = call(to, Method::POST, path, &timeout, Vec::new()).await;
+        let not_run = answer.as_ref().and_then(result_code) == Some(1_004);
+        (!not_run).then_some(answer)
+    })
+    .await
+    .unwrap()
+}
+
+async fn post_code(to: SocketAddr, path: &str) -> Option<u16> {
+    result_code(&post(to, path).await?)
+}
+
+/// Guards against partial answers that are passed on as complete or reported as not run, against callers
+/// that left and whose requests go on, and against bad input that is not refused or ends an entry.
+#[tokio::test(flavor = "multi_thread")]
+async fn faulty_answers_and_bad_input_get_their_codes() {
+    let cluster = traffic::start(with_faulty_service()).await;
+    let (address, log) = start_target(&cluster).await;
+    let to = cluster.callers()[1];
+    wait_for("the target answers", LIMIT, || async {
+        (post_code(to, "/fine").await? == 0).then_some(())
+    })
+    .await
+    .unwrap();
+    partial_answers(to, &log).await;
+    deadlines(to, &log).await;
+    leaving_caller(to, &log).await;
+    refusals(to, &log).await;
+    bad_requests(to).await;
+    bad_announcements(&cluster, address).await;
+    for caller in cluster.callers() {
+        let after = get(caller, "orders", "/after").await.unwrap();
+        assert_eq!(result_code(&after), Some(0));
+    }
+    cluster.deployment.stop().await.unwrap();
+}
+
+async fn partial_answers(to: SocketAddr, log: &Log) {
+    for path in ["/truncated", "/chunk-cut", "/no-length", "/cut", "/no-http"] {
+        assert_eq!(post_code(to, path).await, Some(2_001), "{path}");
+        assert_eq!(heads(log, path).len(), 1, "{path} must not run again");
+    }
+    let whole = post(to, "/oversized").await.unwrap();
+    assert_eq!((result_code(&whole), whole.body().len()), (Some(0), OVERSIZED));
+    let cut = post(to, "/oversized-cut").await;
+    assert!(cut.is_none(), "a truncated answer was passed on as complete");
+}
+
+async fn deadlines(to: SocketAddr, log: &Log) {
+    for path in ["/silent", "/endless"] {
+        assert_eq!(post_code(to, path).await, Some(2_002), "{path}");
+        let head = heads(log, path).pop().unwrap();
+        let passed: u64 = header(&head, "x-request-timeout-ms").unwrap().parse().unwrap();
+        assert!(passed < 1_500 && passed > 0, "{passed} ms passed on of 1500");
+        let closed = || log.lock().unwrap().closed.iter().any(|p| p == path);
+        wait_until("the late request is cancelled at the target", LIMIT, closed).await.unwrap();
+    }
+}
+
+async fn leaving_caller(to: SocketAddr, log: &Log) {
+    log.lock().unwrap().closed.clear();
+    let before = heads(log, "/silent").len();
+    let mut caller = TcpStream::connect(to).await.unwrap();
+    let request = format!("POST /silent HTTP/1.1\r\nhost: {SERVICE}\r\ncontent-length: 0\r\n\r\n");
+    caller.write_all(request.as_bytes()).await.unwrap();
+    let arrived = || heads(log, "/silent").len() > before;
+    wait_until("the request is running", LIMIT, arrived).await.unwrap();
+    drop(caller);
+    // The profile's deadline of 10 s would end the request as well; the caller's leaving comes first.
+    let cancelled = || !log.lock().unwrap().closed.is_empty();
+    wait_until("the request is cancelled", Duration::from_secs(8), cancelled).await.unwrap();
+}
+
+async fn refusals(to: SocketAddr, log: &Log) {
+    let answer = wait_for("the target refuses", LIMIT, || async {
+        let answer = call(to, Method::POST, "/refused", &[], Vec::new()).await.unwrap();
+        (!heads(log, "/refused").is_empty()).then_some(answer)
+    })
+    .await
+    .unwrap();
+    let code = result_code(&answer).unwrap();
+    assert!((1_000..2_000).contains(&code), "a true refusal became {code}");
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+}
+
+async fn bad_requests(to: SocketAddr) {
+    for value in ["soon", "-5", "1e3"] {
+        let timeout = [("x-request-timeout-ms", value)];
+        let answer = call(to, Method::POST, "/fine", &timeout, Vec::new()).await.unwrap();
+        assert_eq!(result_code(&answer), Some(1_009), "timeout {value:?}");
+    }
+    let large = call(to, Method::POST, "/fine", &[], vec![b'x'; 1_048_577]).await;
+    assert_eq!(large.as_ref().and_then(result_code), Some(1_010));
+    let unknown = get(to, "nobody", "/").await.unwrap();
+    assert_eq!((result_code(&unknown), unknown.status()), (Some(1_001), StatusCode::NOT_FOUND));
+}
+
+async fn bad_announcements(cluster: &Cluster, address: SocketAddrV4) {
+    let entry = cluster.entries()[0];
+    let sent = |request: AnnounceRequest| announce(entry, serde_json::to_vec(&request).unwrap());
+    let free: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    assert_eq!(announce(entry, b"{\"service\":".to_vec()).await, Some(4_001));
+    assert_eq!(announce(entry, vec![0xff; 300_000]).await, Some(4_001));
+    let none = AnnounceRequest { slots: 0, ..announcement(SERVICE, free) };
+    assert_eq!(sent(none).await, Some(4_001));
+    assert_eq!(sent(announcement("nobody", free)).await, Some(4_005));
+    assert_eq!(sent(announcement("orders", address.into())).await, Some(4_002));
+    let older =
+        AnnounceRequest { incarnation: Incarnation(4), ..announcement(SERVICE, address.into()) };
+    assert_eq!(sent(older).await, Some(4_003));
+    let elsewhere = AnnounceRequest { domain: DomainId(99), ..announcement(SERVICE, free) };
+    assert_eq!(sent(elsewhere).await, Some(4_004));
+}
