--- a/crates/daemon/src/control_run.rs
+++ b/crates/daemon/src/control_run.rs
@@ -8,6 +8,7 @@
 use crate::http_server::{self, InFlight};
 use crate::process::{self, Ticker};
 use crate::settings::{Role, Settings};
+use crate::traffic::TrafficMetrics;
 use crate::{logging, settings};
 use anyhow::Context as _;
 use comfreyhold_consensus::disk::{DataFolder, Store, StoreError};
@@ -20,7 +21,7 @@
 use rand::rngs::StdRng;
 use std::path::Path;
 use std::sync::{Arc, mpsc};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
 /// Longest wait for requests in flight at a graceful stop.
@@ -50,7 +51,11 @@
     spawn_count_writer(counts)?;
     let transport = process::start_transport(&cx, Arc::clone(&control) as Arc<dyn Inbox>)?;
     let ticking = Arc::clone(&control);
-    let ticker = Ticker::start(move || ticking.tick())?;
+    let mut traffic = TrafficMetrics::new(transport.stats(), cx.now());
+    let ticker = Ticker::start(move || {
+        ticking.tick();
+        traffic.tick(Instant::now());
+    })?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(HTTP_THREADS)
         .enable_all()
--- a/crates/daemon/src/entry_run.rs
+++ b/crates/daemon/src/entry_run.rs
@@ -7,6 +7,7 @@
 use crate::http_server::{self, InFlight};
 use crate::process::{self, Ticker};
 use crate::settings::{Role, Settings};
+use crate::traffic::TrafficMetrics;
 use crate::{admin, logging};
 use anyhow::Context as _;
 use comfreyhold_types::clock::SystemClock;
@@ -15,7 +16,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use std::path::Path;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
 /// Longest wait for requests in flight at a graceful stop; covers the longest default deadline.
@@ -47,7 +48,11 @@
     let entry = Entry::new(Arc::clone(&cx));
     let transport = process::start_transport(&cx, Arc::clone(&entry) as Arc<dyn Inbox>)?;
     let ticking = Arc::clone(&entry);
-    let ticker = Ticker::start(move || ticking.tick())?;
+    let mut traffic = TrafficMetrics::new(transport.stats(), cx.now());
+    let ticker = Ticker::start(move || {
+        ticking.tick();
+        traffic.tick(Instant::now());
+    })?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(HTTP_THREADS)
         .enable_all()
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod process;
 pub mod reply;
 pub mod settings;
+pub mod traffic;
 pub mod upstream;
