--- a/crates/capacity/src/cmd/loads.rs
+++ b/crates/capacity/src/cmd/loads.rs
@@ -1,15 +1,18 @@
 //! `comfreyhold-capacity loads`
 //!
-//! Runs the dispatcher of one pool for an hour of its own time and prints the load reports that it sends, then what the
-//! reports of all pools come to per entry when each entry gets each report.
+//! Runs the dispatcher of one pool for an hour of its own time and prints the load reports that it sends,
+//! then what the reports of all pools come to per entry.
 
 use crate::links::encoded;
 use crate::procfs;
 use crate::sample::{self, DOMAINS, SIZES};
 use anyhow::Result;
 use bpaf::Bpaf;
+use comfreyhold_daemon::entry_roles::Roles;
+use comfreyhold_daemon::load_reports;
 use comfreyhold_request::dispatcher::{Action, Dispatcher, DispatcherConfig, Event};
 use comfreyhold_request::message::{Message, Pool};
+use comfreyhold_request::watchers::WATCH_RENEWAL;
 use comfreyhold_types::prelude::*;
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
@@ -32,21 +35,38 @@
         "one dispatcher, 1 target: {:.1} reports/s, {:.0} B/s, {:.0} us/s",
         cost.reports_per_s, cost.bytes_per_s, cost.us_per_s
     );
-    let entries = [5_u64, 50, 200, 790];
+    let entries = [5_u16, 50, 200, 790];
     for ((targets, services), entries) in SIZES.into_iter().zip(entries) {
         spread(&cost, targets, services, entries);
     }
     Ok(())
 }
 
-/// Every entry receives all reports; each sends its pools' reports to all entries.
-fn spread(cost: &Cost, targets: u32, services: u16, entries: u64) {
+/// Prints the traffic of an entry when every report goes to every entry, and when it goes to the
+/// dispatcher's audience and to entries that watch a service.
+fn spread(cost: &Cost, targets: u32, services: u16, entries: u16) {
     let records = (0..targets).map(|number| sample::target(number, services));
-    let pools: BTreeSet<_> = records.map(|target| (target.service, target.domain)).collect();
-    let received = pools.len() as f64 * cost.bytes_per_s;
-    let sent = received * (entries - 1) as f64 / entries as f64;
+    let service = |name: &str| name.rsplit('-').next().and_then(|number| number.parse().ok());
+    let pool = |target: TargetRecord| {
+        Some(Pool { service: ServiceId(service(&target.service)?), domain: target.domain })
+    };
+    let pools: BTreeSet<Pool> = records.filter_map(pool).collect();
+    let live = (1..=entries).map(|id| (InstanceId(id), DomainId(id % DOMAINS + 1))).collect();
+    let roles = Roles { live, ..Roles::default() };
+    let assigned = roles.dispatchers(&pools);
+    let mut audience = 0;
+    for (pool, dispatcher) in &assigned {
+        let receivers = load_reports::audience(&roles, &assigned, *pool);
+        audience += receivers.iter().filter(|id| *id != dispatcher).count();
+    }
+    let entries = f64::from(entries);
+    let all = pools.len() as f64 * cost.bytes_per_s;
+    let fixed = audience as f64 * cost.bytes_per_s / entries;
+    let watch = Message::Watch { pool: Pool { service: ServiceId(services), domain: DomainId(1) } };
+    let watching = cost.bytes_per_s + encoded(&watch) as f64 / WATCH_RENEWAL.as_secs_f64();
+    let service = pools.len() as f64 / f64::from(services) * watching;
     println!(
-        "{entries:>3} entries, {targets:>4} targets, {services:>3} services, {:>4} pools: each entry receives {received:>7.0} B/s and sends {sent:>7.0} B/s",
+        "{entries:>3} entries, {targets:>4} targets, {services:>3} services, {:>4} pools; received per entry, B/s: {all:>7.0} to all; {fixed:>6.0} audience, {service:>5.0} more per service watched",
         pools.len()
     );
 }
@@ -63,9 +83,9 @@
     let before = procfs::thread_cpu()?;
     for step in 1..=SECONDS * 100 {
         for action in dispatcher.handle(start + STEP * step, Event::Tick) {
-            if let Action::Broadcast(message @ Message::Load(_)) = action {
+            if let Action::Report(_, report) = action {
                 reports += 1;
-                bytes += encoded(&message);
+                bytes += encoded(&Message::Load(report));
             }
         }
     }
--- a/crates/daemon/src/entry_requests.rs
+++ b/crates/daemon/src/entry_requests.rs
@@ -3,12 +3,13 @@
 use crate::context::{Context, lock};
 use crate::entry_roles::Roles;
 use crate::entry_view::View;
+use crate::load_reports::{self, FirstSeen};
 use comfreyhold_membership::rollout::FENCE;
 use comfreyhold_request::budget::Budget;
 use comfreyhold_request::client::{self, Client};
 use comfreyhold_request::client_event::NewRequest;
 use comfreyhold_request::dispatcher::{self, Dispatcher, DispatcherConfig};
-use comfreyhold_request::message::{AttemptId, Brief, Message, Pool, RequestId};
+use comfreyhold_request::message::{AttemptId, Message, Pool, RequestId};
 use comfreyhold_types::prelude::*;
 use comfreyhold_types::profile::RetryRule;
 use comfreyhold_wire::envelope::Topic;
@@ -40,14 +41,16 @@
     client: Client,
     dispatchers: BTreeMap<Pool, Dispatcher>,
     assigned: BTreeMap<Pool, InstanceId>,
-    /// Pools of whose dispatcher a load report has arrived since this process started.
-    reported: BTreeSet<Pool>,
+    /// When the last load report about each pool arrived.
+    reported: BTreeMap<Pool, Instant>,
     /// When this process first saw a target's incarnation.
-    first_seen: BTreeMap<(SocketAddr, Incarnation), Instant>,
+    first_seen: FirstSeen,
     waiting: BTreeMap<RequestId, mpsc::UnboundedSender<Order>>,
     retry_rules: BTreeMap<ServiceId, RetryRule>,
     /// Targets last passed to each dispatcher.
     given: BTreeMap<Pool, Vec<TargetRecord>>,
+    /// Receivers of each dispatcher's load reports beside those that asked for them.
+    audiences: BTreeMap<Pool, BTreeSet<InstanceId>>,
     /// Witness last named to each dispatcher.
     witnesses: BTreeMap<Pool, Option<InstanceId>>,
     /// When requests in flight end in domains that are out; `None` once they have.
@@ -77,11 +80,12 @@
             client,
             dispatchers: BTreeMap::new(),
             assigned: BTreeMap::new(),
-            reported: BTreeSet::new(),
+            reported: BTreeMap::new(),
             first_seen: BTreeMap::new(),
             waiting: BTreeMap::new(),
             retry_rules: BTreeMap::new(),
             given: BTreeMap::new(),
+            audiences: BTreeMap::new(),
             witnesses: BTreeMap::new(),
             withdrawals: BTreeMap::new(),
             epoch: 0,
@@ -268,6 +272,7 @@
             core.dispatchers.remove(&pool);
             core.given.remove(&pool);
             core.witnesses.remove(&pool);
+            core.audiences.remove(&pool);
         }
         if !core.dispatching {
             return;
@@ -287,6 +292,8 @@
         let targets = core.view.targets_of(pool);
         let Some(profile) = core.view.profile(pool.service).cloned() else { return };
         let state = core.view.domain_state(pool.domain);
+        let audience = load_reports::audience(&core.roles, &core.assigned, pool);
+        core.audiences.insert(pool, audience);
         let witness = core.roles.witness(pool);
         if core.witnesses.get(&pool) != Some(&witness) {
             core.witnesses.insert(pool, witness);
@@ -303,7 +310,11 @@
     fn take_over(&self, core: &mut Core, pool: Pool, before: Option<InstanceId>, now: Instant) {
         let Some(profile) = core.view.profile(pool.service).cloned() else { return };
         core.epoch = self.cx.epoch().max(core.epoch + 1);
-        let cold = cold_targets(core, pool, &profile, now);
+        let fresh = load_reports::is_fresh(core.reported.get(&pool).copied(), now);
+        let reported = fresh.then(|| core.client.directory().cold_targets(pool));
+        let ramp = Duration::from_millis(profile.cold.ramp_ms);
+        let targets = core.view.targets_of(pool);
+        let cold = load_reports::cold_targets(&targets, reported, &core.first_seen, now, ramp);
         let cfg =
             DispatcherConfig { pool, instance: self.cx.instance(), epoch: core.epoch, profile };
         core.dispatchers.insert(pool, Dispatcher::new(cfg, now));
@@ -356,6 +367,7 @@
             Message::Acquire { pool, .. }
             | Message::Release { pool, .. }
             | Message::Cancel { pool, .. }
+            | Message::Watch { pool }
             | Message::HeldGrants { pool, .. }
             | Message::Witnessed { pool, .. } => {
                 let pool = *pool;
@@ -366,12 +378,13 @@
                         self.on_dispatcher(core, actions, work);
                     }
                     None => work.extend(
-                        answer_without_dispatcher(from, &message).map(|reply| (from, reply)),
+                        load_reports::answer_without_dispatcher(from, &message)
+                            .map(|reply| (from, reply)),
                     ),
                 }
             }
             Message::Load(report) => {
-                core.reported.insert(report.pool);
+                core.reported.insert(report.pool, now);
                 let pools: Vec<Pool> = core.dispatchers.keys().copied().collect();
                 for pool in pools.into_iter().filter(|p| p.service == report.pool.service) {
                     let event = dispatcher::Event::Message(from, message.clone());
@@ -451,8 +464,11 @@
         for action in actions {
             match action {
                 dispatcher::Action::Send(to, message) => work.push_back((to, message)),
-                dispatcher::Action::Broadcast(message) => {
-                    work.extend(core.roles.live.keys().map(|id| (*id, message.clone())));
+                dispatcher::Action::Report(mut to, report) => {
+                    to.retain(|id| core.roles.live.contains_key(id));
+                    to.extend(core.audiences.get(&report.pool).into_iter().flatten());
+                    let message = Message::Load(report);
+                    work.extend(to.into_iter().map(|id| (id, message.clone())));
                 }
                 dispatcher::Action::TargetCold(address) => {
                     self.cx.record(EventKind::TargetCold, &[("address", address.to_string())]);
@@ -462,43 +478,6 @@
     }
 }
 
-/// Answers a message for a dispatcher that doesn't run here.
-fn answer_without_dispatcher(from: InstanceId, message: &Message) -> Option<Message> {
-    match message {
-        Message::Acquire { attempt, pool, .. } => Some(Message::Refuse {
-            attempt: *attempt,
-            pool: *pool,
-            code: ResultCode::NoDispatcher,
-            elsewhere: true,
-            load: Brief::default(),
-        }),
-        // The grants of an ended dispatcher are known to its successor from the entries' reports.
-        Message::Release { pool, grant, .. } => {
-            Some(Message::Released { pool: *pool, grant: *grant, load: Brief::default() })
-        }
-        _ => {
-            log::debug!("message of {from} for a dispatcher that doesn't run here");
-            None
-        }
-    }
-}
-
-/// Targets to treat as cold at a takeover: those that the last dispatcher reported cold and those that
-/// appeared within the ramp. Without any report every target counts as cold.
-fn cold_targets(core: &Core, pool: Pool, profile: &Profile, now: Instant) -> BTreeSet<SocketAddr> {
-    let targets = core.view.targets_of(pool);
-    if !core.reported.contains(&pool) {
-        return targets.iter().map(|target| target.address).collect();
-    }
-    let ramp = Duration::from_millis(profile.cold.ramp_ms);
-    let is_new = |target: &&TargetRecord| {
-        let seen = core.first_seen.get(&(target.address, target.incarnation));
-        seen.is_none_or(|at| now.saturating_duration_since(*at) < ramp)
-    };
-    let new = targets.iter().filter(is_new).map(|target| target.address);
-    new.chain(core.client.directory().cold_targets(pool).iter().copied()).collect()
-}
-
 fn tell(core: &Core, request: RequestId, order: Order) {
     if let Some(waiting) = core.waiting.get(&request) {
         // The task may have ended with its caller's connection.
--- a/crates/daemon/src/entry_roles.rs
+++ b/crates/daemon/src/entry_roles.rs
@@ -54,6 +54,22 @@
         local.or_else(|| staying().map(|(id, _)| *id).max_by_key(weight))
     }
 
+    /// Entries that would be dispatcher of the pool if the current one failed: the next of its failure
+    /// domain, and the next of any other in case the domain fails.
+    #[must_use]
+    pub fn successors(&self, pool: Pool) -> BTreeSet<InstanceId> {
+        let current = self.dispatcher(pool);
+        let others = || {
+            let staying = self.live.iter().filter(|(id, _)| !self.leaving.contains(id));
+            staying.filter(|(id, _)| Some(**id) != current)
+        };
+        let first = |is_local: bool| {
+            let chosen = others().filter(|(_, domain)| (**domain == pool.domain) == is_local);
+            chosen.map(|(id, _)| *id).max_by_key(|id| weight(pool, *id))
+        };
+        [first(true), first(false)].into_iter().flatten().collect()
+    }
+
     /// The entry that records the grants which the dispatcher here gives to this entry itself: one of
     /// another failure domain where possible, since a domain may fail as a whole.
     #[must_use]
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod entry_run;
 pub mod entry_view;
 pub mod http_server;
+pub mod load_reports;
 pub mod logging;
 pub mod peers;
 pub mod process;
--- /dev/null
+++ b/crates/daemon/tests/load_reports.rs
@@ -0,0 +1,68 @@
+//! Receivers of load reports, and what a successor makes of them.
+
+use comfreyhold_daemon::entry_roles::Roles;
+use comfreyhold_daemon::load_reports::{audience, cold_targets, is_fresh};
+use comfreyhold_request::message::Pool;
+use comfreyhold_types::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+fn pool(domain: u16) -> Pool {
+    Pool { service: ServiceId(1), domain: DomainId(domain) }
+}
+
+/// Four entries in each of three domains.
+fn roles() -> Roles {
+    let live = (1..=12).map(|id| (InstanceId(id), DomainId(id % 3 + 1))).collect();
+    Roles { own: InstanceId(1), own_domain: DomainId(2), live, ..Roles::default() }
+}
+
+/// Guards against a takeover by an entry that was not told which targets are cold, whether the
+/// dispatcher failed alone or with its failure domain.
+#[test]
+fn whoever_succeeds_a_dispatcher_gets_its_reports() {
+    let roles = roles();
+    let pools: BTreeSet<Pool> = (1..=3).map(pool).collect();
+    let assigned = roles.dispatchers(&pools);
+    for (pool, dispatcher) in &assigned {
+        let receivers = audience(&roles, &assigned, *pool);
+        assert!(receivers.len() <= 5, "{receivers:?}");
+        assert!(assigned.values().all(|other| receivers.contains(other)));
+        let mut alone = roles.clone();
+        alone.live.remove(dispatcher);
+        let mut together = roles.clone();
+        together.live.retain(|_, domain| *domain != pool.domain);
+        for after in [alone, together] {
+            let next = after.dispatchers(&BTreeSet::from([*pool]));
+            assert!(next.values().all(|id| receivers.contains(id)), "{next:?} {receivers:?}");
+        }
+    }
+}
+
+/// Guards against full load on targets whose state the successor doesn't know or knows from long ago.
+#[test]
+fn without_a_fresh_report_every_target_is_cold() {
+    let now = Instant::now();
+    let target = |number: u8| TargetRecord {
+        service: "orders".to_owned(),
+        address: SocketAddr::from((Ipv4Addr::new(10, 0, 0, number), 80)),
+        domain: DomainId(1),
+        slots: 2,
+        incarnation: Incarnation(1),
+        state: TargetState::Serving,
+    };
+    let targets = [target(1), target(2), target(3)];
+    let all: BTreeSet<SocketAddr> = targets.iter().map(|target| target.address).collect();
+    let later = now + Duration::from_secs(60);
+    let seen = targets[..2].iter().map(|t| ((t.address, t.incarnation), now));
+    let seen: BTreeMap<_, _> = seen.collect();
+    let ramp = Duration::from_secs(10);
+    assert_eq!(cold_targets(&targets, None, &seen, later, ramp), all);
+    let reported = [targets[0].address];
+    let expected = BTreeSet::from([targets[0].address, targets[2].address]);
+    assert_eq!(cold_targets(&targets, Some(&reported), &seen, later, ramp), expected);
+    assert!(is_fresh(Some(later - Duration::from_secs(4)), later));
+    assert!(!is_fresh(Some(now), later));
+    assert!(!is_fresh(None, later));
+}
--- a/crates/request/src/client.rs
+++ b/crates/request/src/client.rs
@@ -44,6 +44,8 @@
     pub(crate) witnessed: WitnessRecords,
     /// Requests that wait, by pool.
     pub(crate) waiting: BTreeMap<Pool, WaitingAt>,
+    /// When the dispatchers of a service were last asked for load reports.
+    pub(crate) watched: BTreeMap<ServiceId, Instant>,
 }
 
 impl Client {
@@ -63,6 +65,7 @@
             stopping: false,
             witnessed: WitnessRecords::default(),
             waiting: BTreeMap::new(),
+            watched: BTreeMap::new(),
         }
     }
 
@@ -102,6 +105,7 @@
         if let Some(budget) = self.budgets.get_mut(&new.service) {
             budget.on_first_try();
         }
+        self.watch(now, new.service, out);
         let mut request = Request {
             stage: Stage::Queued(unplaced(id, new.service), Resend::first(now)),
             new,
--- a/crates/request/src/client_changes.rs
+++ b/crates/request/src/client_changes.rs
@@ -16,6 +16,8 @@
         out: &mut Vec<Action>,
     ) {
         let changed = self.directory.set_dispatchers(current);
+        // A new dispatcher doesn't know that this entry watches.
+        self.watched.retain(|service, _| changed.iter().all(|pool| pool.service != *service));
         self.move_queued(now, |pool| changed.contains(&pool), out);
     }
 
--- a/crates/request/src/directory.rs
+++ b/crates/request/src/directory.rs
@@ -99,6 +99,12 @@
         self.views.get(&pool).map(|view| view.instance)
     }
 
+    /// The pools of a service with their dispatchers.
+    pub fn of_service(&self, service: ServiceId) -> impl Iterator<Item = (Pool, InstanceId)> {
+        let own = self.views.iter().filter(move |(pool, _)| pool.service == service);
+        own.map(|(pool, view)| (*pool, view.instance))
+    }
+
     /// Cold targets of the pool, by the last report. A successor of its dispatcher keeps them cold.
     #[must_use]
     pub fn cold_targets(&self, pool: Pool) -> &[SocketAddr] {
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -9,6 +9,7 @@
 use crate::ramp::Feedback;
 use crate::takeover::Takeover;
 use crate::target_slots::{TargetKey, TargetSlots};
+use crate::watchers::Watchers;
 use crate::witness::SelfGrants;
 use comfreyhold_types::declarations::DomainState;
 use comfreyhold_types::prelude::*;
@@ -65,6 +66,7 @@
     pub(crate) heard: BTreeMap<InstanceId, Instant>,
     pub(crate) next_grant: u64,
     pub(crate) next_load: Instant,
+    pub(crate) watchers: Watchers,
 }
 
 impl Dispatcher {
@@ -87,6 +89,7 @@
             heard: BTreeMap::new(),
             next_grant: 1,
             next_load: now,
+            watchers: Watchers::default(),
             cfg,
         }
     }
@@ -176,6 +179,7 @@
             Message::Witnessed { pool, epoch, grants } if self.is_own(pool, epoch) => {
                 self.on_witnessed(from, &grants, out);
             }
+            Message::Watch { pool } if pool == self.cfg.pool => self.on_watch(now, from, out),
             Message::Load(report) if report.pool.service == self.cfg.pool.service => {
                 self.peers.insert(report.pool.domain, (report.load.free, now));
             }
@@ -183,6 +187,13 @@
         }
     }
 
+    /// A new watcher gets its first report at once.
+    fn on_watch(&mut self, now: Instant, from: InstanceId, out: &mut Vec<Action>) {
+        if self.watchers.add(now, from) {
+            out.push(Action::Send(from, Message::Load(self.load_report())));
+        }
+    }
+
     fn on_acquire(&mut self, now: Instant, w: Waiting, may_redirect: bool, out: &mut Vec<Action>) {
         if self.queue.contains(w.attempt) {
             return;
@@ -359,6 +370,7 @@
         self.self_grants.on_entry_failed(now, entry);
         self.queue.remove_entry(entry);
         self.heard.remove(&entry);
+        self.watchers.remove(entry);
         if let Phase::Collecting(takeover) = &mut self.phase {
             takeover.fail(entry);
         }
@@ -382,7 +394,7 @@
             out.push(Action::Send(to, message));
         }
         if now >= self.next_load && !matches!(self.phase, Phase::Stopped) {
-            out.push(Action::Broadcast(Message::Load(self.load_report())));
+            out.push(Action::Report(self.watchers.current(now), self.load_report()));
             self.ask_missing(out);
         }
         if now >= self.next_load {
--- a/crates/request/src/dispatcher_event.rs
+++ b/crates/request/src/dispatcher_event.rs
@@ -1,6 +1,6 @@
 //! Settings, input and output of a dispatcher.
 
-use crate::message::{Message, Pool};
+use crate::message::{LoadReport, Message, Pool};
 use comfreyhold_types::declarations::DomainState;
 use comfreyhold_types::prelude::*;
 use std::collections::BTreeSet;
@@ -58,8 +58,9 @@
 pub enum Action {
     /// Send a message to one entry.
     Send(InstanceId, Message),
-    /// Send a message to all entries.
-    Broadcast(Message),
+    /// Send a load report to these entries, which asked for it, to the other dispatchers of the
+    /// service, and to those that would succeed this one.
+    Report(BTreeSet<InstanceId>, LoadReport),
     /// A target was found cold.
     TargetCold(SocketAddr),
 }
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -28,4 +28,5 @@
 pub mod sole;
 pub mod takeover;
 pub mod target_slots;
+pub mod watchers;
 pub mod witness;
--- a/crates/request/src/message.rs
+++ b/crates/request/src/message.rs
@@ -158,7 +158,8 @@
         /// The attempt.
         attempt: AttemptId,
     },
-    /// Dispatcher to all entries: how loaded its targets are.
+    /// Dispatcher to watchers, other dispatchers of the service and possible successors: how loaded its
+    /// targets are.
     Load(LoadReport),
     /// New dispatcher to entries: asks for the grants they hold. Grants of lower epochs that arrive
     /// later must not be used.
@@ -206,6 +207,11 @@
     },
     /// About the idempotency register.
     Key(KeyMessage),
+    /// Entry to dispatcher: asks for load reports. Sent again while the service is in use.
+    Watch {
+        /// Targets that the reports are about.
+        pool: Pool,
+    },
 }
 
 /// Load of one dispatcher's targets, as carried by its answers. Under load, entries learn of free slots
--- a/crates/request/src/sole.rs
+++ b/crates/request/src/sole.rs
@@ -6,7 +6,7 @@
 use crate::budget::Budget;
 use crate::client::{self, Client, NewRequest};
 use crate::dispatcher::{self, Dispatcher, DispatcherConfig};
-use crate::message::{AttemptId, Message, Pool, RequestId, SlotOutcome};
+use crate::message::{AttemptId, LoadReport, Message, Pool, RequestId, SlotOutcome};
 use comfreyhold_types::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -191,16 +191,29 @@
         for action in dispatcher.handle(now, event) {
             match action {
                 dispatcher::Action::Send(to, message) => self.send(entry, to, message, out),
-                dispatcher::Action::Broadcast(message) => {
-                    for (to, _) in &self.layout.entries {
-                        self.send(entry, *to, message.clone(), out);
-                    }
+                dispatcher::Action::Report(watchers, report) => {
+                    self.send_report(entry, watchers, &report, out);
                 }
                 dispatcher::Action::TargetCold(_) => {}
             }
         }
     }
 
+    /// Sends a load report to those that watch, and to the entries that act as dispatchers.
+    fn send_report(
+        &self,
+        from: usize,
+        mut to: BTreeSet<InstanceId>,
+        report: &LoadReport,
+        out: &mut Vec<Step>,
+    ) {
+        let dispatchers = self.dispatchers.values().map(|(entry, _)| *entry);
+        to.extend(dispatchers.filter_map(|entry| Some(self.layout.entries.get(entry)?.0)));
+        for to in to {
+            self.send(from, to, Message::Load(report.clone()), out);
+        }
+    }
+
     /// Passes a message to the dispatchers on the receiving entry that it concerns.
     fn pass_to_dispatchers(
         &mut self,
@@ -258,6 +271,7 @@
             Message::Acquire { .. }
             | Message::Release { .. }
             | Message::Cancel { .. }
+            | Message::Watch { .. }
             | Message::HeldGrants { .. }
             | Message::Witnessed { .. } => {
                 self.pass_to_dispatchers(now, (from, to), &message, &mut out);
--- a/crates/request/tests/client.rs
+++ b/crates/request/tests/client.rs
@@ -285,7 +285,8 @@
     for _ in 0..4 {
         burst.begin(t, request(t, false), &mut actions);
     }
-    let to_first = actions.iter().filter(|a| matches!(a, Action::Send(InstanceId(1), _))).count();
+    let is_first = |a: &&Action| matches!(a, Action::Send(InstanceId(1), Message::Acquire { .. }));
+    let to_first = actions.iter().filter(is_first).count();
     assert_eq!(to_first, 2, "a burst between two reports is spread");
 }
 
