flow: let established flows send while many new ones open, in the tests

Cause: two deliberate faults went unnoticed: taking any marker for the right one, and a new arbiter that decides without waiting for the others. The harness put the second packet of a new flow, due in 6 ms, in front of all other packets, and stopped at the first packet that was not due. With a new flow every step of 5 ms no opened flow ever sent again, so the handover test under many new flows sent nothing that an arbiter could place wrongly.

Change: one queue per delay, so the front of each is due first. A new test stops arbiter and backup of slots together: the next arbiter has no pins then, and must wait for the others.

--- a/crates/flow/examples/harness/mod.rs
+++ b/crates/flow/examples/harness/mod.rs
@@ -27,6 +27,12 @@
 const OPEN_MS: u64 = 6;
 /// Length of a simulation step, in milliseconds.
 const STEP_MS: u64 = 5;
+/// Queue of packets that callers repeat.
+const RETRY: usize = 0;
+/// Queue of the second packets of flows.
+const OPENED: usize = 1;
+/// Queue of the packets of established flows.
+const ESTABLISHED: usize = 2;
 
 #[derive(Clone)]
 struct Flow {
@@ -63,8 +69,8 @@
     version: Revision,
     routed: BTreeSet<InstanceId>,
     flows: Vec<Flow>,
-    due: VecDeque<(u64, usize)>,
-    retry: VecDeque<(u64, usize)>,
+    /// Packets by the time they are due. Each queue has one delay, so its front is due first.
+    queues: [VecDeque<(u64, usize)>; 3],
     events: BinaryHeap<Reverse<(u64, u64)>>,
     bodies: BTreeMap<u64, Event>,
     next_event: u64,
@@ -95,8 +101,7 @@
             version: Revision(0),
             routed: BTreeSet::new(),
             flows: Vec::new(),
-            due: VecDeque::new(),
-            retry: VecDeque::new(),
+            queues: Default::default(),
             events: BinaryHeap::new(),
             bodies: BTreeMap::new(),
             next_event: 0,
@@ -281,14 +286,14 @@
     }
 
     fn send_due(&mut self) {
-        while let Some((_, flow)) = self.retry.front().copied().filter(|(at, _)| *at <= self.now_ms)
-        {
-            self.retry.pop_front();
-            self.send(flow);
-        }
-        while let Some((_, flow)) = self.due.front().copied().filter(|(at, _)| *at <= self.now_ms) {
-            self.due.pop_front();
-            self.send(flow);
+        for queue in [RETRY, OPENED, ESTABLISHED] {
+            while let Some((at, flow)) = self.queues[queue].front().copied() {
+                if at > self.now_ms {
+                    break;
+                }
+                self.queues[queue].pop_front();
+                self.send(flow);
+            }
         }
     }
 
@@ -310,7 +315,7 @@
     }
 
     fn repeat(&mut self, flow: usize) {
-        self.retry.push_back((self.now_ms + CALLER_RETRY_MS, flow));
+        self.queues[RETRY].push_back((self.now_ms + CALLER_RETRY_MS, flow));
     }
 
     fn act(&mut self, at: InstanceId, action: Action, flow: usize, opens: bool) {
@@ -344,10 +349,10 @@
                 self.flows[flow].withdrawn = self.sets.out.contains(&spec.domain);
                 self.stats.opened += 1;
                 *self.opened.entry(address).or_default() += 1;
-                self.due.push_front((self.now_ms + OPEN_MS, flow));
+                self.queues[OPENED].push_back((self.now_ms + OPEN_MS, flow));
             }
             Some(home) if home == here => {
-                self.due.push_back((self.now_ms + self.options.packet_ms, flow));
+                self.queues[ESTABLISHED].push_back((self.now_ms + self.options.packet_ms, flow));
             }
             Some(_) => self.end_flow(flow),
         }
--- a/crates/flow/tests/faults.rs
+++ b/crates/flow/tests/faults.rs
@@ -5,7 +5,7 @@
 #[allow(dead_code)]
 mod harness;
 
-use comfreyhold_flow::FlowNode;
+use comfreyhold_flow::{FlowNode, PeerState};
 use comfreyhold_types::keys::{DomainId, Incarnation, InstanceId};
 use comfreyhold_types::target::TargetState;
 use harness::{Options, Stats, World, target};
@@ -234,3 +234,28 @@
         );
     }
 }
+
+/// Guards against a new arbiter that decides before all entries have handed over by the same set of
+/// live entries. It must not be the backup, which has the pins: arbiter and backup stop together.
+#[test]
+fn arbiter_and_backup_stop_together() {
+    for seed in 0..HANDOVER_SEEDS {
+        let mut world: Node = World::new(Options { entries: 4, udp: 0.0, ..options(seed) });
+        let uneven = world.options.uneven_ms;
+        world.open(FLOWS);
+        world.run(1_000);
+        weight(&mut world, 0, 1_000);
+        world.run_with(2 * uneven + 500, MANY_NEW_PER_S);
+        let stopping = [InstanceId(2), InstanceId(3)];
+        for peer in world.peers.iter_mut().filter(|peer| stopping.contains(&peer.id)) {
+            peer.state = PeerState::Leaving;
+        }
+        world.announce(uneven);
+        world.run_with(uneven + 1_500, MANY_NEW_PER_S);
+        world.run(6 * IDLE_MS);
+        let moving: usize = world.nodes.values().map(|node| node.stats().moving_slots).sum();
+        let stats = world.stats;
+        let seen = (stats.broken, stats.wrong_service, moving);
+        assert_eq!(seen, (0, 0, 0), "seed {seed}: {stats:?}");
+    }
+}
