Start each trial from an empty run folder

Cause: a second demo into the same folder failed after 60 s: the control daemons found the log of the first run and refused the publications. Conclusion: the one command can be repeated.

--- a/crates/lab/src/trial_run.rs
+++ b/crates/lab/src/trial_run.rs
@@ -146,6 +146,10 @@
 /// A part does not start or stop, or an action fails.
 pub async fn run(settings: &TrialSettings) -> Result<TrialReport> {
     let folder = settings.out.join("run");
+    // Control daemons that find the log of an earlier run refuse to publish the same versions anew.
+    if folder.join("deployment.json").exists() {
+        std::fs::remove_dir_all(&folder)?;
+    }
     std::fs::create_dir_all(&folder)?;
     let mut trial =
         Trial::start(settings.shipped, &settings.binaries, settings.seed, &folder).await?;
