Split the entry's reactions to changes from its drivers

Change: what follows from changed members, targets, leases and declarations is in entry_changes.rs; behaviour is unchanged.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod entry;
 pub mod entry_admin;
 mod entry_body;
+mod entry_changes;
 pub mod entry_counts;
 mod entry_exchange;
 pub mod entry_http;
