Refresh an entry only on changes; read declaration files in one place

Cause: an entry without a lease rebuilt its views and dispatchers 100 times a second, because the wait for its peers marked it as changed on every tick; and three commands read and checked declaration files each by itself. Change: the tick notes once that peers are known; apply, check and diff call config::read_declarations. The cost before and after was not measured.

--- a/crates/cli/src/cmd/apply.rs
+++ b/crates/cli/src/cmd/apply.rs
@@ -3,15 +3,14 @@
 //! Publishes each document of each file in order, and stops at the first refusal. A resend of the same
 //! content under the same version gets the same answer. The table tells accepted from in effect.
 
-use crate::config::{Common, Deployment, common};
+use crate::config::{Common, Deployment, common, read_declarations};
 use crate::error::CliError;
 use crate::http;
 use bpaf::Bpaf;
 use comfreyhold_types::api::{ApplyReply, EffectReport, PublicationReply};
-use comfreyhold_types::document;
 use comfreyhold_types::prelude::ResultCode;
 use hyper::Method;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 /// Arguments of `apply`.
 #[derive(Clone, Debug, Bpaf)]
@@ -39,15 +38,7 @@
 
 /// Reads and checks all files before anything is published.
 fn read_files(files: &[PathBuf], operator: &str) -> Result<Vec<String>, CliError> {
-    files.iter().map(|path| read_file(path, operator)).collect()
-}
-
-fn read_file(path: &Path, operator: &str) -> Result<String, CliError> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|source| CliError::Read { path: path.to_owned(), source })?;
-    document::parse(&text, operator)
-        .map_err(|source| CliError::Document { path: path.to_owned(), source })?;
-    Ok(text)
+    files.iter().map(|path| Ok(read_declarations(path, operator)?.0)).collect()
 }
 
 /// Sends documents to the leader.
--- a/crates/cli/src/cmd/check.rs
+++ b/crates/cli/src/cmd/check.rs
@@ -2,11 +2,11 @@
 //!
 //! Checks declaration files, or with `--settings` daemons' settings files, without any connection.
 
+use crate::config::read_declarations;
 use crate::error::CliError;
 use bpaf::Bpaf;
 use comfreyhold_daemon::settings::Settings;
-use comfreyhold_types::document;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 /// Arguments of `check`.
 #[derive(Clone, Debug, Bpaf)]
@@ -25,17 +25,9 @@
             let settings = Settings::load(path)?;
             println!("{}: settings of {}", path.display(), settings.instance);
         } else {
-            let count = check_declarations(path)?;
+            let count = read_declarations(path, "check")?.1.len();
             println!("{}: {count} declarations", path.display());
         }
     }
     Ok(())
 }
-
-fn check_declarations(path: &Path) -> Result<usize, CliError> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|source| CliError::Read { path: path.to_owned(), source })?;
-    let publications = document::parse(&text, "check")
-        .map_err(|source| CliError::Document { path: path.to_owned(), source })?;
-    Ok(publications.len())
-}
--- a/crates/cli/src/cmd/diff.rs
+++ b/crates/cli/src/cmd/diff.rs
@@ -2,16 +2,15 @@
 //!
 //! Shows for each document whether it is already accepted, would be accepted, or would be refused.
 
-use crate::config::{Common, Deployment, common};
+use crate::config::{Common, Deployment, common, read_declarations};
 use crate::error::CliError;
 use crate::http;
 use bpaf::Bpaf;
 use comfreyhold_types::api::DeclarationsReply;
 use comfreyhold_types::declarations::{Outcome, Publication};
-use comfreyhold_types::document;
 use comfreyhold_types::prelude::Declarations;
 use hyper::Method;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 /// Arguments of `diff`.
 #[derive(Clone, Debug, Bpaf)]
@@ -30,20 +29,13 @@
     let reply: DeclarationsReply = http::read(&http::block_on(ask)?)?;
     let mut state = reply.state;
     for path in &args.files {
-        for publication in read(path)? {
+        for publication in read_declarations(path, "diff")?.1 {
             println!("{}", describe(&mut state, publication));
         }
     }
     Ok(())
 }
 
-fn read(path: &Path) -> Result<Vec<Publication>, CliError> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|source| CliError::Read { path: path.to_owned(), source })?;
-    document::parse(&text, "diff")
-        .map_err(|source| CliError::Document { path: path.to_owned(), source })
-}
-
 /// Tries the publication on a copy of the state, so that later documents see earlier ones.
 fn describe(state: &mut Declarations, publication: Publication) -> String {
     let head = format!("{} version {}", publication.content.subject(), publication.version);
--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -3,10 +3,12 @@
 use crate::error::CliError;
 use bpaf::Bpaf;
 use comfreyhold_daemon::settings::{Member, Role};
+use comfreyhold_types::declarations::Publication;
+use comfreyhold_types::document;
 use comfreyhold_types::prelude::DomainId;
 use serde::Deserialize;
 use std::collections::BTreeMap;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 /// Options that every command takes.
 #[derive(Clone, Debug, Bpaf)]
@@ -58,3 +60,18 @@
         })
     }
 }
+
+/// Reads and checks a file of declarations. Returns its text as well, which is what is published.
+///
+/// # Errors
+/// The file can't be read, or a document is wrong.
+pub fn read_declarations(
+    path: &Path,
+    operator: &str,
+) -> Result<(String, Vec<Publication>), CliError> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|source| CliError::Read { path: path.to_owned(), source })?;
+    let publications = document::parse(&text, operator)
+        .map_err(|source| CliError::Document { path: path.to_owned(), source })?;
+    Ok((text, publications))
+}
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -269,6 +269,7 @@
         self.announce_stop(&mut members, now);
         self.isolate_without_lease(&mut members, now);
         self.report_held(&mut members, now);
+        self.note_known_peers(&mut members, now);
         self.refresh(&mut members);
         drop(members);
         self.packets.tick();
--- a/crates/daemon/src/entry_changes.rs
+++ b/crates/daemon/src/entry_changes.rs
@@ -15,7 +15,7 @@
 use comfreyhold_wire::envelope::Topic;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time that a starting entry gives the others to answer its first probes: two rounds.
 const PEER_DISCOVERY: Duration = Duration::from_secs(1);
@@ -165,21 +165,20 @@
         *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::clone(&view);
         members.registry.set_peers(registry_peers(&roles, members.installer.leader()));
         self.pool.retain(|target| view.has_target(target));
-        if self.knows_peers(members) {
+        if members.peers_known {
             self.packets.set_peers(&flow_peers(&roles, members, self.cx.incarnation));
         }
         self.requests.update(&roles, &view);
     }
 
-    /// Whether the failure detector had time to find the other entries. A packet side that is told of
-    /// itself alone would decide about every slot in transition without the others' records.
-    fn knows_peers(&self, members: &mut Members) -> bool {
-        let now = self.cx.now();
-        members.peers_known |=
-            now >= members.started + PEER_DISCOVERY && members.installer.has_lease(now);
-        // Looked at again with the next tick.
-        members.changed |= !members.peers_known;
-        members.peers_known
+    /// Notes once that the failure detector had time to find the other entries. A packet side that is told
+    /// of itself alone would decide about every slot in transition without the others' records.
+    pub(crate) fn note_known_peers(&self, members: &mut Members, now: Instant) {
+        let had_time = now >= members.started + PEER_DISCOVERY;
+        if !members.peers_known && had_time && members.installer.has_lease(now) {
+            members.peers_known = true;
+            members.changed = true;
+        }
     }
 
     fn roles(&self, members: &Members) -> Roles {
