Claim no effect that entries have not confirmed

Cause: a leader elected milliseconds before had no rollout yet, and its answer to a publication then named all entries as having it in effect. Ruled out: late reports of entries; the timeline of the control daemons shows that no entry had received the revisions. Change: the answer waits for the rollout; a revision from before the term takes the record of the next one, which starts with every entry missing. The rejoin grace also waits for reports of most entries (at most 30 s) instead of relying on their timing, and a leader whose log ends before what an entry holds steps down. The new tests new_leader_claims_no_effect_without_reports, grace_ends_only_after_reports_of_most_entries, wait_for_entries_is_bounded and leader_behind_an_entry_steps_down pass. Conclusion: an answer "accepted" no longer returns before entries hold the revision.

--- a/crates/consensus/src/node/api.rs
+++ b/crates/consensus/src/node/api.rs
@@ -26,6 +26,10 @@
     /// After this time a restarted voter joins with the responses of half of the other voters. `None`
     /// waits for as many as needed to find every older copy of a folder.
     pub rejoin_grace: Option<Duration>,
+    /// Number of entries. The grace ends only once more than half of them have reported what they hold.
+    pub entries: usize,
+    /// After this time a restarted voter no longer waits for the reports of entries.
+    pub entries_wait: Duration,
     /// Most entries per message.
     pub max_entries: usize,
     /// Most entries sent to a follower without a response.
@@ -50,6 +54,9 @@
             heartbeat: Duration::from_millis(150),
             election: Duration::from_millis(750),
             rejoin_grace: Some(Duration::from_secs(3)),
+            entries: 0,
+            // Longer than an entry takes to restart, recover and reconnect.
+            entries_wait: Duration::from_secs(30),
             max_entries: 64,
             max_inflight: 256,
             chunk_bytes: 16 * 1024,
@@ -74,8 +81,13 @@
     Persisted(u64),
     /// The data folder has failed. The instance neither votes nor replicates until its restart.
     StorageFault(ResultCode),
-    /// Somebody holds the state of this revision, so it was accepted.
-    Held(Revision),
+    /// An entry holds the state of this revision, so it was accepted.
+    Held {
+        /// The entry.
+        holder: InstanceId,
+        /// Newest revision that it holds.
+        revision: Revision,
+    },
     /// An operator or the control daemon proposes a change.
     Propose {
         /// Number of the proposal.
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -26,7 +26,7 @@
             // A leader without accepted entries would revert them.
             return;
         }
-        if !self.rejoin.allows(last, self.hard.term.next(), self.now, &self.settings) {
+        if !self.rejoin_allows(last, self.hard.term.next()) {
             self.deadline = self.now;
             return self.rejoin.ask_again();
         }
@@ -63,7 +63,7 @@
         !self.is_empty()
             && last >= self.log.last()
             && last.index >= self.held
-            && self.rejoin.allows(last, next, self.now, &self.settings)
+            && self.rejoin_allows(last, next)
     }
 
     pub(super) fn pre_vote(&mut self, sender: Voter, next: Term, last: Position) {
--- a/crates/consensus/src/node/mod.rs
+++ b/crates/consensus/src/node/mod.rs
@@ -75,8 +75,10 @@
     leader: Option<InstanceId>,
     heard: Instant,
     deadline: Instant,
-    /// Newest revision that anybody is known to hold. A log that ends before it lacks accepted entries.
+    /// Newest revision that an entry is known to hold. A log that ends before it lacks accepted log entries.
     held: Revision,
+    /// Entries that have reported what they hold since the start.
+    holders: BTreeSet<InstanceId>,
     rejoin: Rejoin,
     greeted: BTreeMap<InstanceId, Voter>,
     incoming: Option<Incoming>,
@@ -125,6 +127,7 @@
             leader: None,
             heard: now,
             held: Revision(0),
+            holders: BTreeSet::new(),
             greeted: BTreeMap::new(),
             incoming: None,
             fault: None,
@@ -148,7 +151,7 @@
             Event::Replace { request, old, new } => self.replace(request, old, new),
             Event::StorageFault(code) => self.storage_fault(code),
             _ if self.fault.is_some() => {}
-            Event::Held(revision) => self.held = self.held.max(revision),
+            Event::Held { holder, revision } => self.note_holder(holder, revision),
             Event::Tick => self.tick(),
             Event::Message(message) => self.receive(message),
             Event::Persisted(seq) => self.persisted(seq),
--- a/crates/consensus/src/node/rejoin.rs
+++ b/crates/consensus/src/node/rejoin.rs
@@ -5,7 +5,7 @@
 //! is known to a majority, so enough responses include an instance that holds the entry or the vote. It
 //! then votes only in later terms, and only for logs at least as long as the longest response.
 
-use super::{Node, Role, Settings};
+use super::{Node, Role};
 use crate::durable::HardState;
 use crate::message::{Body, Mark, Position, Starts};
 use comfreyhold_types::declarations::Voter;
@@ -52,15 +52,8 @@
     }
 
     /// Whether a vote for a log in a term is allowed.
-    pub(super) fn allows(
-        &self,
-        last: Position,
-        term: Term,
-        now: Instant,
-        settings: &Settings,
-    ) -> bool {
-        let expired = settings.rejoin_grace.is_some_and(|grace| now >= self.started + grace);
-        let above_floor = expired || self.floor.is_none_or(|floor| last >= floor);
+    fn allows(&self, last: Position, term: Term, waited: bool) -> bool {
+        let above_floor = waited || self.floor.is_none_or(|floor| last >= floor);
         !self.asking && !self.stale && term > self.voted_through && above_floor
     }
 
@@ -80,6 +73,34 @@
 }
 
 impl Node {
+    /// Whether a vote for a log in a term is allowed after the restart of this instance.
+    pub(super) fn rejoin_allows(&self, last: Position, term: Term) -> bool {
+        self.rejoin.allows(last, term, self.has_waited())
+    }
+
+    /// Whether this instance goes on without the voters that haven't responded. What they know beyond the
+    /// others was accepted only if entries hold it, so most entries have to report first.
+    fn has_waited(&self) -> bool {
+        let since_start = self.now - self.rejoin.started;
+        let in_time = self.settings.rejoin_grace.is_some_and(|grace| since_start >= grace);
+        let reported = 2 * self.holders.len() > self.settings.entries || self.settings.entries == 0;
+        in_time && (reported || since_start >= self.settings.entries_wait)
+    }
+
+    /// Takes in what an entry holds. A leader without accepted log entries would revert them.
+    pub(super) fn note_holder(&mut self, holder: InstanceId, revision: Revision) {
+        self.holders.insert(holder);
+        self.held = self.held.max(revision);
+        if matches!(self.role, Role::Leader(_)) && self.log.last().index < self.held {
+            log::error!(
+                "{}: {holder} holds {revision}, beyond this log",
+                self.settings.me.instance
+            );
+            self.step_down();
+            self.role = Role::Follower;
+        }
+    }
+
     pub(super) fn ask_rejoin(&mut self) {
         for instance in self.rejoin_peers() {
             self.send_any(instance, Body::RejoinAsk);
@@ -150,9 +171,7 @@
         let size = size.max(1);
         let majority = size / 2 + 1;
         let all = (size - majority + 1).min(size - 1);
-        let grace = self.settings.rejoin_grace;
-        let waited = grace.is_some_and(|grace| self.now >= self.rejoin.started + grace);
-        let needed = if waited { majority - 1 } else { all };
+        let needed = if self.has_waited() { majority - 1 } else { all };
         if count >= needed {
             self.end_rejoin();
         }
--- a/crates/consensus/tests/leader.rs
+++ b/crates/consensus/tests/leader.rs
@@ -14,6 +14,14 @@
 
 const PEER: Voter = Voter { instance: InstanceId(2), disk: 2 };
 
+fn voter(number: u16) -> Voter {
+    Voter { instance: InstanceId(number), disk: number.into() }
+}
+
+fn is_pre_vote(action: &Action) -> bool {
+    matches!(action, Action::Send { message, .. } if matches!(message.body, Body::PreVote { .. }))
+}
+
 struct Driver {
     node: Node,
     now: Instant,
@@ -23,7 +31,14 @@
     /// Instance 1 of 3 with one entry of an earlier term after the first set of voters, restarted and
     /// answered by both others.
     fn restarted() -> Self {
-        let voter = |number: u16| Voter { instance: InstanceId(number), disk: number.into() };
+        let mut driver = Self::starting(0);
+        driver.answer_rejoin(PEER);
+        driver.answer_rejoin(voter(3));
+        driver
+    }
+
+    /// The same instance before it was answered, in front of a number of entry daemons.
+    fn starting(entries: usize) -> Self {
         let voters: BTreeSet<Voter> = (1..=3).map(voter).collect();
         let members = voters.iter().map(|voter| voter.instance).collect();
         let first = LogEntry { term: Term(1), command: Command::Voters(voters) };
@@ -32,16 +47,28 @@
         let mut durable = Durable { hard, ..Durable::default() };
         durable.append(Revision(1), vec![first, second]);
         let now = Instant::now();
-        let settings = Settings::new(voter(1), Incarnation(5), members);
+        let mut settings = Settings::new(voter(1), Incarnation(5), members);
+        settings.entries = entries;
         let node = Node::new(settings, durable, StdRng::seed_from_u64(1), now).unwrap();
-        let mut driver = Self { node, now };
-        for sender in [PEER, voter(3)] {
-            let asked = Incarnation(5);
-            let config = (Revision(0), BTreeSet::new());
-            let body = Body::RejoinReply { asked, last: Position::default(), mark: None, config };
-            driver.receive_from(sender, Term(2), body);
-        }
-        driver
+        Self { node, now }
+    }
+
+    fn answer_rejoin(&mut self, sender: Voter) {
+        let asked = Incarnation(5);
+        let config = (Revision(0), BTreeSet::new());
+        let body = Body::RejoinReply { asked, last: Position::default(), mark: None, config };
+        self.receive_from(sender, Term(2), body);
+    }
+
+    fn hold(&mut self, holder: u16, revision: u64) -> Vec<Action> {
+        let (holder, revision) = (InstanceId(holder), Revision(revision));
+        self.feed(Event::Held { holder, revision })
+    }
+
+    /// Whether the instance asks for votes within a number of seconds.
+    fn seeks_votes(&mut self, seconds: u64) -> bool {
+        let ticks = (0..seconds * 4).flat_map(|_| self.wait(Duration::from_millis(250)));
+        ticks.collect::<Vec<_>>().iter().any(is_pre_vote)
     }
 
     /// The restarted instance, elected leader of term 3 by instance 2.
@@ -127,10 +154,8 @@
 #[test]
 fn log_behind_what_somebody_holds_gets_no_leader() {
     let mut driver = Driver::restarted();
-    driver.feed(Event::Held(Revision(5)));
-    let sent = driver.wait(Duration::from_secs(2));
-    let seeks = |action: &Action| matches!(action, Action::Send { message, .. } if matches!(message.body, Body::PreVote { .. }));
-    assert!(!sent.iter().any(seeks), "{sent:?}");
+    driver.hold(9, 5);
+    assert!(!driver.seeks_votes(5));
     for (index, wanted) in [(2, false), (4, false), (5, true)] {
         let last = Position { term: Term(2), index: Revision(index) };
         let body = Body::PreVote { next: Term(3), last };
@@ -145,3 +170,37 @@
         assert_eq!(replies.iter().find_map(granted), Some(wanted), "log that ends at {index}");
     }
 }
+
+/// Guards against a restarted voter that goes on without a peer before the entries could report what they
+/// hold: two instances that both lack accepted entries would elect each other.
+#[test]
+fn grace_ends_only_after_reports_of_most_entries() {
+    let mut driver = Driver::starting(5);
+    driver.answer_rejoin(PEER);
+    driver.hold(4, 2);
+    driver.hold(5, 2);
+    driver.hold(5, 2);
+    assert!(!driver.seeks_votes(20), "two of five entries have reported");
+    driver.hold(6, 2);
+    assert!(driver.seeks_votes(5));
+}
+
+/// Guards against a control side that stays without a leader because most entries are lost.
+#[test]
+fn wait_for_entries_is_bounded() {
+    let mut driver = Driver::starting(5);
+    driver.answer_rejoin(PEER);
+    assert!(!driver.seeks_votes(25));
+    assert!(driver.seeks_votes(10));
+}
+
+/// Guards against a leader that goes on accepting after an entry has shown that its log lacks accepted
+/// revisions.
+#[test]
+fn leader_behind_an_entry_steps_down() {
+    let mut driver = Driver::elected();
+    driver.confirm(3);
+    assert!(!driver.hold(4, 3).contains(&Action::SteppedDown(Term(3))));
+    assert!(driver.hold(4, 9).contains(&Action::SteppedDown(Term(3))));
+    assert!(!driver.seeks_votes(5));
+}
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -442,7 +442,7 @@
             Topic::Lifecycle => {
                 let message: LifecycleMessage = decode_body(&envelope.body)?;
                 if let LifecycleMessage::Holds(revision) = message {
-                    self.drive(&mut core, Event::Held(revision));
+                    self.drive(&mut core, Event::Held { holder: from, revision });
                 }
             }
             Topic::Flow | Topic::Request | Topic::Relay => {
--- a/crates/daemon/src/control_api.rs
+++ b/crates/daemon/src/control_api.rs
@@ -229,10 +229,9 @@
     fn effect_report(&self, revision: Revision) -> EffectReport {
         let unreachable = self.control.unreachable().unwrap_or_default();
         let Some(record) = self.control.effect(revision) else {
-            // An older revision than the records cover: it is in effect wherever a lease runs.
-            let all = self.control.entries().keys().copied();
-            let (fenced, in_effect) = all.partition(|id| unreachable.contains(id));
-            return EffectReport { revision, in_effect, fenced, ..EffectReport::default() };
+            // The rollout of a new leader has not started yet, so no entry is known to have it.
+            let waiting = self.control.entries().keys().copied().collect();
+            return EffectReport { revision, waiting, ..EffectReport::default() };
         };
         let (fenced, waiting) = record.missing.iter().partition(|id| unreachable.contains(id));
         let complete = record.complete_at.map(|at| at.duration_since(record.accepted_at));
--- a/crates/daemon/src/control_run.rs
+++ b/crates/daemon/src/control_run.rs
@@ -106,6 +106,7 @@
     let members = cx.settings.with_role(Role::Control).into_keys().collect();
     let mut cfg = NodeSettings::new(me, cx.incarnation, members);
     cfg.form = cx.settings.bootstrap;
+    cfg.entries = cx.settings.with_role(Role::Entry).len();
     let rng = StdRng::seed_from_u64(cx.seed(2));
     Ok(Node::new(cfg, store.content().clone(), rng, cx.now())?)
 }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -297,7 +297,7 @@
     /// of them may lead without it.
     fn report_held(&self, members: &mut Members, now: Instant) {
         let is_due = members.next_held_report.is_none_or(|at| now >= at);
-        if !is_due || members.installer.has_lease(now) {
+        if !is_due || members.installer.has_lease(now) || !members.installer.is_recovered() {
             return;
         }
         members.next_held_report = Some(now + HELD_INTERVAL);
--- a/crates/daemon/src/entry_changes.rs
+++ b/crates/daemon/src/entry_changes.rs
@@ -31,7 +31,8 @@
                     peers::record_change(&self.cx, change, &member);
                     self.on_change(members, change, member.id, member.rank.incarnation);
                     let is_back = matches!(change, Change::Alive | Change::Restarted);
-                    if is_back && member.role == MemberRole::Control {
+                    let is_recovered = members.installer.is_recovered();
+                    if is_back && is_recovered && member.role == MemberRole::Control {
                         self.send_held(members, member.id);
                     }
                 }
--- a/crates/membership/src/effects.rs
+++ b/crates/membership/src/effects.rs
@@ -63,9 +63,9 @@
         }
     }
 
-    /// The record of a revision.
+    /// The record of a revision, or of the next one on record: where that is in effect, so are all before.
     #[must_use]
-    pub fn get(&self, revision: Revision) -> Option<&EffectRecord> {
-        self.records.iter().find(|record| record.revision == revision)
+    pub fn covering(&self, revision: Revision) -> Option<&EffectRecord> {
+        self.records.iter().find(|record| record.revision >= revision)
     }
 }
--- a/crates/membership/src/rollout.rs
+++ b/crates/membership/src/rollout.rs
@@ -220,10 +220,12 @@
         groups.chain(leases).fold(now + HEARTBEAT, Instant::min)
     }
 
-    /// The record of a revision; `None` when it is not accepted in this term or no longer kept.
+    /// Where a revision is in effect; `None` when it was not passed to the rollout yet. One from before this
+    /// term, or no longer kept, gets the times of the next one on record.
     #[must_use]
     pub fn effect(&self, revision: Revision) -> Option<EffectRecord> {
-        let mut record = self.effects.get(revision)?.clone();
+        let mut record = self.effects.covering(revision)?.clone();
+        record.revision = revision;
         record.missing = self.missing(revision);
         Some(record)
     }
--- a/crates/membership/tests/rollout.rs
+++ b/crates/membership/tests/rollout.rs
@@ -226,3 +226,20 @@
 fn relay_schedules_keep_the_invariants() {
     (0..200).for_each(|seed| run_schedule(10_000 + seed, 18 + (seed % 7) as u16, 3));
 }
+
+/// Guards against a new leader that calls a revision of an earlier term in effect before the entries have
+/// told it so.
+#[test]
+fn new_leader_claims_no_effect_without_reports() {
+    let mut fleet = settled(4, 5, 4, NO_FAULTS);
+    let earlier = fleet.publish();
+    fleet.publish();
+    fleet.elect();
+    let record = |fleet: &Fleet| fleet.leader.as_ref().unwrap().effect(earlier).unwrap();
+    assert!(record(&fleet).in_effect.is_empty());
+    assert_eq!(record(&fleet).missing, fleet.ids());
+    fleet.run(4_000);
+    assert_eq!(record(&fleet).revision, earlier);
+    assert!(record(&fleet).in_effect.keys().copied().eq(fleet.ids()));
+    assert!(record(&fleet).missing.is_empty());
+}
