Make entries agree on the slots in transition after common starts

Cause: entries that became synced at different versions, or while isolated (where targets of other domains are unusable), differed in which slots they had in transition, and answered for transitions that they had never known. After a common loss of leases every entry forgot all transitions. Of several versions prepared while an entry waited for its peers, only the newest was considered. Change: State tells after which version the sender knows of all moves; only such an entry can say that a transition has ended, others take the slot over. Moves that pass while an entry waits are remembered, transitions are kept over the loss of a lease and merged, and an isolated entry is not synced.

--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -3,6 +3,7 @@
 use crate::merge::PeerSlots;
 use crate::message::{Message, Outgoing};
 use crate::node::{FlowNode, Peer};
+use crate::passed::Passed;
 use crate::report::{Ending, Pending};
 use crate::table::{SLOTS_PER_SERVICE, SlotTable};
 use crate::targets::{ServiceTargets, TargetKey, TargetRef, TargetSets, TargetSpec};
@@ -50,13 +51,13 @@
 #[derive(Clone)]
 pub(crate) struct Computed {
     targets: Vec<(TargetKey, TargetSpec)>,
-    table: Arc<SlotTable>,
+    pub table: Arc<SlotTable>,
 }
 
 /// A version that is prepared and not yet in force.
 pub(crate) struct Prepared {
     sets: TargetSets,
-    tables: BTreeMap<ServiceId, Computed>,
+    pub tables: BTreeMap<ServiceId, Computed>,
 }
 
 /// What a peer has told.
@@ -93,6 +94,10 @@
     pub checked: u32,
     pub endings: Vec<Ending>,
     pub draining: BTreeMap<SocketAddr, u32>,
+    /// Moves by later versions are all known here, once the entry is synced.
+    pub known_since: Revision,
+    /// Moves by versions that were put in force before this entry was synced.
+    pub passed: BTreeMap<(ServiceId, u16), Passed>,
     /// Ends of transitions heard of before this entry was synced.
     pub ended_early: BTreeMap<(ServiceId, u16), Revision>,
 }
@@ -120,6 +125,8 @@
             checked: 0,
             endings: Vec::new(),
             draining: BTreeMap::new(),
+            known_since: Revision(0),
+            passed: BTreeMap::new(),
             ended_early: BTreeMap::new(),
         }
     }
@@ -213,7 +220,8 @@
             let known = service.moving.get(&slot).copied();
             let moving = known.unwrap_or_else(|| {
                 let moving = Moving::new(base, self.view.active, stamp, self.view.me);
-                self.assign_new(id, slot, moving)
+                let known_since = self.known_since;
+                self.assign_new(id, slot, Moving { known_since, ..moving })
             });
             let moved = version.max(moving.moved);
             let moving = Moving { moved, active_at: None, ended: None, reported: false, ..moving };
@@ -224,12 +232,12 @@
     }
 
     /// Puts the slots in transition that versions prepared while this entry was not synced move.
-    fn begin_prepared_moves(&mut self, stamp: u32) {
-        let newest = self.prepared.iter().next_back();
-        let Some((version, prepared)) = newest else { return };
-        let version = *version;
-        let tables: Vec<_> = prepared.tables.iter().map(|(id, c)| (*id, c.table.clone())).collect();
-        for (id, table) in tables {
+    pub fn begin_prepared_moves(&mut self, stamp: u32) {
+        let prepared = self.prepared.iter().flat_map(|(version, prepared)| {
+            let tables = prepared.tables.iter();
+            tables.map(|(id, computed)| (*id, *version, computed.table.clone()))
+        });
+        for (id, version, table) in prepared.collect::<Vec<_>>() {
             self.begin_moves(id, version, &table, stamp);
         }
     }
@@ -287,6 +295,7 @@
         Self {
             base,
             stable,
+            known_since: Revision(0),
             moved: stable,
             since,
             active_at: None,
@@ -362,6 +371,11 @@
         let prepared =
             control.prepared.remove(&version).ok_or(ControlError::NotPrepared(version))?;
         control.prepared.retain(|other, _| *other > version);
+        if active == Revision(0) {
+            control.known_since = version;
+        } else if !control.view.synced {
+            control.note_passed(version, &prepared);
+        }
         control.install(version, prepared, self.stamp(now));
         control.set_next();
         if control.view.isolated {
@@ -406,20 +420,19 @@
         }
     }
 
-    pub(crate) fn begin_pending_moves(&self, control: &mut Control, now: Instant) {
-        control.begin_prepared_moves(self.stamp(now));
-    }
-
     /// The lease has expired: only targets of the own failure domain are served from now on.
     pub fn lease_lost(&self) {
         let mut control = self.control();
         control.view.isolated = true;
+        control.view.synced = false;
         control.build_own_tables();
         self.publish(&control);
     }
 
     /// The lease is back. Transitions may have begun and ended meanwhile, so everything is asked
-    /// of the peers again, and unknown flows go through them until they have answered.
+    /// of the peers again, and unknown flows go through them until they have answered. What was known before
+    /// is kept: after an outage of the control daemons all entries get their leases back together, and no
+    /// peer knows more.
     pub fn lease_regained(&self, now: Instant, out: &mut Vec<Outgoing>) {
         let mut control = self.control();
         control.view.isolated = false;
@@ -427,9 +440,8 @@
         control.ready = false;
         control.endings.clear();
         control.ended_early.clear();
-        for service in control.view.services.values_mut() {
-            Arc::make_mut(service).moving.clear();
-        }
+        control.known_since = control.view.active;
+        control.retain_moving(self.stamp(now));
         for progress in control.progress.values_mut() {
             progress.marker = None;
             progress.state = None;
--- a/crates/flow/src/handover.rs
+++ b/crates/flow/src/handover.rs
@@ -4,6 +4,7 @@
 
 use crate::control::Control;
 use crate::flow::FlowHash;
+use crate::merge::Scope;
 use crate::message::{Frame, Message, MovingGroup, Outgoing, PinGroup, PinKind};
 use crate::node::{FlowNode, Peer};
 use crate::records::{Kind, Record, SHARDS};
@@ -65,7 +66,7 @@
         receivers
     }
 
-    fn state(&self) -> Message {
+    pub(crate) fn state(&self) -> Message {
         let services = self.view.services.values().filter(|service| !service.moving.is_empty());
         let services = services.map(|service| {
             let mut groups: BTreeMap<(Option<TargetRef>, Revision, Revision), Vec<u16>> =
@@ -84,8 +85,11 @@
             (service.id, groups.collect())
         });
         Message::State {
-            synced: self.view.synced,
+            // Without a lease, targets of other domains are unusable and their slots are not followed.
+            synced: self.view.synced && !self.view.isolated,
             active: self.view.active,
+            through: self.newest(),
+            known_since: self.known_since,
             services: services.collect(),
         }
     }
@@ -245,9 +249,15 @@
             Message::Pins { service, kind, groups } => {
                 self.take_pins(from, *service, *kind, groups, now, out);
             }
-            Message::State { synced, active, services } => {
+            Message::State { synced, active, through, known_since, services } => {
                 let mut control = self.control();
-                self.take_state(&mut control, from, (*synced, *active), services, now);
+                let scope = Scope {
+                    synced: *synced,
+                    active: *active,
+                    through: *through,
+                    known_since: *known_since,
+                };
+                self.take_state(&mut control, from, scope, services, now);
             }
             Message::Marker { view } => {
                 let mut control = self.control();
@@ -315,6 +325,7 @@
         let others: Vec<_> = control.view.others().collect();
         let progress = |id| control.progress.get(id).cloned().unwrap_or_default();
         if control.view.live.is_empty()
+            || control.view.isolated
             || control.view.active == Revision(0)
             || others.iter().any(|id| progress(id).marker != Some(digest))
         {
@@ -325,10 +336,7 @@
             if !answered {
                 return;
             }
-            control.drop_ended();
-            control.view.synced = true;
-            control.scan = Some(0);
-            self.begin_pending_moves(control, now);
+            self.become_synced(control, now);
         }
         control.ready = true;
         let me = control.view.me;
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod node;
 mod outbox;
 pub mod packet;
+mod passed;
 mod records;
 pub mod reply;
 mod report;
--- a/crates/flow/src/merge.rs
+++ b/crates/flow/src/merge.rs
@@ -8,15 +8,44 @@
 use crate::targets::TargetKey;
 use crate::view::{Moving, ServiceView};
 use comfreyhold_types::keys::{InstanceId, Revision, ServiceId};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
+/// What a peer knows of slots in transition.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Scope {
+    pub synced: bool,
+    pub active: Revision,
+    /// Newest version that the peer has prepared or in force.
+    pub through: Revision,
+    /// The peer knows of all moves by later versions.
+    pub known_since: Revision,
+}
+
 /// What a peer said of its slots in transition.
 #[derive(Clone, Debug)]
 pub(crate) struct PeerSlots {
     pub synced: bool,
+    pub through: Revision,
+    pub known_since: Revision,
     active: Revision,
     moving: BTreeSet<(ServiceId, u16)>,
+    /// The slots in transition, of a peer that isn't synced.
+    pub unmerged: Vec<(ServiceId, Vec<MovingGroup>)>,
+}
+
+impl PeerSlots {
+    /// Whether the peer knows of the move of a slot and that its transition has ended; its exceptions
+    /// have been sent then.
+    pub fn has_ended(&self, slot: (ServiceId, u16), moved: Revision) -> bool {
+        let knows = self.synced && self.known_since < moved && self.active >= moved;
+        knows && !self.moving.contains(&slot)
+    }
+
+    /// Whether the peer has a slot in transition.
+    pub fn lists(&self, slot: (ServiceId, u16)) -> bool {
+        self.moving.contains(&slot)
+    }
 }
 
 impl FlowNode {
@@ -85,25 +114,24 @@
         &self,
         control: &mut Control,
         from: InstanceId,
-        (synced, active): (bool, Revision),
+        scope: Scope,
         services: &[(ServiceId, Vec<MovingGroup>)],
         now: Instant,
     ) {
         let listed = services.iter().flat_map(|(id, groups)| {
             groups.iter().flat_map(|group| &group.slots).map(|slot| (*id, *slot))
         });
-        let state = PeerSlots { synced, active, moving: listed.collect() };
+        let Scope { synced, active, through, known_since } = scope;
+        let moving = listed.collect();
+        let unmerged = if synced { Vec::new() } else { services.to_vec() };
+        let state = PeerSlots { synced, through, known_since, active, moving, unmerged };
         control.progress.entry(from).or_default().state = Some(state);
         if synced {
-            let stamp = self.stamp(now);
-            for (service, groups) in services {
-                for group in groups {
-                    for slot in &group.slots {
-                        control.merge_slot(*service, *slot, group, stamp);
-                    }
-                }
-            }
+            control.merge_slots(services, known_since, self.stamp(now));
             control.note_ended(active, from);
+            if control.view.synced {
+                control.extend_knowledge(known_since, through);
+            }
             self.publish(control);
         }
         self.try_ready(control, now);
@@ -137,28 +165,66 @@
     if let (Some(base), Some(moving)) = (base, service.moving.get_mut(&slot)) {
         moving.base = base;
         moving.stable = version;
+        moving.known_since = Revision(0);
+    }
+}
+
+/// Compares two statements of the version at which a slot was last stable, each with the version after
+/// which its author knows of all moves. A slot that the author first saw at that version may have been in
+/// transition already.
+fn is_better(new: (Revision, Revision), known: (Revision, Revision)) -> bool {
+    let is_certain = |(stable, known_since): (Revision, Revision)| stable > known_since;
+    match (is_certain(new), is_certain(known)) {
+        (true, true) => new.0 > known.0,
+        (false, false) => new.1 < known.1,
+        (certain, _) => certain,
     }
 }
 
 impl Control {
-    /// Takes in a slot that a synced peer has in transition.
-    fn merge_slot(&mut self, id: ServiceId, slot: u16, group: &MovingGroup, stamp: u32) {
+    /// Takes in the slots that a peer has in transition.
+    pub fn merge_slots(
+        &mut self,
+        services: &[(ServiceId, Vec<MovingGroup>)],
+        known_since: Revision,
+        stamp: u32,
+    ) {
+        for (service, groups) in services {
+            for group in groups {
+                for slot in &group.slots {
+                    self.merge_slot(*service, *slot, (group, known_since), stamp);
+                }
+            }
+        }
+    }
+
+    fn merge_slot(
+        &mut self,
+        id: ServiceId,
+        slot: u16,
+        (group, known_since): (&MovingGroup, Revision),
+        stamp: u32,
+    ) {
         let base =
             group.base.and_then(|base| self.view.targets.find(id, &base)).unwrap_or_default();
         let Some(service) = self.view.service(id) else { return };
         let active = self.view.active;
         if let Some(known) = service.moving.get(&slot).copied() {
-            let newer = group.stable > known.stable;
-            let (base, stable) =
-                if newer { (base, group.stable) } else { (known.base, known.stable) };
             let moved = known.moved.max(group.moved);
-            self.set_moving(id, slot, Moving { base, stable, moved, ..known });
+            let merged =
+                if is_better((group.stable, known_since), (known.stable, known.known_since)) {
+                    Moving { base, stable: group.stable, known_since, moved, ..known }
+                } else {
+                    Moving { moved, ..known }
+                };
+            self.set_moving(id, slot, merged);
             return;
         }
         let [arbiter, _] = self.view.order(id, slot, None);
         let current = service.table.as_ref().and_then(|table| table.target(slot));
         if !self.view.synced {
             let mut moving = Moving::new(base, group.stable, stamp, self.view.me);
+            moving.known_since = known_since;
             moving.moved = group.moved;
             moving.active_at = (active >= group.moved).then_some(stamp);
             let mut moving = self.assign_new(id, slot, moving);
@@ -168,6 +234,18 @@
                 moving.previous = previous;
             }
             self.set_moving(id, slot, moving);
+        } else if group.moved <= self.known_since {
+            // This entry became synced without a peer that knew of the move.
+            let moving = Moving {
+                known_since,
+                moved: group.moved,
+                active_at: (active >= group.moved).then_some(stamp),
+                ..Moving::new(base, group.stable, stamp, self.view.me)
+            };
+            let moving = self.assign_new(id, slot, moving);
+            self.set_moving(id, slot, Moving { former: false, ..moving });
+            self.scan = Some(0);
+            self.pending.clear();
         } else if arbiter == Some(self.view.me) && group.moved <= active {
             // The former arbiter ended the transition here and not yet at the peer: end it again.
             let mut moving = Moving::new(current.unwrap_or(base), active, stamp, self.view.me);
@@ -182,15 +260,15 @@
     fn note_ended(&mut self, active: Revision, from: InstanceId) {
         let me = self.view.me;
         let state = self.progress.get(&from).and_then(|progress| progress.state.clone());
-        let Some(PeerSlots { moving: listed, .. }) = state else { return };
+        let Some(state) = state else { return };
         let own_active = self.view.active;
         for service in self.view.services.values_mut() {
             let ended: Vec<u16> = service
                 .moving
                 .iter()
                 .filter(|(slot, m)| {
-                    let here = m.arbiter == me && !m.sure && m.moved <= active.min(own_active);
-                    here && !listed.contains(&(service.id, **slot))
+                    let here = m.arbiter == me && !m.sure && m.moved <= own_active;
+                    here && state.has_ended((service.id, **slot), m.moved)
                 })
                 .map(|(slot, _)| *slot)
                 .collect();
@@ -206,9 +284,7 @@
 
     /// Drops the slots that a synced peer has stable although it knows of their move: their
     /// transition has ended, and the peer has sent their exceptions.
-    pub fn drop_ended(&mut self) {
-        let states = self.progress.values().filter_map(|progress| progress.state.clone());
-        let states: Vec<PeerSlots> = states.filter(|state| state.synced).collect();
+    pub fn drop_ended(&mut self, told: &BTreeMap<InstanceId, PeerSlots>) {
         let early = std::mem::take(&mut self.ended_early);
         for service in self.view.services.values_mut() {
             let id = service.id;
@@ -216,8 +292,7 @@
                 if early.get(&(id, slot)).is_some_and(|version| *version >= moved) {
                     return true;
                 }
-                let stable = |s: &PeerSlots| s.active >= moved && !s.moving.contains(&(id, slot));
-                states.iter().any(stable)
+                told.values().any(|state| state.has_ended((id, slot), moved))
             };
             if service.moving.iter().any(|(slot, m)| is_ended(*slot, m.moved)) {
                 let moving = &mut std::sync::Arc::make_mut(service).moving;
@@ -229,7 +304,7 @@
         }
     }
 
-    fn set_moving(&mut self, id: ServiceId, slot: u16, moving: Moving) {
+    pub fn set_moving(&mut self, id: ServiceId, slot: u16, moving: Moving) {
         if let Some(service) = self.view.service_mut(id) {
             service.moving.insert(slot, moving);
         }
--- a/crates/flow/src/message.rs
+++ b/crates/flow/src/message.rs
@@ -68,6 +68,10 @@
         synced: bool,
         /// Version in force at the sender.
         active: Revision,
+        /// Newest version that the sender has prepared or in force.
+        through: Revision,
+        /// The sender knows of all moves by versions after this one: they are listed or have ended.
+        known_since: Revision,
         /// Slots in transition by service; those of services not listed are stable.
         services: Vec<(ServiceId, Vec<MovingGroup>)>,
     },
--- a/crates/flow/src/report.rs
+++ b/crates/flow/src/report.rs
@@ -369,6 +369,7 @@
             if let Some(moving) = service.moving.get_mut(slot) {
                 moving.base = base.unwrap_or(moving.base);
                 moving.stable = active;
+                moving.known_since = Revision(0);
                 moving.ended = Some(active);
             }
         }
--- a/crates/flow/src/view.rs
+++ b/crates/flow/src/view.rs
@@ -20,6 +20,8 @@
     pub base: TargetKey,
     /// Version at which the slot was last stable.
     pub stable: Revision,
+    /// Whoever determined `base` and `stable` knows of all moves by later versions.
+    pub known_since: Revision,
     /// Last version that changed the slot's target.
     pub moved: Revision,
     /// When the slot began to move here, as a record time.
--- a/crates/flow/tests/node.rs
+++ b/crates/flow/tests/node.rs
@@ -205,7 +205,13 @@
         _ => None,
     });
     let services = Vec::new();
-    let state = Message::State { synced: true, active: Revision(1), services };
+    let state = Message::State {
+        synced: true,
+        active: Revision(1),
+        through: Revision(1),
+        known_since: Revision(0),
+        services,
+    };
     for message in [state, marker.unwrap()] {
         let frame = Frame { message: Some(message), ..Frame::default() };
         fixture.node.message(InstanceId(2), &frame, now, &mut out);
@@ -252,7 +258,13 @@
     let peer =
         |id| Peer { id: InstanceId(id), incarnation: Incarnation(1), state: PeerState::Serving };
     fixture.node.live_changed(&[peer(1), peer(2)], now, &mut Vec::new());
-    let state = Message::State { synced: true, active: Revision(1), services: Vec::new() };
+    let state = Message::State {
+        synced: true,
+        active: Revision(1),
+        through: Revision(1),
+        known_since: Revision(0),
+        services: Vec::new(),
+    };
     let frame = Frame { message: Some(state), ..Frame::default() };
     fixture.node.message(InstanceId(2), &frame, now, &mut Vec::new());
     fixture.install(1, &sets(vec![spec(0)], vec![]));
--- a/crates/flow/tests/starts.rs
+++ b/crates/flow/tests/starts.rs
@@ -108,7 +108,7 @@
 }
 
 /// Says what is wrong with a deployment that has had time to settle: entries that do not decide, or
-/// new flows in slots in transition that get no target.
+/// new flows in slots in transition that get no target or break.
 fn settled(world: &mut Node) -> Option<String> {
     world.run(SYNC_MS);
     let unsynced = unsynced(world);
@@ -121,7 +121,7 @@
     let placed = world.stats.opened - before;
     let moving: usize = world.nodes.values().map(|node| node.stats().moving_slots).sum();
     assert!(moving > 0, "no slot is in transition");
-    let bad = !unsynced.is_empty() || placed < FLOWS as u64;
+    let bad = !unsynced.is_empty() || placed < FLOWS as u64 || world.stats.broken > 0;
     let stats = world.stats;
     bad.then(|| format!("unsynced {unsynced:?}, placed {placed} of {FLOWS}, {stats:?}"))
 }
@@ -136,7 +136,7 @@
 }
 
 /// Guards against starts after which entries wait forever for what their peers told before it could
-/// be taken in.
+/// be taken in, or differ in which slots are in transition, so that flows break.
 #[test]
 fn entries_that_start_together_decide_in_bounded_time() {
     let mut failures = Vec::new();
@@ -201,3 +201,33 @@
     let shown = failures.iter().take(10).cloned().collect::<Vec<_>>().join("\n");
     assert!(failures.is_empty(), "{} failed:\n{shown}", failures.len());
 }
+
+/// Guards against entries that forget the slots in transition because all of them lost their leases and got
+/// them back at the same time, as after an outage of the control daemons.
+#[test]
+fn flows_survive_a_common_loss_of_leases() {
+    let mut failures = Vec::new();
+    for seed in 0..SEEDS {
+        let mut world: Node = World::new(Options { entries: ENTRIES, ..options(seed) });
+        world.open(FLOWS);
+        world.run(2_000);
+        world.sets.services[0].targets[0].weight = 1_000;
+        world.change();
+        let into_the_change = world.rng.random_range(0..3_000);
+        world.run(into_the_change);
+        for id in world.nodes.keys().copied().collect::<Vec<_>>() {
+            world.nodes[&id].lease_lost();
+        }
+        for id in world.nodes.keys().copied().collect::<Vec<_>>() {
+            world.lease(id);
+        }
+        world.run(SYNC_MS);
+        let unsynced = unsynced(&world);
+        let stats = world.stats;
+        if !unsynced.is_empty() || stats.broken > 0 {
+            failures.push(format!("seed {seed}: unsynced {unsynced:?}, {stats:?}"));
+        }
+    }
+    let shown = failures.iter().take(10).cloned().collect::<Vec<_>>().join("\n");
+    assert!(failures.is_empty(), "{} of {SEEDS} failed:\n{shown}", failures.len());
+}
