Share the start and delivery of both daemons; merge timelines in one place

Cause: the timer thread, the HTTP runtime and the delivery of envelopes stood in both daemons, `timeline` merged rings beside Timeline::merge, the gauges of packet flows were set on every 10 ms tick, and the folder of a failed integration test was deleted with its logs. Change: process::start_ticker, process::http_runtime and peers::deliver replace the copies; `timeline` uses Timeline::merge and refuses an unknown process name (3002), which it left unnoticed before; gauges are exported once a second; a failed test keeps its folder and prints the path.

--- a/crates/cli/src/cmd/timeline.rs
+++ b/crates/cli/src/cmd/timeline.rs
@@ -6,8 +6,9 @@
 use crate::error::CliError;
 use crate::http;
 use bpaf::Bpaf;
+use comfreyhold_membership::timeline::{Filter, RingDump, Timeline};
 use comfreyhold_types::api::TimelineReply;
-use comfreyhold_types::prelude::{Event, EventKind};
+use comfreyhold_types::prelude::{Event, EventKind, InstanceId};
 use std::collections::BTreeMap;
 
 /// Arguments of `timeline`.
@@ -33,37 +34,48 @@
 pub fn run(args: &Args) -> Result<(), CliError> {
     let deployment = Deployment::load(&args.common)?;
     let members = deployment.members.iter();
+    let names: Names =
+        members.clone().map(|member| (member.instance, member.name.clone())).collect();
+    let filter = filter(args, &names)?;
     let ask = async { Ok(http::ask_each::<TimelineReply>(members, "/v1/timeline").await) };
-    let mut names = BTreeMap::new();
-    let mut events = Vec::new();
+    let mut dumps = Vec::new();
     for (member, answer) in http::block_on(ask)? {
-        names.insert(member.instance, member.name.clone());
         match answer {
-            Ok(reply) => {
-                if reply.dropped > 0 {
-                    println!("{}: {} older events were dropped", member.name, reply.dropped);
-                }
-                events.extend(reply.events);
+            Ok(TimelineReply { instance, dropped, events, .. }) => {
+                dumps.push(RingDump { instance, dropped, events });
             }
             Err(reason) => println!("{}: no answer: {reason}", member.name),
         }
     }
-    events.sort_by_key(|event| (event.stamp, event.instance));
-    for event in events.iter().filter(|event| selected(args, event, &names)) {
+    let asked = names.keys().copied().collect();
+    let timeline = Timeline::merge(&dumps, &asked, &filter);
+    for (instance, dropped) in &timeline.dropped {
+        println!("{}: {dropped} older events were dropped", name_of(*instance, &names));
+    }
+    for event in &timeline.events {
         println!("{}", line(event, &names));
     }
     Ok(())
 }
 
-type Names = BTreeMap<comfreyhold_types::prelude::InstanceId, String>;
+type Names = BTreeMap<InstanceId, String>;
+
+fn name_of(instance: InstanceId, names: &Names) -> &str {
+    names.get(&instance).map_or("?", String::as_str)
+}
 
-fn selected(args: &Args, event: &Event, names: &Names) -> bool {
-    let name = names.get(&event.instance);
-    let kind_ok = args.kind.is_empty() || args.kind.contains(&event.kind);
-    let process_ok = args.process.is_empty() || name.is_some_and(|n| args.process.contains(n));
-    let from_ok = args.from.is_none_or(|from| event.stamp.wall_ms >= from);
-    let to_ok = args.to.is_none_or(|to| event.stamp.wall_ms <= to);
-    kind_ok && process_ok && from_ok && to_ok
+fn filter(args: &Args, names: &Names) -> Result<Filter, CliError> {
+    let instance_of = |name: &String| {
+        let found = names.iter().find(|(_, known)| *known == name);
+        let unknown = || CliError::Argument(format!("no process is named {name}"));
+        found.map(|(instance, _)| *instance).ok_or_else(unknown)
+    };
+    Ok(Filter {
+        kinds: args.kind.iter().copied().collect(),
+        instances: args.process.iter().map(instance_of).collect::<Result<_, _>>()?,
+        from_ms: args.from,
+        to_ms: args.to,
+    })
 }
 
 fn line(event: &Event, names: &Names) -> String {
@@ -73,7 +85,7 @@
         "{}.{:04} {:<12} {} term={} revision={} {} {}",
         event.stamp.wall_ms,
         event.stamp.counter,
-        names.get(&event.instance).map_or("?", String::as_str),
+        name_of(event.instance, names),
         event.domain,
         event.term.0,
         event.revision.0,
--- a/crates/cli/tests/timeline.rs
+++ b/crates/cli/tests/timeline.rs
@@ -22,6 +22,7 @@
     let ran = scratch.run(&["timeline"]);
     assert!(ran.out.lines().any(|line| line.starts_with("entry-2: no answer: ")), "{ran:?}");
     assert_refused(&scratch.run(&["timeline", "--kind", "no-such-kind"]), 3002);
+    assert_refused(&scratch.run(&["timeline", "--process", "no-such-process"]), 3002);
     drop(scratch);
 }
 
--- a/crates/daemon/src/control_run.rs
+++ b/crates/daemon/src/control_run.rs
@@ -6,9 +6,8 @@
 use crate::control_api::ControlApi;
 use crate::control_counts::{CountStore, WRITE_INTERVAL};
 use crate::http_server::{self, InFlight};
-use crate::process::{self, Ticker};
+use crate::process;
 use crate::settings::{Role, Settings};
-use crate::traffic::TrafficMetrics;
 use crate::{logging, settings};
 use anyhow::Context as _;
 use comfreyhold_consensus::disk::{DataFolder, Store, StoreError};
@@ -21,7 +20,7 @@
 use rand::rngs::StdRng;
 use std::path::Path;
 use std::sync::{Arc, mpsc};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::watch;
 
 /// Longest wait for requests in flight at a graceful stop.
@@ -51,15 +50,8 @@
     spawn_count_writer(counts)?;
     let transport = process::start_transport(&cx, Arc::clone(&control) as Arc<dyn Inbox>)?;
     let ticking = Arc::clone(&control);
-    let mut traffic = TrafficMetrics::new(transport.stats(), cx.now());
-    let ticker = Ticker::start(move || {
-        ticking.tick();
-        traffic.tick(Instant::now());
-    })?;
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(HTTP_THREADS)
-        .enable_all()
-        .build()?;
+    let ticker = process::start_ticker(&cx, &transport, move || ticking.tick(), || {})?;
+    let runtime = process::http_runtime(HTTP_THREADS)?;
     cx.record(EventKind::Started, &[("role", "control".to_owned())]);
     runtime.block_on(serve(Arc::clone(&control), metrics))?;
     drop(ticker);
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -404,12 +404,7 @@
 
 impl Inbox for Entry {
     fn deliver(&self, envelope: Envelope) {
-        if !self.cx.accept(&envelope) {
-            return;
-        }
-        if let Err(error) = self.on_envelope(&envelope) {
-            log::warn!("{} from {}: {error}", error.code().number(), envelope.from);
-        }
+        peers::deliver(&self.cx, &envelope, |envelope| self.on_envelope(envelope));
     }
 
     fn connection_closed(&self, peer: InstanceId, reason: &str) {
--- a/crates/daemon/src/entry_packets.rs
+++ b/crates/daemon/src/entry_packets.rs
@@ -145,6 +145,10 @@
         let mut out = Vec::new();
         self.node.tick(self.cx.now(), &mut out);
         self.send_frames(out);
+    }
+
+    /// Updates the metrics.
+    pub fn export(&self) {
         let stats = self.node.stats();
         metrics::gauge!("comfreyhold_flows").set(stats.flows as f64);
         metrics::gauge!("comfreyhold_moving_slots").set(stats.moving_slots as f64);
--- a/crates/daemon/src/entry_run.rs
+++ b/crates/daemon/src/entry_run.rs
@@ -6,9 +6,8 @@
 use crate::entry_http::EntryHttp;
 use crate::entry_streams::StreamRelay;
 use crate::http_server::{self, InFlight};
-use crate::process::{self, Ticker};
+use crate::process;
 use crate::settings::{Role, Settings};
-use crate::traffic::TrafficMetrics;
 use crate::{admin, logging};
 use anyhow::Context as _;
 use comfreyhold_types::clock::SystemClock;
@@ -17,7 +16,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use std::path::Path;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::watch;
 
 /// Longest wait for requests in flight at a graceful stop; covers the longest default deadline.
@@ -48,16 +47,14 @@
     let cx = Context::new(settings, member, Arc::new(SystemClock));
     let entry = Entry::new(Arc::clone(&cx));
     let transport = process::start_transport(&cx, Arc::clone(&entry) as Arc<dyn Inbox>)?;
-    let ticking = Arc::clone(&entry);
-    let mut traffic = TrafficMetrics::new(transport.stats(), cx.now());
-    let ticker = Ticker::start(move || {
-        ticking.tick();
-        traffic.tick(Instant::now());
-    })?;
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(HTTP_THREADS)
-        .enable_all()
-        .build()?;
+    let (ticking, exporting) = (Arc::clone(&entry), Arc::clone(&entry));
+    let ticker = process::start_ticker(
+        &cx,
+        &transport,
+        move || ticking.tick(),
+        move || exporting.packets.export(),
+    )?;
+    let runtime = process::http_runtime(HTTP_THREADS)?;
     cx.record(EventKind::Started, &[("role", "entry".to_owned())]);
     runtime.block_on(serve(&entry, metrics))?;
     drop(ticker);
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -1,9 +1,26 @@
-//! Events of the time line that entries and control daemons record alike.
+//! What entries and control daemons do alike with messages and events of other processes.
 
 use crate::context::Context;
 use comfreyhold_membership::detector::{Change, Detector};
 use comfreyhold_membership::members::Update;
 use comfreyhold_types::prelude::*;
+use comfreyhold_wire::envelope::Envelope;
+use comfreyhold_wire::error::WireError;
+
+/// Passes an envelope on unless it comes from an earlier start of its sender, and logs why a malformed one
+/// is dropped.
+pub fn deliver(
+    cx: &Context,
+    envelope: &Envelope,
+    handle: impl FnOnce(&Envelope) -> Result<(), WireError>,
+) {
+    if !cx.accept(envelope) {
+        return;
+    }
+    if let Err(error) = handle(envelope) {
+        log::warn!("{} from {}: {error}", error.code().number(), envelope.from);
+    }
+}
 
 /// Records that a member's state changed.
 pub fn record_change(cx: &Context, change: Change, member: &Update) {
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -2,6 +2,7 @@
 
 use crate::context::Context;
 use crate::settings::Settings;
+use crate::traffic::TrafficMetrics;
 use anyhow::Context as _;
 use comfreyhold_types::prelude::*;
 use comfreyhold_wire::transport::{Inbox, Transport, TransportConfig};
@@ -9,7 +10,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+use tokio::runtime::Runtime;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Interval of the timer thread.
@@ -49,6 +51,33 @@
     settings.members.iter().map(|member| (member.instance, member.peer)).collect()
 }
 
+/// Starts the timer thread, which calls a daemon's tick, and its export of metrics with that of the traffic.
+///
+/// # Errors
+/// The thread can't be started.
+pub fn start_ticker(
+    cx: &Context,
+    transport: &Transport,
+    mut tick: impl FnMut() + Send + 'static,
+    mut export: impl FnMut() + Send + 'static,
+) -> std::io::Result<Ticker> {
+    let mut traffic = TrafficMetrics::new(transport.stats(), cx.now());
+    Ticker::start(move || {
+        tick();
+        if traffic.export_due(Instant::now()) {
+            export();
+        }
+    })
+}
+
+/// The runtime of the HTTP servers.
+///
+/// # Errors
+/// Its threads can't be started.
+pub fn http_runtime(threads: usize) -> std::io::Result<Runtime> {
+    tokio::runtime::Builder::new_multi_thread().worker_threads(threads).enable_all().build()
+}
+
 /// A thread that calls a function at short intervals until it is dropped.
 pub struct Ticker {
     stop: Arc<AtomicBool>,
--- a/crates/daemon/src/traffic.rs
+++ b/crates/daemon/src/traffic.rs
@@ -22,14 +22,15 @@
         Self { stats, next: now }
     }
 
-    /// Updates the metrics when it is time.
-    pub fn tick(&mut self, now: Instant) {
+    /// Updates the metrics when it is time, and tells whether it was.
+    pub fn export_due(&mut self, now: Instant) -> bool {
         if now < self.next {
-            return;
+            return false;
         }
         self.next = now + INTERVAL;
         export("sent", &self.stats.sent());
         export("received", &self.stats.received());
+        true
     }
 }
 
--- a/crates/daemon/tests/silence.rs
+++ b/crates/daemon/tests/silence.rs
@@ -17,7 +17,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Mutex as StdMutex;
 use std::time::Duration;
-use support::{Cluster, DECLARATIONS, LIMIT, get, result_code, settings};
+use support::{Cluster, DECLARATIONS, LIMIT, Scratch, get, result_code, settings};
 use tokio::runtime::Handle;
 use tokio::sync::{Mutex, MutexGuard};
 
@@ -53,7 +53,7 @@
 async fn start() -> (MutexGuard<'static, ()>, Cluster) {
     let alone = DEPLOYMENT.lock().await;
     PROXIES.lock().unwrap().clear();
-    let folder = tempfile::tempdir().unwrap();
+    let folder = Scratch::new();
     let deployment = Deployment::start(settings(), folder.path(), render).await.unwrap();
     let cluster = Cluster { deployment, folder };
     cluster.publish(DECLARATIONS).await;
--- a/crates/daemon/tests/streams.rs
+++ b/crates/daemon/tests/streams.rs
@@ -13,7 +13,7 @@
 use hyper::Method;
 use std::net::SocketAddr;
 use std::sync::OnceLock;
-use support::{Cluster, DECLARATIONS, LIMIT, settings};
+use support::{Cluster, DECLARATIONS, LIMIT, Scratch, settings};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -72,7 +72,7 @@
 async fn half_closed_stream_gets_its_whole_answer() {
     LISTEN
         .get_or_init(|| std::net::TcpListener::bind("127.82.9.4:0").unwrap().local_addr().unwrap());
-    let folder = tempfile::tempdir().unwrap();
+    let folder = Scratch::new();
     let mut plan = settings();
     plan.services.clear();
     let deployment = Deployment::start(plan, folder.path(), render).await.unwrap();
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -10,7 +10,7 @@
 use comfreyhold_types::api::{ApplyReply, StatusReply};
 use hyper::{Method, Response};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tempfile::TempDir;
 
@@ -49,7 +49,7 @@
     /// Daemons, targets and fabric.
     pub deployment: Deployment,
     /// Settings, data and logs.
-    pub folder: TempDir,
+    pub folder: Scratch,
 }
 
 /// Five entries over four failure domains, three control daemons, two services.
@@ -76,10 +76,34 @@
     }
 }
 
+/// A scratch folder that outlives a failed test.
+pub struct Scratch(TempDir);
+
+impl Scratch {
+    /// An empty folder.
+    pub fn new() -> Self {
+        Self(tempfile::tempdir().unwrap())
+    }
+
+    /// Where it is.
+    pub fn path(&self) -> &Path {
+        self.0.path()
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.0.disable_cleanup(true);
+            eprintln!("logs and data are kept in {}", self.path().display());
+        }
+    }
+}
+
 impl Cluster {
     /// Starts a deployment, publishes [`DECLARATIONS`] and waits until requests are served.
     pub async fn start(settings: UpSettings) -> Self {
-        let folder = tempfile::tempdir().unwrap();
+        let folder = Scratch::new();
         let deployment =
             Deployment::start(settings, folder.path(), daemon_settings::render).await.unwrap();
         let cluster = Self { deployment, folder };
