--- a/crates/consensus/src/node/mod.rs
+++ b/crates/consensus/src/node/mod.rs
@@ -282,6 +282,8 @@
         log::error!("{}: storage fault {code}, no longer voting", self.settings.me.instance);
         self.step_down();
         self.role = Role::Follower;
+        // It no longer hears of elections, so what it knew of the leader becomes outdated.
+        self.leader = None;
         self.fault = Some(code);
         self.deadline = self.now + FAULT_TICK;
         self.batch = Batch::default();
--- a/crates/daemon/src/control_api.rs
+++ b/crates/daemon/src/control_api.rs
@@ -143,6 +143,9 @@
 
     fn not_leader(&self) -> Response<Body> {
         let status = self.control.status();
+        if let Some(code) = status.fault {
+            return reply::result(code, "the data folder of this instance has failed");
+        }
         match status.leader {
             Some(leader) if leader != status.me.instance => {
                 reply::result(ResultCode::NotLeader, &format!("the leader is {leader}"))
--- a/crates/daemon/tests/disks.rs
+++ b/crates/daemon/tests/disks.rs
@@ -8,11 +8,11 @@
 
 use comfreyhold_lab::http;
 use comfreyhold_lab::scenario::wait_for;
-use comfreyhold_lab::up::{DaemonKind, DaemonPlan};
-use comfreyhold_types::api::{ReplaceRequest, StatusReply};
+use comfreyhold_lab::up::DaemonKind;
+use comfreyhold_types::api::ReplaceRequest;
 use comfreyhold_types::prelude::*;
 use hyper::Method;
-use operator::{Operator, orders, outcome_in};
+use operator::{Operator, Series, follower, orders, outcome_in, status_of, wait_confirmed};
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
@@ -31,59 +31,6 @@
     (alone, Cluster::start(settings()).await)
 }
 
-/// Accepted versions of the profile `orders` that the test published.
-struct Series {
-    operator: Operator,
-    accepted: Vec<(u64, Revision)>,
-}
-
-impl Series {
-    fn new(cluster: &Cluster) -> Self {
-        Self { operator: Operator::new("ana", cluster), accepted: Vec::new() }
-    }
-
-    async fn publish(&mut self, count: u64) {
-        for _ in 0..count {
-            let version = self.accepted.len() as u64 + 2;
-            let (status, reply) = self.operator.publish(&orders(version, 1_000 + version)).await;
-            assert_eq!((status, reply.code), (200, 0), "{reply:?}");
-            self.accepted.push((version, reply.revision.unwrap()));
-        }
-    }
-
-    /// Every accepted version is held at its revision.
-    async fn check(&self) {
-        let versions = self.operator.versions().await;
-        let held: Vec<_> =
-            versions.iter().map(|(version, held)| (*version, held.revision)).collect();
-        assert_eq!(held[1..], self.accepted);
-    }
-}
-
-/// A control daemon that follows.
-async fn follower(cluster: &Cluster, operator: &Operator) -> DaemonPlan {
-    let leader = operator.leader().await.0;
-    let mut controls = cluster.deployment.plan.of(DaemonKind::Control);
-    controls.find(|plan| plan.http != leader).unwrap().clone()
-}
-
-/// Waits until the leader knows that an instance has confirmed a revision from a disk as a voter.
-async fn wait_confirmed(operator: &Operator, id: InstanceId, disk: &str, revision: Revision) {
-    let prefix = format!("{id}:{disk}@");
-    wait_for("the folder is up to date", LIMIT, || async {
-        let (_, status) = operator.leader().await;
-        let followers = status.details.get("followers")?;
-        let confirmed = followers.split(',').find_map(|item| item.strip_prefix(&prefix))?;
-        (confirmed.parse::<u64>().ok()? >= revision.0).then_some(())
-    })
-    .await
-    .unwrap();
-}
-
-async fn status_of(cluster: &Cluster, plan: &DaemonPlan) -> StatusReply {
-    wait_for("the process answers", LIMIT, || cluster.status(plan.http)).await.unwrap()
-}
-
 fn newest_segment(data: &Path) -> PathBuf {
     let names = fs::read_dir(data.join("log")).unwrap().map(|entry| entry.unwrap().path());
     let segments = names.filter(|path| {
--- a/crates/daemon/tests/support/operator.rs
+++ b/crates/daemon/tests/support/operator.rs
@@ -5,7 +5,7 @@
 use super::support::{Cluster, LIMIT};
 use comfreyhold_lab::http;
 use comfreyhold_lab::scenario::wait_for;
-use comfreyhold_lab::up::DaemonKind;
+use comfreyhold_lab::up::{DaemonKind, DaemonPlan};
 use comfreyhold_types::api::{ApplyReply, HistoryReply, PublicationReply, ResultBody, StatusReply};
 use comfreyhold_types::declarations::VersionRecord;
 use comfreyhold_types::prelude::*;
@@ -130,6 +130,64 @@
     serde_json::from_slice::<ResultBody>(body).ok().map(|refusal| refusal.code)
 }
 
+/// Accepted versions of the profile `orders` that the test published.
+pub struct Series {
+    /// Publishes them.
+    pub operator: Operator,
+    /// Version and revision of each.
+    pub accepted: Vec<(u64, Revision)>,
+}
+
+impl Series {
+    /// Starts after version 1.
+    pub fn new(cluster: &Cluster) -> Self {
+        Self { operator: Operator::new("ana", cluster), accepted: Vec::new() }
+    }
+
+    /// Publishes the next versions; each has to be accepted.
+    pub async fn publish(&mut self, count: u64) {
+        for _ in 0..count {
+            let version = self.accepted.len() as u64 + 2;
+            let (status, reply) = self.operator.publish(&orders(version, 1_000 + version)).await;
+            assert_eq!((status, reply.code), (200, 0), "{reply:?}");
+            self.accepted.push((version, reply.revision.unwrap()));
+        }
+    }
+
+    /// Every accepted version is held at its revision.
+    pub async fn check(&self) {
+        let versions = self.operator.versions().await;
+        let held: Vec<_> =
+            versions.iter().map(|(version, held)| (*version, held.revision)).collect();
+        assert_eq!(held[1..], self.accepted);
+    }
+}
+
+/// A control daemon that follows.
+pub async fn follower(cluster: &Cluster, operator: &Operator) -> DaemonPlan {
+    let leader = operator.leader().await.0;
+    let mut controls = cluster.deployment.plan.of(DaemonKind::Control);
+    controls.find(|plan| plan.http != leader).unwrap().clone()
+}
+
+/// Waits until the leader knows that an instance has confirmed a revision from a disk as a voter.
+pub async fn wait_confirmed(operator: &Operator, id: InstanceId, disk: &str, revision: Revision) {
+    let prefix = format!("{id}:{disk}@");
+    wait_for("the folder is up to date", LIMIT, || async {
+        let (_, status) = operator.leader().await;
+        let followers = status.details.get("followers")?;
+        let confirmed = followers.split(',').find_map(|item| item.strip_prefix(&prefix))?;
+        (confirmed.parse::<u64>().ok()? >= revision.0).then_some(())
+    })
+    .await
+    .unwrap();
+}
+
+/// Status of a daemon, once it answers.
+pub async fn status_of(cluster: &Cluster, plan: &DaemonPlan) -> StatusReply {
+    wait_for("the process answers", LIMIT, || cluster.status(plan.http)).await.unwrap()
+}
+
 /// Polls the entries, and notes each time one reports a lower revision than before.
 pub struct Watch {
     reverted: Arc<Mutex<Vec<String>>>,
