Free slots that a silent witness blocks

Cause: a dispatcher withholds grants to its own instance until its witness confirms them. When the witness dies, these grants keep every slot of the pool until the death is found (2.5 s).

Change: a grant that the witness has not confirmed for 80 ms and that was never handed out is taken back; its attempt waits again within the queue's bound. The own instance gets no grants until the witness confirms or is replaced. Attempts that can't be granted for now no longer keep others from being granted at once.

Conclusion: a dead witness costs a dispatcher its slots for 80 ms. Own requests still wait until the witness is replaced.

--- a/crates/request/src/answers.rs
+++ b/crates/request/src/answers.rs
@@ -80,6 +80,13 @@
         }
     }
 
+    /// Drops an answer that was not sent.
+    pub fn remove(&mut self, attempt: AttemptId) {
+        if let Some((_, until)) = self.by_attempt.remove(&attempt) {
+            self.expiries.remove(&(until, attempt));
+        }
+    }
+
     /// Drops answers whose attempts have ended.
     pub fn expire(&mut self, now: Instant) {
         while self.expiries.first().is_some_and(|(until, _)| *until <= now) {
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -210,9 +210,15 @@
             return;
         }
         match self.queue.offer(w) {
+            Offer::Full if self.can_grant_now(now, w.entry) => self.grant(now, &w, out),
+            offer => self.on_offer(w, offer, out),
+        }
+    }
+
+    pub(crate) fn on_offer(&mut self, w: Waiting, offer: Offer, out: &mut Vec<Action>) {
+        match offer {
             Offer::Queued => {}
             Offer::Displaced(last) => self.refuse(&last, ResultCode::Shed, true, out),
-            Offer::Full if self.can_grant_now(now) => self.grant(now, &w, out),
             Offer::Full => self.refuse(&w, ResultCode::Shed, true, out),
         }
     }
@@ -231,7 +237,7 @@
         if w.deadline <= now {
             return Some((ResultCode::DeadlineBeforeStart, false));
         }
-        if self.can_grant_now(now) {
+        if self.can_grant_now(now, w.entry) {
             return None;
         }
         if redirect && self.others_have_room(now) {
@@ -241,10 +247,21 @@
         (now + expected > w.deadline).then_some((ResultCode::DeadlineBeforeStart, true))
     }
 
-    fn can_grant_now(&self, now: Instant) -> bool {
+    /// Whether a new attempt of the entry gets a slot now. Attempts that wait for their entry or the
+    /// witness don't stand in its way.
+    fn can_grant_now(&self, now: Instant, entry: InstanceId) -> bool {
         let rested = self.targets.next_wake().is_some_and(|at| at <= now);
         let ready = self.targets.has_ready() || rested;
-        self.is_active() && self.queue.is_empty() && ready
+        let grantable = |entry| self.is_grantable(now, entry);
+        self.is_active() && ready && grantable(entry) && self.queue.first_where(grantable).is_none()
+    }
+
+    /// Whether the entry's attempts may get slots.
+    fn is_grantable(&self, now: Instant, entry: InstanceId) -> bool {
+        let withheld = entry == self.cfg.instance && self.self_grants.is_silent();
+        let heard = self.heard.get(&entry);
+        let quiet = heard.is_none_or(|at| now.saturating_duration_since(*at) > ENTRY_QUIET);
+        !withheld && !quiet
     }
 
     fn others_have_room(&self, now: Instant) -> bool {
@@ -385,9 +402,13 @@
     fn advance(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.finish_takeover(now, out);
         self.expire(now, out);
+        self.take_back_overdue(now, out);
         while self.is_active() && !self.queue.is_empty() && self.targets.ready(now) {
-            let heard = |entry| heard_lately(&self.heard, entry, now);
-            let Some(waiting) = self.queue.pop_where(heard) else { break };
+            let Some(attempt) = self.queue.first_where(|entry| self.is_grantable(now, entry))
+            else {
+                break;
+            };
+            let Some(waiting) = self.queue.remove(attempt) else { break };
             self.grant(now, &waiting, out);
         }
         for (to, message) in self.self_grants.due_messages(now) {
@@ -428,7 +449,7 @@
         let answer = Answer::Granted { grant: id, target, incarnation };
         self.answers.insert(waiting.attempt, answer, waiting.deadline);
         if waiting.entry == self.cfg.instance {
-            self.self_grants.add(now, id, waiting.attempt, target, waiting.deadline);
+            self.self_grants.add(now, id, *waiting, target);
         }
         if !self.self_grants.is_withheld(id) {
             let message = answer.message(waiting.attempt, self.cfg.pool, self.brief());
@@ -436,20 +457,11 @@
         }
     }
 
-    /// Hands out grants to the own instance that the witness has recorded.
-    fn on_witnessed(&mut self, from: InstanceId, grants: &[GrantId], out: &mut Vec<Action>) {
-        for attempt in self.self_grants.on_witnessed(from, grants) {
-            let Some(answer) = self.answers.get(attempt) else { continue };
-            let message = answer.message(attempt, self.cfg.pool, self.brief());
-            out.push(Action::Send(self.cfg.instance, message));
-        }
-    }
-
     fn is_own(&self, pool: Pool, epoch: u64) -> bool {
         pool == self.cfg.pool && epoch == self.cfg.epoch
     }
 
-    fn free_grant(&mut self, id: GrantId) {
+    pub(crate) fn free_grant(&mut self, id: GrantId) {
         if let Some(grant) = self.grants.remove(id) {
             self.targets.vacate(grant.target);
             self.self_grants.remove(id);
@@ -457,7 +469,7 @@
     }
 
     /// A dispatcher that can't grant reports no capacity, so that entries prefer others.
-    fn brief(&self) -> Brief {
+    pub(crate) fn brief(&self) -> Brief {
         let totals = self.targets.totals();
         let (free, capacity) = if self.is_active() { (totals.free, totals.usable) } else { (0, 0) };
         let queued = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
@@ -473,7 +485,3 @@
         }
     }
 }
-
-fn heard_lately(heard: &BTreeMap<InstanceId, Instant>, entry: InstanceId, now: Instant) -> bool {
-    heard.get(&entry).is_some_and(|at| now.saturating_duration_since(*at) <= ENTRY_QUIET)
-}
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod dispatcher;
 pub mod dispatcher_event;
 mod dispatcher_takeover;
+mod dispatcher_witness;
 pub mod grants;
 pub mod key_client;
 pub mod key_refill;
--- a/crates/request/src/queue.rs
+++ b/crates/request/src/queue.rs
@@ -101,16 +101,17 @@
         Offer::Displaced(displaced)
     }
 
-    /// Takes the first attempt in order.
-    pub fn pop(&mut self) -> Option<Waiting> {
-        self.pop_where(|_| true)
+    /// The first attempt in order whose entry is accepted by `accept`.
+    #[must_use]
+    pub fn first_where(&self, accept: impl Fn(InstanceId) -> bool) -> Option<AttemptId> {
+        let first = self.ranked.values().find(|waiting| accept(waiting.entry));
+        first.map(|waiting| waiting.attempt)
     }
 
-    /// Takes the first attempt in order whose entry is accepted by `accept`.
-    pub fn pop_where(&mut self, accept: impl Fn(InstanceId) -> bool) -> Option<Waiting> {
-        let first = self.ranked.values().find(|waiting| accept(waiting.entry))?;
-        let attempt = first.attempt;
-        self.remove(attempt)
+    /// Takes the first attempt in order.
+    pub fn pop(&mut self) -> Option<Waiting> {
+        let first = self.first_where(|_| true)?;
+        self.remove(first)
     }
 
     /// Takes an attempt out.
--- a/crates/request/src/witness.rs
+++ b/crates/request/src/witness.rs
@@ -6,6 +6,7 @@
 //! longest deadline (13 s without grants in the comparison). With a witness, all grants are known.
 
 use crate::message::{AttemptId, GrantId, HeldGrant, Message, Pool};
+use crate::queue::Waiting;
 use comfreyhold_types::prelude::*;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -14,12 +15,19 @@
 /// Time between resends to the witness, about ten round trips.
 const WITNESS_RESEND: Duration = Duration::from_millis(30);
 
+/// A grant that the witness has not confirmed after this long is taken back: a dead witness would
+/// otherwise block the slots of a whole failure domain until the death is found. Two resends may be lost.
+pub const WITNESS_QUIET: Duration = Duration::from_millis(80);
+
 #[derive(Clone, Copy, Debug)]
 struct SelfGrant {
-    attempt: AttemptId,
+    waiting: Waiting,
     target: SocketAddr,
-    deadline: Instant,
+    /// When the current witness was first told of it.
+    told: Instant,
     confirmed: bool,
+    /// Whether the own client may have it, as after an earlier witness confirmed it.
+    handed_out: bool,
 }
 
 /// The grants that a dispatcher gave to its own instance.
@@ -30,6 +38,8 @@
     witness: Option<InstanceId>,
     /// Whether the current witness has confirmed anything.
     appointed: bool,
+    /// Whether grants were taken back since the witness last confirmed anything.
+    silent: bool,
     grants: BTreeMap<GrantId, SelfGrant>,
     forgotten: Vec<GrantId>,
     resend_at: Instant,
@@ -44,6 +54,7 @@
             epoch,
             witness: None,
             appointed: false,
+            silent: false,
             grants: BTreeMap::new(),
             forgotten: Vec::new(),
             resend_at: now,
@@ -57,8 +68,13 @@
         }
         self.witness = witness;
         self.appointed = false;
+        self.silent = false;
         self.resend_at = now;
-        self.grants.values_mut().for_each(|grant| grant.confirmed = false);
+        for grant in self.grants.values_mut() {
+            grant.confirmed = false;
+            grant.told = now;
+            grant.handed_out |= witness.is_none();
+        }
     }
 
     /// The witness failed or restarted and has lost its record. It is told again, in case it is back.
@@ -75,16 +91,31 @@
         self.witness.is_some()
     }
 
+    /// Whether the witness owes confirmations, so that the own instance must get no grants.
+    #[must_use]
+    pub fn is_silent(&self) -> bool {
+        self.silent
+    }
+
+    /// Grants to take back, with the attempts that they were for. None of them was handed out.
+    pub fn overdue(&mut self, now: Instant) -> Vec<(GrantId, Waiting)> {
+        if !self.has_witness() {
+            return Vec::new();
+        }
+        let waited = |grant: &SelfGrant| now.saturating_duration_since(grant.told);
+        let is_overdue = |grant: &SelfGrant| !grant.confirmed && waited(grant) > WITNESS_QUIET;
+        let unused = self.grants.iter().filter(|(_, grant)| !grant.handed_out);
+        let overdue = unused.filter(|(_, grant)| is_overdue(grant));
+        let overdue: Vec<_> = overdue.map(|(id, grant)| (*id, grant.waiting)).collect();
+        self.silent |= !overdue.is_empty();
+        overdue
+    }
+
     /// Records a grant. With a witness it must not be used before [`Self::on_witnessed`] returns it.
-    pub fn add(
-        &mut self,
-        now: Instant,
-        id: GrantId,
-        attempt: AttemptId,
-        target: SocketAddr,
-        deadline: Instant,
-    ) {
-        self.grants.insert(id, SelfGrant { attempt, target, deadline, confirmed: false });
+    pub fn add(&mut self, now: Instant, id: GrantId, waiting: Waiting, target: SocketAddr) {
+        let handed_out = !self.has_witness();
+        let grant = SelfGrant { waiting, target, told: now, confirmed: false, handed_out };
+        self.grants.insert(id, grant);
         self.resend_at = now;
     }
 
@@ -107,13 +138,15 @@
             return Vec::new();
         }
         self.appointed = true;
+        self.silent = false;
         let mut usable = Vec::new();
         for id in ids {
             let Some(grant) = self.grants.get_mut(id).filter(|grant| !grant.confirmed) else {
                 continue;
             };
             grant.confirmed = true;
-            usable.push(grant.attempt);
+            grant.handed_out = true;
+            usable.push(grant.waiting.attempt);
         }
         usable
     }
@@ -128,7 +161,7 @@
         let mut messages: Vec<_> = forgotten.into_iter().map(forget).collect();
         let open = self.grants.iter().filter(|(_, grant)| !grant.confirmed);
         let grants: Vec<_> = open.map(|(id, grant)| grant.held(now, *id)).collect();
-        if now >= self.resend_at && (!grants.is_empty() || !self.appointed) {
+        if now >= self.resend_at && (!grants.is_empty() || !self.appointed || self.silent) {
             self.resend_at = now + WITNESS_RESEND;
             messages.push((witness, Message::Witness { pool, epoch, grants }));
         }
@@ -138,14 +171,15 @@
     /// When the next resend is due.
     #[must_use]
     pub fn next_wake(&self) -> Option<Instant> {
-        let open = !self.appointed || self.grants.values().any(|grant| !grant.confirmed);
+        let open =
+            !self.appointed || self.silent || self.grants.values().any(|grant| !grant.confirmed);
         (self.has_witness() && open).then_some(self.resend_at)
     }
 }
 
 impl SelfGrant {
     fn held(&self, now: Instant, grant: GrantId) -> HeldGrant {
-        let remaining = self.deadline.saturating_duration_since(now);
+        let remaining = self.waiting.deadline.saturating_duration_since(now);
         HeldGrant { grant, target: self.target, remaining }
     }
 }
--- a/crates/request/tests/dispatcher.rs
+++ b/crates/request/tests/dispatcher.rs
@@ -6,6 +6,7 @@
 use comfreyhold_request::message::{
     Brief, GrantId, HeldGrant, LoadReport, Message, Pool, SlotOutcome,
 };
+use comfreyhold_request::witness::WITNESS_QUIET;
 use comfreyhold_types::declarations::DomainState;
 use comfreyhold_types::prelude::*;
 use common::*;
@@ -338,3 +339,60 @@
     assert!(ended.contains(&Action::Send(InstanceId(4), forget)));
     only_grant(&d.handle(t, acquire(2, Priority::High, ms(5_000))));
 }
+
+/// Guards against a dead witness that blocks every slot of a dispatcher until its death is found.
+#[test]
+fn a_silent_witness_blocks_no_slot_of_other_entries() {
+    let t = Instant::now();
+    let own = InstanceId(9);
+    let ask = |number: u64, entry: InstanceId| {
+        let Event::Message(_, message) = acquire(number, Priority::High, ms(5_000)) else {
+            unreachable!("acquire makes a message");
+        };
+        Event::Message(entry, message)
+    };
+    let mut d = dispatcher(warm_profile(8), vec![target(1, 1)], t);
+    d.handle(t, Event::Witness(Some(InstanceId(2))));
+    assert!(answers(&d.handle(t, ask(1, own))).is_empty(), "withheld");
+    d.handle(t + ms(10), ask(2, ENTRY));
+    d.handle(t + WITNESS_QUIET, ask(2, ENTRY));
+    let freed = d.handle(t + WITNESS_QUIET + ms(1), ask(1, own));
+    let grant = only_grant(&freed);
+    assert_eq!(answers(&freed)[0].0, 2, "the other entry gets the slot");
+    let late =
+        Message::Witnessed { pool: POOL, epoch: 7, grants: vec![GrantId { number: 1, ..grant }] };
+    let resent = d.handle(t + ms(100), Event::Message(InstanceId(2), late.clone()));
+    assert!(answers(&resent).is_empty(), "a grant that was taken back is not handed out");
+    assert_eq!(d.queued(), 1, "the own attempt waits");
+    d.handle(t + ms(110), ask(1, own));
+    d.handle(t + ms(110), release(grant, ANSWERED));
+    assert_eq!(d.occupied(address(1)), 1, "granted again, since the witness has answered");
+    assert_eq!(d.queued(), 0);
+}
+
+/// Guards against taking back a grant in use, when its witness is replaced by a silent one.
+#[test]
+fn a_grant_in_use_is_never_taken_back() {
+    let t = Instant::now();
+    let own = InstanceId(9);
+    let Event::Message(_, message) = acquire(1, Priority::High, ms(5_000)) else {
+        unreachable!("acquire makes a message");
+    };
+    let witnesses = [Some(InstanceId(2)), None];
+    for first in witnesses {
+        let mut d = dispatcher(warm_profile(8), vec![target(1, 1)], t);
+        d.handle(t, Event::Witness(first));
+        let granted = d.handle(t, Event::Message(own, message.clone()));
+        if let Some(witness) = first {
+            let grant = GrantId { epoch: 7, issuer: own, number: 1 };
+            let confirmed = Message::Witnessed { pool: POOL, epoch: 7, grants: vec![grant] };
+            only_grant(&d.handle(t, Event::Message(witness, confirmed)));
+        } else {
+            only_grant(&granted);
+        }
+        d.handle(t, Event::Witness(Some(InstanceId(4))));
+        d.handle(t + WITNESS_QUIET * 2, Event::Tick);
+        assert_eq!(d.occupied(address(1)), 1, "first witness {first:?}");
+        assert_eq!(d.queued(), 0, "first witness {first:?}");
+    }
+}
