Let requests leave a dispatcher that can't grant after a takeover

Cause: a successor that can't learn the grants of a failed entry counts all slots as in use until the longest deadline. It refuses new attempts for another domain, but those that waited during the takeover stayed queued until their deadlines (1004). Once refused, they would end as shed, since the client did not ask again the dispatchers that had refused seconds earlier.

Change: such a successor refuses its queue at the end of the takeover. A refusal after a wait of 600 ms or more voids earlier ones, so that a request asks each dispatcher at most once in that time.

Conclusion: the model loses no request; this part has had no lab run.

--- a/crates/request/src/client.rs
+++ b/crates/request/src/client.rs
@@ -112,6 +112,7 @@
             tries: 0,
             tried: BTreeSet::new(),
             last_attempt: 0,
+            asked: now,
         };
         if self.stopping {
             out.push(Action::Finish(id, ResultCode::Stopping));
@@ -269,7 +270,7 @@
         };
         let code = RefusalCode::new(code);
         let finished = queued.not_run(NotRunCause::Refused(code));
-        request.tried.insert(queued.pool);
+        request.note_refusal(now, queued.pool);
         if elsewhere && self.ask(now, attempt.request, &mut request, out).is_ok() {
             self.store(attempt.request, request);
             return;
@@ -360,6 +361,7 @@
         let pool = pool.ok_or(ResultCode::NoDispatcher)?;
         self.directory.on_asked(pool);
         request.last_attempt += 1;
+        request.asked = now;
         let attempt = AttemptId { request: id, number: request.last_attempt };
         request.stage = Stage::Queued(Attempt::new(attempt, pool), Resend::first(now));
         out.extend(self.acquire(now, request));
--- a/crates/request/src/dispatcher_takeover.rs
+++ b/crates/request/src/dispatcher_takeover.rs
@@ -104,6 +104,8 @@
         }
         if !self.targets.any_serving() {
             self.refuse_all(ResultCode::NoTarget, out);
+        } else if self.targets.totals().usable == 0 {
+            self.refuse_all(ResultCode::Shed, out);
         }
     }
 }
--- a/crates/request/src/open_request.rs
+++ b/crates/request/src/open_request.rs
@@ -2,6 +2,7 @@
 
 use crate::attempt::{Attempt, Granted, Queued, Written};
 use crate::client::{NewRequest, RESEND_FIRST};
+use crate::dispatcher::LOAD_STALE;
 use crate::message::{AttemptId, GrantId, HeldGrant, Pool, RequestId};
 use comfreyhold_types::prelude::*;
 use std::collections::BTreeSet;
@@ -32,9 +33,20 @@
     /// Pools that refused or were silent since the last try.
     pub tried: BTreeSet<Pool>,
     pub last_attempt: u32,
+    /// When the current attempt asked for a slot.
+    pub asked: Instant,
 }
 
 impl Request {
+    /// Notes the refusal of the current attempt. Refusals from before a long wait tell nothing about
+    /// the load now.
+    pub fn note_refusal(&mut self, now: Instant, pool: Pool) {
+        if now.saturating_duration_since(self.asked) >= LOAD_STALE {
+            self.tried.clear();
+        }
+        self.tried.insert(pool);
+    }
+
     pub fn wake_at(&self) -> Instant {
         match &self.stage {
             Stage::Queued(_, resend) => resend.at.min(self.new.deadline),
--- /dev/null
+++ b/crates/request/tests/witness_death.rs
@@ -0,0 +1,155 @@
+//! Death of the entry that is the witness of the other dispatchers, at a load that the remaining targets
+//! can bear.
+
+mod common;
+
+use comfreyhold_request::admission::{Admission, Ask, Layout, Note, Step};
+use comfreyhold_request::message::SlotOutcome;
+use comfreyhold_request::sole::SoleDispatcher;
+use comfreyhold_types::prelude::*;
+use common::{ms, target, warm_profile};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// The first entry is the witness of all other dispatchers.
+const WITNESS: usize = 0;
+const ENTRIES: usize = 4;
+const DOMAINS: u16 = 3;
+const SLOTS: u16 = 2;
+
+/// As in the daemons: probes and suspicion, then the lease with its drift allowance.
+const DETECTION: Duration = Duration::from_millis(2_500);
+const LEASE: Duration = Duration::from_millis(2_750);
+
+const DEADLINE: Duration = Duration::from_millis(5_000);
+const SERVICE_TIME: Duration = Duration::from_millis(20);
+const ONE_WAY: Duration = Duration::from_millis(2);
+
+/// A request every 10 ms; the targets of the two remaining domains bear twice as much.
+const ARRIVAL_MS: u64 = 10;
+
+struct Run {
+    now: Instant,
+    sole: SoleDispatcher,
+    under_way: BTreeMap<(Instant, u64), (usize, usize, Note)>,
+    sent: u64,
+    dead: bool,
+    asks: BTreeMap<u64, (Ask, usize)>,
+    running: BTreeMap<(Instant, u64), usize>,
+    answered: u64,
+    refused: Vec<ResultCode>,
+}
+
+impl Run {
+    fn new() -> Self {
+        let now = Instant::now();
+        let domain = |number: u16| DomainId(number % DOMAINS);
+        let record = |number: u16| TargetRecord { domain: domain(number), ..target(number, SLOTS) };
+        let layout = Layout {
+            entries: (0..4).map(|number| (InstanceId(number), domain(number))).collect(),
+            targets: (0..DOMAINS).map(record).collect(),
+            profile: Profile { deadline_ms: 5_000, ..warm_profile(32) },
+        };
+        Self {
+            now,
+            sole: SoleDispatcher::new(&layout, now),
+            under_way: BTreeMap::new(),
+            sent: 0,
+            dead: false,
+            asks: BTreeMap::new(),
+            running: BTreeMap::new(),
+            answered: 0,
+            refused: Vec::new(),
+        }
+    }
+
+    fn is_dead(&self, entry: usize) -> bool {
+        self.dead && entry == WITNESS
+    }
+
+    fn arrive(&mut self, request: u64, entry: usize) {
+        let ask = Ask { request, deadline: self.now + DEADLINE };
+        self.asks.insert(request, (ask, entry));
+        let steps = self.sole.acquire(self.now, entry, ask);
+        self.perform(steps);
+    }
+
+    fn perform(&mut self, steps: Vec<Step>) {
+        for step in steps {
+            match step {
+                Step::Send { from, .. } if self.is_dead(from) => {}
+                Step::Send { from, to, note } => {
+                    let delay = if from == to { Duration::ZERO } else { ONE_WAY };
+                    self.sent += 1;
+                    self.under_way.insert((self.now + delay, self.sent), (from, to, note));
+                }
+                Step::Start { entry, request, .. } => {
+                    self.running.insert((self.now + SERVICE_TIME, request), entry);
+                }
+                Step::End { code, request } => {
+                    let lost = self.asks.get(&request).is_some_and(|(_, at)| self.is_dead(*at));
+                    if !lost {
+                        self.refused.push(code);
+                    }
+                }
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += ms(1);
+        while let Some(due) = self.under_way.first_entry().filter(|due| due.key().0 <= self.now) {
+            let (from, to, note) = due.remove();
+            if !self.is_dead(to) {
+                let steps = self.sole.deliver(self.now, from, to, note);
+                self.perform(steps);
+            }
+        }
+        while let Some(due) = self.running.first_entry().filter(|due| due.key().0 <= self.now) {
+            let ((_, request), entry) = due.remove_entry();
+            if !self.is_dead(entry) {
+                self.answered += 1;
+                let outcome = SlotOutcome::Answered { took: SERVICE_TIME };
+                let steps = self.sole.release(self.now, entry, self.asks[&request].0, outcome);
+                self.perform(steps);
+            }
+        }
+        let steps = self.sole.tick(self.now);
+        self.perform(steps);
+    }
+}
+
+/// Guards against refusals after the death of a witness: its dispatchers held every slot for grants to
+/// their own instance that nobody confirmed, and the queues of the other domains overflowed.
+#[test]
+fn the_death_of_a_witness_sheds_nothing_that_the_others_can_bear() {
+    for seed in 0..20 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut run = Run::new();
+        let died = run.now + ms(1_000 + rng.random_range(0..200));
+        let mut sent = 0;
+        for millis in 0..8_000_u64 {
+            if run.now == died {
+                run.dead = true;
+                run.sole.entry_died(run.now, WITNESS);
+            }
+            if run.now == died + DETECTION {
+                let steps = run.sole.death_found(run.now, WITNESS, run.now + LEASE);
+                run.perform(steps);
+            }
+            let entry = rng.random_range(0..ENTRIES);
+            if millis % ARRIVAL_MS == 0 && !run.is_dead(entry) {
+                run.arrive(millis, entry);
+                sent += 1;
+            }
+            run.step();
+        }
+        for _ in 0..DEADLINE.as_millis() {
+            run.step();
+        }
+        assert!(run.refused.is_empty(), "seed {seed}: of {sent} refused: {:?}", run.refused);
+        assert!(run.answered > 500, "seed {seed}: a run without answers proves nothing");
+    }
+}
