Resend releases to the successor of a dispatcher; count a target's 504 truly

Cause: an entry without the dispatcher of a pool confirmed releases. In a planned stop an entry could report a grant to the successor and then send its release to the stopping entry, so the successor counted the slot as used for up to 10 s and requests waited for it until their deadline (1004). One of them got its slot just before its deadline; the target's 504 at the deadline came a fraction of a millisecond before the entry's own timer and counted as completed. Change: such releases get no answer, and are resent to the successor. A 504 in the last 20 ms of a request's time ends it as 2002. Ruled out: slow targets, since 22 of 164 starts went to the target of the pool that changed its dispatcher, 43 to 50 to the others.

--- a/crates/daemon/src/entry_exchange.rs
+++ b/crates/daemon/src/entry_exchange.rs
@@ -13,7 +13,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Request, Response, Uri};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -28,6 +28,10 @@
 /// truncated one can still be reported with its code.
 pub const BUFFERED_RESPONSE: usize = 1024 * 1024;
 
+/// A target's 504 this close to the request's deadline says that it gave up at the deadline. Covers the
+/// rounding of the time that it was given, and the way back.
+const DEADLINE_SLACK: Duration = Duration::from_millis(20);
+
 /// A request of a caller, read whole.
 pub struct CallerRequest {
     /// Service that it is for.
@@ -184,6 +188,12 @@
             self.report(Event::TargetRefused(attempt, refusal));
             return AttemptResult::Ended;
         }
+        if self.gave_up(&response) {
+            // The client ends the request at its deadline; the report only follows if it is late.
+            tokio::time::sleep_until((self.request.deadline + DEADLINE_SLACK).into()).await;
+            self.report(Event::Broken(attempt));
+            return AttemptResult::Ended;
+        }
         if !upstream::length_is_known(&self.request.method, &response) {
             log::warn!("{target} sent a response without a length, which can't be checked");
             self.report(Event::Broken(attempt));
@@ -210,6 +220,13 @@
         }
     }
 
+    /// Whether the target answered that it stopped at the deadline it was given. It is told whole
+    /// milliseconds, so this answer comes just before the deadline here, and would count as completed.
+    fn gave_up(&self, response: &Response<Incoming>) -> bool {
+        let left = self.request.deadline.saturating_duration_since(self.entry.cx.now());
+        response.status() == StatusCode::GATEWAY_TIMEOUT && left <= DEADLINE_SLACK
+    }
+
     fn report(&self, event: Event) {
         self.entry.requests.event(event);
     }
--- a/crates/daemon/src/load_reports.rs
+++ b/crates/daemon/src/load_reports.rs
@@ -55,7 +55,8 @@
     new.chain(reported.iter().copied()).collect()
 }
 
-/// Answers a message for a dispatcher that doesn't run here.
+/// Answers a message for a dispatcher that doesn't run here. A release gets no answer, so that it is sent
+/// again to the successor: that may have counted the grant from the sender's report.
 #[must_use]
 pub fn answer_without_dispatcher(from: InstanceId, message: &Message) -> Option<Message> {
     match message {
@@ -66,10 +67,7 @@
             elsewhere: true,
             load: Brief::default(),
         }),
-        // The grants of an ended dispatcher are known to its successor from the entries' reports.
-        Message::Release { pool, grant, .. } => {
-            Some(Message::Released { pool: *pool, grant: *grant, load: Brief::default() })
-        }
+        Message::Release { .. } => None,
         _ => {
             log::debug!("message of {from} for a dispatcher that doesn't run here");
             None
--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -57,8 +57,15 @@
 async fn answer(mut stream: TcpStream, log: Log) {
     let Some(head) = read_head(&mut stream).await else { return };
     let path = path_of(&head).to_owned();
+    let time_left = header(&head, "x-request-timeout-ms");
     log.lock().unwrap().heads.push(head);
     let text = match path.as_str() {
+        "/gave-up" => {
+            let left: u64 = time_left.and_then(|ms| ms.parse().ok()).unwrap_or_default();
+            // Early enough for the answer to arrive before the entry's own deadline.
+            tokio::time::sleep(Duration::from_millis(left.saturating_sub(8))).await;
+            "HTTP/1.1 504 Gateway Timeout\r\ncontent-length: 0\r\n\r\n".to_owned()
+        }
         "/truncated" => "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nonly this".to_owned(),
         "/chunk-cut" => {
             "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n64\r\nonly this".to_owned()
@@ -215,6 +222,7 @@
     .unwrap();
     partial_answers(to, &log).await;
     deadlines(to, &log).await;
+    target_deadline(to).await;
     leaving_caller(to, &log).await;
     refusals(to, &log).await;
     bad_requests(to).await;
@@ -248,6 +256,11 @@
     }
 }
 
+/// Guards against the answer of a target that stopped at its deadline being counted as completed.
+async fn target_deadline(to: SocketAddr) {
+    assert_eq!(post_code(to, "/gave-up").await, Some(2_002));
+}
+
 async fn leaving_caller(to: SocketAddr, log: &Log) {
     log.lock().unwrap().closed.clear();
     let before = heads(log, "/silent").len();
--- a/crates/daemon/tests/load_reports.rs
+++ b/crates/daemon/tests/load_reports.rs
@@ -1,8 +1,10 @@
 //! Receivers of load reports, and what a successor makes of them.
 
 use comfreyhold_daemon::entry_roles::Roles;
-use comfreyhold_daemon::load_reports::{audience, cold_targets, is_fresh};
-use comfreyhold_request::message::Pool;
+use comfreyhold_daemon::load_reports::{
+    answer_without_dispatcher, audience, cold_targets, is_fresh,
+};
+use comfreyhold_request::message::{AttemptId, GrantId, Message, Pool, RequestId, SlotOutcome};
 use comfreyhold_types::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -66,3 +68,24 @@
     assert!(!is_fresh(Some(now), later));
     assert!(!is_fresh(None, later));
 }
+
+/// Guards against a slot that its successor counts as used until the deadline: an entry that has reported
+/// a grant to the successor may still send the release to the dispatcher before.
+#[test]
+fn release_to_an_ended_dispatcher_is_not_confirmed() {
+    let from = InstanceId(2);
+    let grant = GrantId { epoch: 1, issuer: InstanceId(1), number: 1 };
+    let outcome = SlotOutcome::Unused;
+    let release = Message::Release { pool: pool(1), grant, outcome };
+    assert_eq!(answer_without_dispatcher(from, &release), None);
+    let request = RequestId { entry: from, incarnation: Incarnation(1), number: 1 };
+    let acquire = Message::Acquire {
+        attempt: AttemptId { request, number: 1 },
+        pool: pool(1),
+        priority: Priority::High,
+        remaining: Duration::from_secs(1),
+        may_redirect: true,
+    };
+    let answer = answer_without_dispatcher(from, &acquire);
+    assert!(matches!(answer, Some(Message::Refuse { elsewhere: true, .. })), "{answer:?}");
+}
