End a dispatcher whose epoch was fenced during a partition

Cause: while a failure domain is cut off, an entry of another domain succeeds its dispatcher and asks for grants under a later epoch. After the heal, entries return every grant of the earlier epoch unused and confirm none as a witness, but the earlier dispatcher is not told and goes on offering free slots, so requests wait there until their deadline or until the caller leaves. That the fence is the reason is concluded from the code, not traced. Freeing withheld grants makes it worse, since the slots then look free.

Change: an entry that gets a fenced grant or witness request answers with HeldGrants of the later epoch. A dispatcher that sees a later epoch stops and sends its queue elsewhere. The entry takes the pool over anew, under a new epoch, at its next change of view.

Figures: in the cores, an earlier dispatcher kept its queue before and sends it elsewhere now (tests/dispatcher.rs, tests/client.rs).

Conclusion: the cores' part is tested; the renewed takeover in the daemon after a heal has not been exercised.

--- a/crates/daemon/src/entry_requests.rs
+++ b/crates/daemon/src/entry_requests.rs
@@ -263,9 +263,9 @@
         let own = self.cx.instance();
         let ended: Vec<Pool> = core
             .dispatchers
-            .keys()
-            .filter(|pool| wanted.get(pool) != Some(&own))
-            .copied()
+            .iter()
+            .filter(|(pool, dispatcher)| wanted.get(pool) != Some(&own) || dispatcher.is_stopped())
+            .map(|(pool, _)| *pool)
             .collect();
         for pool in ended {
             self.dispatch(core, pool, dispatcher::Event::Stop);
--- a/crates/request/src/client.rs
+++ b/crates/request/src/client.rs
@@ -235,6 +235,9 @@
             }
         };
         self.store(attempt.request, request);
+        if fenced {
+            self.report_fence(pool, grant.issuer, out);
+        }
         used
     }
 
--- a/crates/request/src/client_reports.rs
+++ b/crates/request/src/client_reports.rs
@@ -26,6 +26,14 @@
         out.push(Action::Send(from, Message::HeldGrants { pool, epoch, grants, witness_of }));
     }
 
+    /// Tells a dispatcher that a later one has asked for reports, as after a partition. Its grants can't
+    /// be used, so it must stop to offer slots.
+    pub(crate) fn report_fence(&self, pool: Pool, to: InstanceId, out: &mut Vec<Action>) {
+        let Some(epoch) = self.fences.get(&pool).copied() else { return };
+        let held = Message::HeldGrants { pool, epoch, grants: Vec::new(), witness_of: None };
+        out.push(Action::Send(to, held));
+    }
+
     /// Records grants of a dispatcher to its own instance. Once a later dispatcher has asked for
     /// reports, an earlier one gets no confirmation, so it can't use the grant.
     pub(crate) fn on_witness(
@@ -37,6 +45,7 @@
         out: &mut Vec<Action>,
     ) {
         if self.fences.get(&pool).is_some_and(|fence| epoch < *fence) {
+            self.report_fence(pool, from, out);
             return;
         }
         let confirmation = self.witnessed.record(now, from, pool, epoch, grants);
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -137,6 +137,12 @@
         matches!(self.phase, Phase::Active) && !self.out
     }
 
+    /// Whether it has ended, by [`Event::Stop`] or because a later one has asked for grants.
+    #[must_use]
+    pub fn is_stopped(&self) -> bool {
+        matches!(self.phase, Phase::Stopped)
+    }
+
     /// Slots of a target that are or may be in use.
     #[must_use]
     pub fn occupied(&self, target: SocketAddr) -> u32 {
@@ -173,6 +179,11 @@
             Message::Cancel { pool, attempt } if pool == self.cfg.pool => {
                 self.on_cancel(now, from, attempt, out);
             }
+            Message::HeldGrants { pool, epoch, .. }
+                if pool == self.cfg.pool && epoch > self.cfg.epoch =>
+            {
+                self.on_stop(out);
+            }
             Message::HeldGrants { pool, epoch, grants, witness_of } if self.is_own(pool, epoch) => {
                 self.on_held(now, from, &grants, witness_of);
             }
--- a/crates/request/tests/client.rs
+++ b/crates/request/tests/client.rs
@@ -350,6 +350,8 @@
     let (_, waiting) = asked(&out).expect("an acquire");
     let stale = client.handle(t, grant(waiting, 1, 1));
     assert_eq!(released(&stale), Some(SlotOutcome::Unused));
+    let told = |a: &Action| matches!(a, Action::Send(_, Message::HeldGrants { epoch: 2, .. }));
+    assert!(stale.iter().any(told), "the earlier dispatcher learns that it was succeeded");
     client.handle(t, grant(waiting, 1, 2));
     assert!(!client.may_write(t + ms(5_000), waiting));
     let over = client.handle(t + ms(5_000), Event::Tick);
--- a/crates/request/tests/dispatcher.rs
+++ b/crates/request/tests/dispatcher.rs
@@ -396,3 +396,23 @@
         assert_eq!(d.queued(), 0, "first witness {first:?}");
     }
 }
+
+/// Guards against a dispatcher that goes on offering slots which nobody may use, since another one
+/// succeeded it during a partition.
+#[test]
+fn a_superseded_dispatcher_sends_its_queue_elsewhere() {
+    let t = Instant::now();
+    let (mut d, _) = full(8, t);
+    d.handle(t, acquire(2, Priority::High, ms(5_000)));
+    let fence = |epoch| {
+        let held = Message::HeldGrants { pool: POOL, epoch, grants: vec![], witness_of: None };
+        Event::Message(ENTRY, held)
+    };
+    for epoch in [6, 7] {
+        assert!(answers(&d.handle(t, fence(epoch))).is_empty(), "own or earlier epoch {epoch}");
+        assert!(d.is_active());
+    }
+    let moved = answers(&d.handle(t, fence(8)));
+    assert_eq!(moved, vec![(2, Err(ResultCode::NoDispatcher))]);
+    assert!(!d.is_active());
+}
