Replace a fenced dispatcher at the next tick

Cause: a dispatcher that a successor has fenced ends, and was started anew only at the next change of the view; with a stable view its pool would have stayed without a dispatcher. Change: every tick looks for ended dispatchers of pools that are wanted here.

--- a/crates/daemon/src/entry_requests.rs
+++ b/crates/daemon/src/entry_requests.rs
@@ -157,6 +157,10 @@
         for pool in due {
             self.dispatch(&mut core, pool, dispatcher::Event::Tick);
         }
+        // One that a successor has fenced is replaced at once: the view may stay as it is for long.
+        if core.dispatchers.values().any(Dispatcher::is_stopped) {
+            self.update_dispatchers(&mut core, now);
+        }
     }
 
     /// Takes in a new view of the declarations, targets and live entries.
