Stop the earlier of two processes under one instance number

Cause: added the stop, but nothing called Context::supersede. The earlier process only logged that it was started again and ran on. Change: peers::superseded asks for the stop. The new test file second_start.rs starts a second entry and a second control daemon under a number in use, with other addresses: the earlier one ends by itself and logs why, the others record the restart, no key runs twice, no accepted publication is lost, and a data folder in use is refused with 6005. Process::wait is new in the lab. The mistaken process has to be stopped and the right one started again by the operator, as peers don't know the second one's addresses.

--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -35,12 +35,13 @@
     );
 }
 
-/// Another process runs under this instance number and started later.
+/// Another process runs under this instance number and started later; this one stops.
 pub fn superseded(cx: &Context, newer: Incarnation) {
     log::error!(
         "instance {} was started again as {newer}; this process is outdated",
         cx.instance()
     );
+    cx.supersede();
 }
 
 /// Takes over from the detector through whom each member is reached.
--- /dev/null
+++ b/crates/daemon/tests/second_start.rs
@@ -0,0 +1,158 @@
+//! A second process that is started by mistake under an instance number in use, with other addresses.
+
+#![allow(clippy::unwrap_used)]
+
+#[path = "support/operator.rs"]
+mod operator;
+mod support;
+mod traffic;
+
+use comfreyhold_lab::scenario::{Process, wait_for};
+use comfreyhold_lab::up::DaemonPlan;
+use comfreyhold_lab::{daemon_settings, http};
+use comfreyhold_types::api::TimelineReply;
+use comfreyhold_types::prelude::*;
+use operator::{Series, follower, status_of, wait_confirmed};
+use std::fs;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::time::Duration;
+use support::{Cluster, LIMIT, post, result_code, settings};
+use tokio::sync::Mutex;
+use traffic::{Rounds, kind, load_settings, tally};
+
+/// One deployment at a time.
+static DEPLOYMENT: Mutex<()> = Mutex::const_new(());
+
+/// Longest wait for a stop.
+const STOP_LIMIT: Duration = Duration::from_secs(40);
+
+/// Keys that are used before the second start and again after it.
+const EARLY_KEYS: usize = 10;
+
+/// A daemon with the number of another one and addresses of its own. Writes its settings file.
+fn second(cluster: &Cluster, first: &DaemonPlan) -> DaemonPlan {
+    let ip = first.peer.ip();
+    let listeners: Vec<_> = (0..3).map(|_| TcpListener::bind((ip, 0)).unwrap()).collect();
+    let socket = UdpSocket::bind((ip, 0)).unwrap();
+    let tcp = |n: usize| listeners[n].local_addr().unwrap();
+    let second = DaemonPlan {
+        name: format!("{}-second", first.name),
+        peer: tcp(0),
+        http: tcp(1),
+        callers: tcp(2),
+        packets: socket.local_addr().unwrap(),
+        ..first.clone()
+    };
+    let mut plan = cluster.deployment.plan.clone();
+    plan.daemons[cluster.index(&first.name)] = second.clone();
+    let file = cluster.folder.path().join(format!("{}.yaml", second.name));
+    fs::write(file, daemon_settings::render(&plan, &second).unwrap()).unwrap();
+    second
+}
+
+async fn start_second(cluster: &Cluster, plan: &DaemonPlan) -> Process {
+    cluster.deployment.start_daemon(plan, cluster.folder.path()).await.unwrap()
+}
+
+/// Waits until the first process has ended by itself, and checks that its log tells why.
+async fn expect_ended(cluster: &mut Cluster, first: &DaemonPlan) {
+    let index = cluster.index(&first.name);
+    let daemon = &mut cluster.deployment.daemons[index];
+    let status = daemon.wait(LIMIT).await.unwrap();
+    assert!(status.success(), "{status}");
+    let log = fs::read_to_string(daemon.log()).unwrap();
+    assert!(log.contains("was started again"), "{log}");
+}
+
+/// The other processes tell of the second start in their time lines.
+async fn expect_told(observer: SocketAddr, first: &DaemonPlan) {
+    wait_for("the second start is in the time line", LIMIT, || async {
+        let reply: TimelineReply = http::get_json(observer, "/v1/timeline").await.ok()?;
+        let told = reply.events.iter().any(|event| {
+            event.kind == EventKind::PeerAlive
+                && event.fields["peer"] == first.instance.to_string()
+                && event.fields["change"] == "Restarted"
+        });
+        told.then_some(())
+    })
+    .await
+    .unwrap();
+}
+
+/// Guards against an entry that goes on beside a later process under its number, so that both answer for
+/// one instance; against requests that run twice through the two; and against an operator who isn't told.
+#[tokio::test(flavor = "multi_thread")]
+async fn earlier_entry_stops_and_no_key_runs_twice() {
+    let _alone = DEPLOYMENT.lock().await;
+    let mut cluster = traffic::start(settings()).await;
+    let first = cluster.deployment.plan.daemons[cluster.index("entry-2")].clone();
+    for n in 0..EARLY_KEYS {
+        let answer = post(first.callers, "orders", &format!("early-{n}"), "early").await;
+        assert_eq!(result_code(&answer.unwrap()), Some(0));
+    }
+    let kinds = vec![
+        kind("keyed", "orders", "POST", true, 40.0),
+        kind("read", "orders", "GET", false, 20.0),
+    ];
+    let load = Rounds::start(load_settings(&cluster, kinds));
+    let plan = second(&cluster, &first);
+    let mut later = start_second(&cluster, &plan).await;
+    let others: Vec<_> = cluster.callers().into_iter().filter(|to| *to != first.callers).collect();
+    for n in 0..EARLY_KEYS {
+        for to in others.iter().copied().chain([plan.callers, first.callers]) {
+            // Whatever the answer is, it must not come from a second run.
+            let answer = post(to, "orders", &format!("early-{n}"), "early").await;
+            let code = answer.as_ref().and_then(result_code);
+            assert_ne!(code, Some(0), "early-{n} through {to}");
+        }
+        assert_eq!(cluster.runs_with_key(&format!("early-{n}")).await, 1);
+    }
+    expect_ended(&mut cluster, &first).await;
+    expect_told(cluster.entries()[0], &first).await;
+    assert!(later.terminate(STOP_LIMIT).await.unwrap().success());
+    cluster.restart(&first.name).await;
+    cluster.wait_serving().await;
+    let results = load.finish(&cluster).await;
+    println!("{:?}", tally(&results));
+    cluster.deployment.stop().await.unwrap();
+}
+
+/// Guards against two control daemons under one number that both confirm publications, or share a data
+/// folder; against the loss of accepted publications; and against an operator who isn't told.
+#[tokio::test(flavor = "multi_thread")]
+async fn earlier_control_daemon_stops_and_loses_nothing() {
+    let _alone = DEPLOYMENT.lock().await;
+    let mut cluster = Cluster::start(settings()).await;
+    let mut series = Series::new(&cluster);
+    series.publish(2).await;
+    let first = follower(&cluster, &series.operator).await;
+    let disk = status_of(&cluster, &first).await.details["disk"].clone();
+
+    let shared = second(&cluster, &first);
+    let refused = cluster.deployment.start_daemon(&shared, cluster.folder.path()).await;
+    assert!(refused.is_err(), "two processes use one data folder");
+    let log = cluster.folder.path().join(format!("{}.log", shared.name));
+    let log = fs::read_to_string(log).unwrap();
+    assert!(log.contains("Error: 6005 ") && log.contains("in use by another process"), "{log}");
+    series.publish(1).await;
+    wait_confirmed(&series.operator, first.instance, &disk, series.accepted.last().unwrap().1)
+        .await;
+
+    let data = cluster.folder.path().join("second-data");
+    fs::create_dir(&data).unwrap();
+    let own_folder = second(&cluster, &DaemonPlan { data, ..first.clone() });
+    let mut later = start_second(&cluster, &own_folder).await;
+    expect_ended(&mut cluster, &first).await;
+    series.publish(2).await;
+    let state = status_of(&cluster, &own_folder).await.details["state"].clone();
+    assert!(state != "leader" && state != "follower", "an empty folder votes as {state}");
+    let observer = series.operator.leader().await.0;
+    expect_told(observer, &first).await;
+    assert!(later.terminate(STOP_LIMIT).await.unwrap().success());
+    cluster.restart(&first.name).await;
+    wait_confirmed(&series.operator, first.instance, &disk, series.accepted.last().unwrap().1)
+        .await;
+    series.publish(1).await;
+    series.check().await;
+    cluster.deployment.stop().await.unwrap();
+}
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -117,6 +117,17 @@
         }
     }
 
+    /// Waits for the process to end by itself.
+    ///
+    /// # Errors
+    /// It does not end within the limit; it then runs on.
+    pub async fn wait(&mut self, limit: Duration) -> Result<ExitStatus> {
+        match tokio::time::timeout(limit, self.child.wait()).await {
+            Ok(status) => Ok(status?),
+            Err(_) => bail!("{} did not end within {limit:?}", self.name),
+        }
+    }
+
     /// Kills the process without letting it stop, as a crash does.
     ///
     /// # Errors
