Put no prepared revision in effect while an entry recovers

Cause: the response to a fetch of an entry's earlier start can reach the restarted entry while it asks its peers what is in effect. It took the prepared revision for theirs and put it in effect before the leader activated it, so two leased entries were on revisions that do not fit. Change: a recovering entry without a goal drops states newer than what its peers have named, and asks them again. Conclusion: the schedule stays as a test of its own.

--- a/crates/membership/src/installer.rs
+++ b/crates/membership/src/installer.rs
@@ -362,14 +362,28 @@
         advanced
     }
 
+    /// Whether a state may not be in effect anywhere yet: it is newer than what peers have named, such as a
+    /// response to an earlier start of this entry. The peers are asked again then.
+    fn is_beyond_peers(&mut self, revision: Revision) -> bool {
+        let Some(recovery) = self.recovery.as_mut().filter(|_| self.goal.is_none()) else {
+            return false;
+        };
+        if recovery.peers.values().flatten().any(|active| revision <= *active) {
+            return false;
+        }
+        recovery.peers.values_mut().for_each(|answer| *answer = None);
+        self.fetching = None;
+        true
+    }
+
     fn on_delta(&mut self, now: Instant, delta: &Delta) {
-        if self.take_delta(delta) {
+        if !self.is_beyond_peers(delta.to()) && self.take_delta(delta) {
             self.after_fetch(now);
         }
     }
 
     fn on_chunk(&mut self, now: Instant, chunk: Chunk) {
-        if chunk.revision <= self.staged.revision() {
+        if chunk.revision <= self.staged.revision() || self.is_beyond_peers(chunk.revision) {
             return;
         }
         match self.assembly.add(chunk) {
--- a/crates/membership/tests/rollout.rs
+++ b/crates/membership/tests/rollout.rs
@@ -227,6 +227,13 @@
     (0..200).for_each(|seed| run_schedule(10_000 + seed, 18 + (seed % 7) as u16, 3));
 }
 
+/// Guards against a restarted entry that puts a prepared revision in effect, since the response to a fetch
+/// of its earlier start reaches it while it recovers.
+#[test]
+fn relay_schedule_10310_keeps_the_invariants() {
+    run_schedule(10_310, 20, 3);
+}
+
 /// Guards against a new leader that calls a revision of an earlier term in effect before the entries have
 /// told it so.
 #[test]
