Grant first leases to entries that hold the newest revision ready

Cause: a new leader granted no lease at all while an entry that it had not heard might hold an older one, so one dead entry at an election would have cost every other entry its lease for up to 2.75 s. Change: an entry that holds the newest accepted revision ready may get its lease, since no other entry can have a later one in effect.

--- a/crates/membership/src/rollout.rs
+++ b/crates/membership/src/rollout.rs
@@ -377,8 +377,9 @@
         if !self.is_first {
             return progress.active >= self.settled;
         }
-        // An entry not heard yet may hold a lease of the leader before, with a newer revision in effect.
-        if self.entries.values().any(|entry| entry.seen.is_none() && entry.is_leased(now)) {
+        // An entry not heard yet may hold a lease of the leader before, with any accepted revision in effect.
+        let is_heard = |entry: &Entry| entry.seen.is_some() || !entry.is_leased(now);
+        if progress.prepared < self.goal.revision && !self.entries.values().all(is_heard) {
             return false;
         }
         let newest = self.entries.values().map(|entry| entry.progress.active).max();
