Move the recovery of a restarted entry into a module of its own

Change: recovery.rs holds what a restarted entry asks its peers; one function reports failed schedules. No change of behaviour.

--- a/crates/flow/tests/starts.rs
+++ b/crates/flow/tests/starts.rs
@@ -135,6 +135,11 @@
     bad.then(|| format!("unsynced {unsynced:?}, {moving} slots in transition"))
 }
 
+fn assert_none(failures: &[String]) {
+    let shown = failures.iter().take(10).cloned().collect::<Vec<_>>().join("\n");
+    assert!(failures.is_empty(), "{} schedules failed:\n{shown}", failures.len());
+}
+
 /// Guards against starts after which entries wait forever for what their peers told before it could
 /// be taken in, or differ in which slots are in transition, so that flows break.
 #[test]
@@ -144,8 +149,7 @@
         let mut world = start(seed);
         failures.extend(settled(&mut world).map(|text| format!("seed {seed}: {text}")));
     }
-    let shown = failures.iter().take(10).cloned().collect::<Vec<_>>().join("\n");
-    assert!(failures.is_empty(), "{} of {SEEDS} failed:\n{shown}", failures.len());
+    assert_none(&failures);
 }
 
 /// Guards against an arbiter that forgets what a peer told when it takes the peer for lost for a
@@ -168,8 +172,7 @@
         others.iter().for_each(|id| world.tell_live(*id, all.clone()));
         failures.extend(ended(&mut world).map(|text| format!("seed {seed}: {text}")));
     }
-    let shown = failures.iter().take(10).cloned().collect::<Vec<_>>().join("\n");
-    assert!(failures.is_empty(), "{} failed:\n{shown}", failures.len());
+    assert_none(&failures);
 }
 
 /// Guards against losing what a restarted entry told before its new start was known here.
@@ -198,8 +201,7 @@
         world.announce(500);
         failures.extend(ended(&mut world).map(|text| format!("seed {seed}: {text}")));
     }
-    let shown = failures.iter().take(10).cloned().collect::<Vec<_>>().join("\n");
-    assert!(failures.is_empty(), "{} failed:\n{shown}", failures.len());
+    assert_none(&failures);
 }
 
 /// Guards against entries that forget the slots in transition because all of them lost their leases and got
@@ -228,6 +230,5 @@
             failures.push(format!("seed {seed}: unsynced {unsynced:?}, {stats:?}"));
         }
     }
-    let shown = failures.iter().take(10).cloned().collect::<Vec<_>>().join("\n");
-    assert!(failures.is_empty(), "{} of {SEEDS} failed:\n{shown}", failures.len());
+    assert_none(&failures);
 }
--- a/crates/membership/src/installer.rs
+++ b/crates/membership/src/installer.rs
@@ -1,7 +1,7 @@
-//! Installation of revisions at an entry: two phases, the lease, and what a restarted entry asks for
-//! before it serves.
+//! Installation of revisions at an entry: two phases and the lease.
 
 use crate::messages::{Chunk, Delta, Goal, InstallMessage, LeaseToken, Phase, Progress};
+use crate::recovery::Recovery;
 use crate::relay::{DELAY_LEASE, Relay, STATUS_DELAY, has_reached};
 use crate::staging::{Assembly, Store};
 use comfreyhold_types::prelude::*;
@@ -17,9 +17,6 @@
 /// A `Fetch` or `AskNewest` without a response is repeated after this long.
 pub const FETCH_RETRY: Duration = Duration::from_millis(200);
 
-/// A restarted entry that got a response waits no longer than this for the others.
-pub const RECOVERY_WAIT: Duration = Duration::from_secs(3);
-
 /// What the daemon has to do, in this order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum InstallAction {
@@ -43,39 +40,32 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Fetching {
+pub(crate) struct Fetching {
     from: InstanceId,
     sent: Instant,
     active_only: bool,
 }
 
-#[derive(Clone, Debug)]
-struct Recovery {
-    peers: BTreeMap<InstanceId, Option<Revision>>,
-    next_ask: Instant,
-    until: Instant,
-}
-
 /// Installer of one entry.
 #[derive(Debug)]
 pub struct Installer {
     own: InstanceId,
     start: Instant,
     nonce: u32,
-    term: Term,
+    pub(crate) term: Term,
     leader: Option<InstanceId>,
-    goal: Option<Goal>,
-    active: Arc<Declarations>,
-    staged: Store,
+    pub(crate) goal: Option<Goal>,
+    pub(crate) active: Arc<Declarations>,
+    pub(crate) staged: Store,
     assembly: Assembly,
-    fetching: Option<Fetching>,
+    pub(crate) fetching: Option<Fetching>,
     lease_until: Option<Instant>,
     has_lease: bool,
     report_to: Option<InstanceId>,
     status_at: Option<Instant>,
     relay: Relay,
-    recovery: Option<Recovery>,
-    out: Vec<InstallAction>,
+    pub(crate) recovery: Option<Recovery>,
+    pub(crate) out: Vec<InstallAction>,
 }
 
 impl Installer {
@@ -89,7 +79,7 @@
         seed: u64,
     ) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
-        let peers = peers.into_iter().filter(|id| *id != own).map(|id| (id, None)).collect();
+        let peers = peers.into_iter().filter(|id| *id != own);
         Self {
             own,
             start: now,
@@ -106,7 +96,7 @@
             report_to: None,
             status_at: None,
             relay: Relay::new(own, u64::from(rng.random::<u32>())),
-            recovery: Some(Recovery { peers, next_ask: now, until: now + RECOVERY_WAIT }),
+            recovery: Some(Recovery::new(now, peers)),
             out: Vec::new(),
         }
     }
@@ -166,7 +156,7 @@
     pub fn next_wake(&self, now: Instant) -> Instant {
         let lease = self.lease_until.filter(|_| self.has_lease);
         let fetch = self.fetching.map(|fetching| fetching.sent + FETCH_RETRY);
-        let ask = self.recovery.as_ref().map(|recovery| recovery.next_ask);
+        let ask = self.recovery.as_ref().map(|recovery| recovery.next_ask());
         let times = [lease, fetch, ask, self.status_at, self.relay.report_at()];
         times.into_iter().flatten().fold(now + LEASE, Instant::min)
     }
@@ -328,7 +318,7 @@
         }
     }
 
-    fn activate(&mut self) {
+    pub(crate) fn activate(&mut self) {
         self.active = Arc::clone(self.staged.state());
         self.out.push(InstallAction::Activate(Arc::clone(&self.active)));
     }
@@ -380,7 +370,7 @@
         self.out.extend(report.map(|(to, message)| InstallAction::Send { to, message }));
     }
 
-    fn fetch(&mut self, now: Instant, from: InstanceId, active_only: bool) {
+    pub(crate) fn fetch(&mut self, now: Instant, from: InstanceId, active_only: bool) {
         self.fetching = Some(Fetching { from, sent: now, active_only });
         let have = self.staged.revision();
         let part = self.assembly.next_part().filter(|(revision, _)| *revision > have);
@@ -396,20 +386,6 @@
         advanced
     }
 
-    /// Whether a state may not be in effect anywhere yet: it is newer than what peers have named, such as a
-    /// response to an earlier start of this entry. The peers are asked again then.
-    fn is_beyond_peers(&mut self, revision: Revision) -> bool {
-        let Some(recovery) = self.recovery.as_mut().filter(|_| self.goal.is_none()) else {
-            return false;
-        };
-        if recovery.peers.values().flatten().any(|active| revision <= *active) {
-            return false;
-        }
-        recovery.peers.values_mut().for_each(|answer| *answer = None);
-        self.fetching = None;
-        true
-    }
-
     fn on_delta(&mut self, now: Instant, delta: &Delta) {
         if !self.is_beyond_peers(delta.to()) && self.take_delta(delta) {
             self.after_fetch(now);
@@ -448,65 +424,4 @@
         self.activate_if_due();
         self.send_status(now);
     }
-
-    fn ask_peers(&mut self, now: Instant) {
-        let Some(recovery) = self.recovery.as_mut().filter(|r| now >= r.next_ask) else { return };
-        recovery.next_ask = now + FETCH_RETRY;
-        let silent = recovery.peers.iter().filter(|(_, answer)| answer.is_none());
-        for (to, _) in silent {
-            let message = InstallMessage::AskNewest;
-            self.out.push(InstallAction::Send { to: *to, message });
-        }
-        self.adopt_from_peers(now);
-    }
-
-    fn answer_newest(&mut self, to: InstanceId) {
-        let message = InstallMessage::Newest {
-            term: self.term,
-            active: self.active.revision,
-            recovering: self.recovery.is_some(),
-        };
-        self.out.push(InstallAction::Send { to, message });
-    }
-
-    fn on_newest(
-        &mut self,
-        now: Instant,
-        from: InstanceId,
-        term: Term,
-        active: Revision,
-        recovering: bool,
-    ) {
-        let Some(recovery) = &mut self.recovery else { return };
-        self.term = self.term.max(term);
-        if let Some(answer) = recovery.peers.get_mut(&from).filter(|_| !recovering) {
-            *answer = (*answer).max(Some(active));
-            self.adopt_from_peers(now);
-        }
-    }
-
-    /// Ends the recovery once the newest state in effect at the peers is in effect here. A goal of
-    /// the leader takes precedence, since it is never older.
-    fn adopt_from_peers(&mut self, now: Instant) {
-        let Some(recovery) = &self.recovery else { return };
-        let best = recovery.peers.iter().filter_map(|(id, answer)| answer.map(|r| (r, *id))).max();
-        let all_answered = recovery.peers.values().all(Option::is_some);
-        let Some((revision, peer)) = best else { return };
-        if self.active.revision >= revision {
-            if all_answered || now >= recovery.until {
-                self.finish_recovery();
-            }
-        } else if self.staged.revision() >= revision && self.goal.is_none() {
-            self.activate();
-            self.adopt_from_peers(now);
-        } else if self.staged.revision() < revision && self.fetching.is_none() {
-            self.fetch(now, peer, true);
-        }
-    }
-
-    fn finish_recovery(&mut self) {
-        if self.recovery.take().is_some() {
-            self.out.push(InstallAction::Recovered);
-        }
-    }
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod members;
 pub mod messages;
 pub mod probes;
+pub mod recovery;
 pub mod registry;
 pub mod relay;
 pub mod rollout;
