Name the module of flow synchronisation for what it does

Cause: the module and its record were named "passed", which tells a reader little. Change: sync.rs with EarlierMove holds how an entry comes to know of all slots in transition. No change of behaviour. Figures: the tests of common starts and of the node pass. Conclusion: none beyond the names.

--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -3,8 +3,8 @@
 use crate::merge::PeerSlots;
 use crate::message::{Message, Outgoing};
 use crate::node::{FlowNode, Peer};
-use crate::passed::Passed;
 use crate::report::{Ending, Pending};
+use crate::sync::EarlierMove;
 use crate::table::{SLOTS_PER_SERVICE, SlotTable};
 use crate::targets::{ServiceTargets, TargetKey, TargetRef, TargetSets, TargetSpec};
 use crate::view::{Moving, ServiceView, View};
@@ -97,7 +97,7 @@
     /// Moves by later versions are all known here, once the entry is synced.
     pub known_since: Revision,
     /// Moves by versions that were put in force before this entry was synced.
-    pub passed: BTreeMap<(ServiceId, u16), Passed>,
+    pub earlier_moves: BTreeMap<(ServiceId, u16), EarlierMove>,
     /// Ends of transitions heard of before this entry was synced.
     pub ended_early: BTreeMap<(ServiceId, u16), Revision>,
 }
@@ -126,7 +126,7 @@
             endings: Vec::new(),
             draining: BTreeMap::new(),
             known_since: Revision(0),
-            passed: BTreeMap::new(),
+            earlier_moves: BTreeMap::new(),
             ended_early: BTreeMap::new(),
         }
     }
@@ -374,7 +374,7 @@
         if active == Revision(0) {
             control.known_since = version;
         } else if !control.view.synced {
-            control.note_passed(version, &prepared);
+            control.note_earlier_moves(version, &prepared);
         }
         control.install(version, prepared, self.stamp(now));
         control.set_next();
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -11,11 +11,12 @@
 pub mod node;
 mod outbox;
 pub mod packet;
-mod passed;
+
 mod records;
 pub mod reply;
 mod report;
 pub mod scheme;
+mod sync;
 pub mod table;
 pub mod targets;
 mod view;
--- a/crates/flow/src/passed.rs
+++ b/crates/flow/src/sync.rs
@@ -14,7 +14,7 @@
 
 /// A slot that moved while the entry was not synced.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Passed {
+pub(crate) struct EarlierMove {
     base: TargetKey,
     stable: Revision,
     moved: Revision,
@@ -22,7 +22,7 @@
 
 impl Control {
     /// Remembers the slots that a version moves which is about to be in force.
-    pub fn note_passed(&mut self, version: Revision, prepared: &Prepared) {
+    pub fn note_earlier_moves(&mut self, version: Revision, prepared: &Prepared) {
         for (id, computed) in &prepared.tables {
             let Some(service) = self.view.service(*id) else { continue };
             let Some(table) = service.table.clone() else { continue };
@@ -32,31 +32,31 @@
                     continue;
                 }
                 let stable = self.view.active;
-                let first = Passed { base, stable, moved: version };
-                self.passed.entry((*id, slot)).or_insert(first).moved = version;
+                let first = EarlierMove { base, stable, moved: version };
+                self.earlier_moves.entry((*id, slot)).or_insert(first).moved = version;
             }
         }
     }
 
     /// Puts the slots in transition that moved while this entry waited for its peers.
-    fn begin_passed(&mut self, told: &BTreeMap<InstanceId, PeerSlots>, stamp: u32) {
+    fn begin_earlier_moves(&mut self, told: &BTreeMap<InstanceId, PeerSlots>, stamp: u32) {
         let known_since = self.known_since;
-        for ((id, slot), passed) in std::mem::take(&mut self.passed) {
+        for ((id, slot), earlier) in std::mem::take(&mut self.earlier_moves) {
             let Some(service) = self.view.service(id) else { continue };
             if let Some(known) = service.moving.get(&slot).copied() {
-                let moved = known.moved.max(passed.moved);
+                let moved = known.moved.max(earlier.moved);
                 self.set_moving(id, slot, Moving { moved, ..known });
                 continue;
             }
-            if told.values().any(|state| state.has_ended((id, slot), passed.moved)) {
+            if told.values().any(|state| state.has_ended((id, slot), earlier.moved)) {
                 continue;
             }
             let me = self.view.me;
             let moving = Moving {
-                moved: passed.moved,
+                moved: earlier.moved,
                 active_at: Some(stamp),
                 known_since,
-                ..Moving::new(passed.base, passed.stable, stamp, me)
+                ..Moving::new(earlier.base, earlier.stable, stamp, me)
             };
             let moving = self.assign_new(id, slot, moving);
             self.set_moving(id, slot, moving);
@@ -115,7 +115,7 @@
         for state in told.values().filter(|state| state.synced) {
             control.extend_knowledge(state.known_since, state.through);
         }
-        control.begin_passed(&told, stamp);
+        control.begin_earlier_moves(&told, stamp);
         control.begin_prepared_moves(stamp);
         control.view.synced = true;
         control.scan = Some(0);
