--- a/crates/cli/tests/apply.rs
+++ b/crates/cli/tests/apply.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use support::{Scratch, assert_refused, filtered, run};
+use support::{Scratch, assert_bad_files_refused, assert_refused, filtered};
 
 /// Guards against a publication that is reported wrongly, and a resend or conflict that is hidden.
 #[tokio::test]
@@ -40,12 +40,5 @@
 /// Guards against a panic or an unnumbered error for a deployment file that can't be used.
 #[test]
 fn bad_files_are_refused() {
-    let folder = tempfile::tempdir().unwrap();
-    std::fs::write(folder.path().join("bad.yaml"), "members: 3\n").unwrap();
-    for file in ["missing.yaml", "bad.yaml"] {
-        let ran = run(folder.path(), &["apply", "--config", file, "bad.yaml"]);
-        assert_refused(&ran, 3001);
-        assert!(ran.err.contains(file), "{ran:?}");
-    }
-    assert_refused(&run(folder.path(), &["apply", "--no-such-option"]), 3002);
+    assert_bad_files_refused("apply", &["bad.yaml"]);
 }
--- a/crates/cli/tests/counts.rs
+++ b/crates/cli/tests/counts.rs
@@ -9,7 +9,7 @@
 use comfreyhold_lab::up::DaemonKind;
 use hyper::Method;
 use std::net::SocketAddr;
-use support::{LIMIT, Scratch, assert_refused, run};
+use support::{LIMIT, Scratch, assert_bad_files_refused};
 
 const REQUESTS: u64 = 5;
 
@@ -55,12 +55,5 @@
 /// Guards against a panic or an unnumbered error for a deployment file that can't be used.
 #[test]
 fn bad_files_are_refused() {
-    let folder = tempfile::tempdir().unwrap();
-    std::fs::write(folder.path().join("bad.yaml"), "members: 3\n").unwrap();
-    for file in ["missing.yaml", "bad.yaml"] {
-        let ran = run(folder.path(), &["counts", "--config", file]);
-        assert_refused(&ran, 3001);
-        assert!(ran.err.contains(file), "{ran:?}");
-    }
-    assert_refused(&run(folder.path(), &["counts", "--no-such-option"]), 3002);
+    assert_bad_files_refused("counts", &[]);
 }
--- a/crates/cli/tests/diff.rs
+++ b/crates/cli/tests/diff.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use support::{ORDERS, Scratch, assert_refused, filtered, run};
+use support::{ORDERS, Scratch, assert_bad_files_refused, assert_refused, filtered};
 
 /// Guards against a preview that tells another outcome than publishing would have, or that publishes.
 #[tokio::test]
@@ -35,12 +35,5 @@
 /// Guards against a panic or an unnumbered error for a deployment file that can't be used.
 #[test]
 fn bad_files_are_refused() {
-    let folder = tempfile::tempdir().unwrap();
-    std::fs::write(folder.path().join("bad.yaml"), "members: 3\n").unwrap();
-    for file in ["missing.yaml", "bad.yaml"] {
-        let ran = run(folder.path(), &["diff", "--config", file, "bad.yaml"]);
-        assert_refused(&ran, 3001);
-        assert!(ran.err.contains(file), "{ran:?}");
-    }
-    assert_refused(&run(folder.path(), &["diff", "--no-such-option"]), 3002);
+    assert_bad_files_refused("diff", &["bad.yaml"]);
 }
--- a/crates/cli/tests/domain.rs
+++ b/crates/cli/tests/domain.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use support::{Scratch, assert_refused, filtered, run};
+use support::{Scratch, assert_bad_files_refused, assert_refused, filtered};
 
 /// Guards against a failure domain that can't be taken out and brought back, and against a race under
 /// one version number that has two winners.
@@ -31,12 +31,5 @@
 /// Guards against a panic or an unnumbered error for a deployment file that can't be used.
 #[test]
 fn bad_files_are_refused() {
-    let folder = tempfile::tempdir().unwrap();
-    std::fs::write(folder.path().join("bad.yaml"), "members: 3\n").unwrap();
-    for file in ["missing.yaml", "bad.yaml"] {
-        let ran = run(folder.path(), &["domain", "--config", file, "out", "1"]);
-        assert_refused(&ran, 3001);
-        assert!(ran.err.contains(file), "{ran:?}");
-    }
-    assert_refused(&run(folder.path(), &["domain", "--no-such-option"]), 3002);
+    assert_bad_files_refused("domain", &["out", "1"]);
 }
--- a/crates/cli/tests/history.rs
+++ b/crates/cli/tests/history.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use support::{Scratch, assert_refused, filtered, run};
+use support::{Scratch, assert_bad_files_refused, filtered};
 
 /// Guards against a history that lacks a version or names the wrong operator.
 #[tokio::test]
@@ -31,12 +31,5 @@
 /// Guards against a panic or an unnumbered error for a deployment file that can't be used.
 #[test]
 fn bad_files_are_refused() {
-    let folder = tempfile::tempdir().unwrap();
-    std::fs::write(folder.path().join("bad.yaml"), "members: 3\n").unwrap();
-    for file in ["missing.yaml", "bad.yaml"] {
-        let ran = run(folder.path(), &["history", "--config", file]);
-        assert_refused(&ran, 3001);
-        assert!(ran.err.contains(file), "{ran:?}");
-    }
-    assert_refused(&run(folder.path(), &["history", "--no-such-option"]), 3002);
+    assert_bad_files_refused("history", &[]);
 }
--- a/crates/cli/tests/replace.rs
+++ b/crates/cli/tests/replace.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use support::{Scratch, assert_refused, run};
+use support::{Scratch, assert_bad_files_refused, assert_refused};
 
 /// Guards against a lost data folder that can't be repaired from the command line, and against a
 /// replacement that names no voter.
@@ -31,12 +31,5 @@
 /// Guards against a panic or an unnumbered error for a deployment file that can't be used.
 #[test]
 fn bad_files_are_refused() {
-    let folder = tempfile::tempdir().unwrap();
-    std::fs::write(folder.path().join("bad.yaml"), "members: 3\n").unwrap();
-    for file in ["missing.yaml", "bad.yaml"] {
-        let ran = run(folder.path(), &["replace", "--config", file, "1", "ff"]);
-        assert_refused(&ran, 3001);
-        assert!(ran.err.contains(file), "{ran:?}");
-    }
-    assert_refused(&run(folder.path(), &["replace", "--no-such-option"]), 3002);
+    assert_bad_files_refused("replace", &["1", "ff"]);
 }
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -65,6 +65,18 @@
     assert!(ran.err.starts_with(&format!("comfreyhold: {code} ")), "{ran:?}");
 }
 
+/// Checks that a command refuses missing and bad deployment files, and unknown options, with their numbers.
+pub fn assert_bad_files_refused(command: &str, args: &[&str]) {
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("bad.yaml"), "members: 3\n").unwrap();
+    for file in ["missing.yaml", "bad.yaml"] {
+        let ran = run(folder.path(), &[&[command, "--config", file], args].concat());
+        assert_refused(&ran, 3001);
+        assert!(ran.err.contains(file), "{ran:?}");
+    }
+    assert_refused(&run(folder.path(), &[command, "--no-such-option"]), 3002);
+}
+
 /// A running deployment and the scratch folder of its operators.
 pub struct Scratch {
     /// The daemons and targets.
--- a/crates/cli/tests/targets.rs
+++ b/crates/cli/tests/targets.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use support::{Scratch, assert_refused, filtered, run};
+use support::{Scratch, assert_bad_files_refused, assert_refused, filtered};
 
 /// Guards against a target that serves and isn't listed, and an entry that doesn't answer and hides it.
 #[tokio::test]
@@ -27,12 +27,5 @@
 /// Guards against a panic or an unnumbered error for a deployment file that can't be used.
 #[test]
 fn bad_files_are_refused() {
-    let folder = tempfile::tempdir().unwrap();
-    std::fs::write(folder.path().join("bad.yaml"), "members: 3\n").unwrap();
-    for file in ["missing.yaml", "bad.yaml"] {
-        let ran = run(folder.path(), &["targets", "--config", file]);
-        assert_refused(&ran, 3001);
-        assert!(ran.err.contains(file), "{ran:?}");
-    }
-    assert_refused(&run(folder.path(), &["targets", "--no-such-option"]), 3002);
+    assert_bad_files_refused("targets", &[]);
 }
--- a/crates/cli/tests/timeline.rs
+++ b/crates/cli/tests/timeline.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use support::{Scratch, assert_refused, run};
+use support::{Scratch, assert_bad_files_refused, assert_refused};
 
 /// Guards against a killed process that is silently left out, events out of order and filters that
 /// pass other events.
@@ -29,12 +29,5 @@
 /// Guards against a panic or an unnumbered error for a deployment file that can't be used.
 #[test]
 fn bad_files_are_refused() {
-    let folder = tempfile::tempdir().unwrap();
-    std::fs::write(folder.path().join("bad.yaml"), "members: 3\n").unwrap();
-    for file in ["missing.yaml", "bad.yaml"] {
-        let ran = run(folder.path(), &["timeline", "--config", file]);
-        assert_refused(&ran, 3001);
-        assert!(ran.err.contains(file), "{ran:?}");
-    }
-    assert_refused(&run(folder.path(), &["timeline", "--no-such-option"]), 3002);
+    assert_bad_files_refused("timeline", &[]);
 }
--- a/crates/consensus/src/node/rejoin.rs
+++ b/crates/consensus/src/node/rejoin.rs
@@ -97,7 +97,6 @@
                 self.settings.me.instance
             );
             self.step_down();
-            self.role = Role::Follower;
         }
     }
 
--- a/crates/daemon/tests/disks.rs
+++ b/crates/daemon/tests/disks.rs
@@ -12,7 +12,7 @@
 use comfreyhold_types::api::ReplaceRequest;
 use comfreyhold_types::prelude::*;
 use hyper::Method;
-use operator::{Operator, Series, follower, orders, outcome_in, status_of, wait_confirmed};
+use operator::{Operator, Series, follower, orders, outcome_in, status_of};
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
@@ -52,6 +52,15 @@
     }
 }
 
+/// Kills the leader, publishes through the others, checks what is held, and restarts it.
+async fn publish_without_leader(cluster: &mut Cluster, series: &mut Series, count: u64) {
+    let leader = series.operator.leader().await.1.name;
+    cluster.kill(&leader).await;
+    series.publish(count).await;
+    series.check().await;
+    cluster.restart(&leader).await;
+}
+
 /// Guards against a process that refuses to start after a crash in the middle of a write, or that goes
 /// on without the record that was cut.
 #[tokio::test]
@@ -67,12 +76,8 @@
     fs::OpenOptions::new().write(true).open(&segment).unwrap().set_len(length - 3).unwrap();
     cluster.restart(&plan.name).await;
     series.publish(1).await;
-    wait_confirmed(&series.operator, plan.instance, &disk, series.accepted.last().unwrap().1).await;
-    let leader = series.operator.leader().await.1.name;
-    cluster.kill(&leader).await;
-    series.publish(1).await;
-    series.check().await;
-    cluster.restart(&leader).await;
+    series.wait_confirmed(plan.instance, &disk).await;
+    publish_without_leader(&mut cluster, &mut series, 1).await;
     cluster.deployment.stop().await.unwrap();
 }
 
@@ -126,12 +131,8 @@
     assert_eq!(status.details["state"], "learner");
     series.publish(1).await;
     replace(&series.operator, plan.instance, &disk).await;
-    wait_confirmed(&series.operator, plan.instance, &disk, series.accepted.last().unwrap().1).await;
-    let leader = series.operator.leader().await.1.name;
-    cluster.kill(&leader).await;
-    series.publish(2).await;
-    series.check().await;
-    cluster.restart(&leader).await;
+    series.wait_confirmed(plan.instance, &disk).await;
+    publish_without_leader(&mut cluster, &mut series, 2).await;
     cluster.deployment.stop().await.unwrap();
 }
 
@@ -161,7 +162,7 @@
     copy_folder(&plan.data, &copy);
     cluster.restart(&plan.name).await;
     series.publish(3).await;
-    wait_confirmed(&series.operator, plan.instance, &disk, series.accepted.last().unwrap().1).await;
+    series.wait_confirmed(plan.instance, &disk).await;
     cluster.kill(&plan.name).await;
     fs::remove_dir_all(&plan.data).unwrap();
     copy_folder(&copy, &plan.data);
@@ -171,12 +172,8 @@
     cluster.restart(&leader).await;
     series.publish(1).await;
     series.check().await;
-    wait_confirmed(&series.operator, plan.instance, &disk, series.accepted.last().unwrap().1).await;
-    let leader = series.operator.leader().await.1.name;
-    cluster.kill(&leader).await;
-    series.publish(1).await;
-    series.check().await;
-    cluster.restart(&leader).await;
+    series.wait_confirmed(plan.instance, &disk).await;
+    publish_without_leader(&mut cluster, &mut series, 1).await;
     cluster.deployment.stop().await.unwrap();
 }
 
--- a/crates/daemon/tests/second_start.rs
+++ b/crates/daemon/tests/second_start.rs
@@ -12,7 +12,7 @@
 use comfreyhold_lab::{daemon_settings, http};
 use comfreyhold_types::api::TimelineReply;
 use comfreyhold_types::prelude::*;
-use operator::{Series, follower, status_of, wait_confirmed};
+use operator::{Series, follower, status_of};
 use std::fs;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::time::Duration;
@@ -135,8 +135,7 @@
     let log = fs::read_to_string(log).unwrap();
     assert!(log.contains("Error: 6005 ") && log.contains("in use by another process"), "{log}");
     series.publish(1).await;
-    wait_confirmed(&series.operator, first.instance, &disk, series.accepted.last().unwrap().1)
-        .await;
+    series.wait_confirmed(first.instance, &disk).await;
 
     let data = cluster.folder.path().join("second-data");
     fs::create_dir(&data).unwrap();
@@ -150,8 +149,7 @@
     expect_told(observer, &first).await;
     assert!(later.terminate(STOP_LIMIT).await.unwrap().success());
     cluster.restart(&first.name).await;
-    wait_confirmed(&series.operator, first.instance, &disk, series.accepted.last().unwrap().1)
-        .await;
+    series.wait_confirmed(first.instance, &disk).await;
     series.publish(1).await;
     series.check().await;
     cluster.deployment.stop().await.unwrap();
--- a/crates/daemon/tests/storage_faults.rs
+++ b/crates/daemon/tests/storage_faults.rs
@@ -12,9 +12,7 @@
 use comfreyhold_types::api::TimelineReply;
 use comfreyhold_types::prelude::*;
 use hyper::Method;
-use operator::{
-    Operator, Series, Watch, follower, orders, outcome_in, refusal_in, status_of, wait_confirmed,
-};
+use operator::{Operator, Series, Watch, follower, orders, outcome_in, refusal_in, status_of};
 use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -88,8 +86,7 @@
     assert!(ended.success(), "{ended}");
     repair(&victim.data.join(TEMPORARY));
     cluster.restart(&victim.name).await;
-    let last = series.accepted.last().unwrap().1;
-    wait_confirmed(&series.operator, victim.instance, &disk, last).await;
+    series.wait_confirmed(victim.instance, &disk).await;
     cluster.kill(&healthy[1].name).await;
     series.publish(1).await;
     series.check().await;
--- a/crates/daemon/tests/support/operator.rs
+++ b/crates/daemon/tests/support/operator.rs
@@ -154,6 +154,21 @@
         }
     }
 
+    /// Waits until the leader knows that an instance has confirmed the last accepted version from a disk
+    /// as a voter.
+    pub async fn wait_confirmed(&self, id: InstanceId, disk: &str) {
+        let revision = self.accepted.last().unwrap().1;
+        let prefix = format!("{id}:{disk}@");
+        wait_for("the folder is up to date", LIMIT, || async {
+            let (_, status) = self.operator.leader().await;
+            let followers = status.details.get("followers")?;
+            let confirmed = followers.split(',').find_map(|item| item.strip_prefix(&prefix))?;
+            (confirmed.parse::<u64>().ok()? >= revision.0).then_some(())
+        })
+        .await
+        .unwrap();
+    }
+
     /// Every accepted version is held at its revision.
     pub async fn check(&self) {
         let versions = self.operator.versions().await;
@@ -170,19 +185,6 @@
     controls.find(|plan| plan.http != leader).unwrap().clone()
 }
 
-/// Waits until the leader knows that an instance has confirmed a revision from a disk as a voter.
-pub async fn wait_confirmed(operator: &Operator, id: InstanceId, disk: &str, revision: Revision) {
-    let prefix = format!("{id}:{disk}@");
-    wait_for("the folder is up to date", LIMIT, || async {
-        let (_, status) = operator.leader().await;
-        let followers = status.details.get("followers")?;
-        let confirmed = followers.split(',').find_map(|item| item.strip_prefix(&prefix))?;
-        (confirmed.parse::<u64>().ok()? >= revision.0).then_some(())
-    })
-    .await
-    .unwrap();
-}
-
 /// Status of a daemon, once it answers.
 pub async fn status_of(cluster: &Cluster, plan: &DaemonPlan) -> StatusReply {
     wait_for("the process answers", LIMIT, || cluster.status(plan.http)).await.unwrap()
--- a/crates/flow/src/handover.rs
+++ b/crates/flow/src/handover.rs
@@ -173,8 +173,11 @@
         now: Instant,
         out: &mut Vec<Outgoing>,
     ) {
-        for peer in need_state {
-            self.outbox().reliable(*peer, control.state(), now, out);
+        if !need_state.is_empty() {
+            let state = control.state();
+            for peer in need_state {
+                self.outbox().reliable(*peer, state.clone(), now, out);
+            }
         }
         let mut pins = Batches::new();
         let mut exceptions = Batches::new();
--- a/crates/flow/src/merge.rs
+++ b/crates/flow/src/merge.rs
@@ -222,12 +222,14 @@
         }
         let [arbiter, _] = self.view.order(id, slot, None);
         let current = service.table.as_ref().and_then(|table| table.target(slot));
+        let told = Moving {
+            known_since,
+            moved: group.moved,
+            active_at: (active >= group.moved).then_some(stamp),
+            ..Moving::new(base, group.stable, stamp, self.view.me)
+        };
         if !self.view.synced {
-            let mut moving = Moving::new(base, group.stable, stamp, self.view.me);
-            moving.known_since = known_since;
-            moving.moved = group.moved;
-            moving.active_at = (active >= group.moved).then_some(stamp);
-            let mut moving = self.assign_new(id, slot, moving);
+            let mut moving = self.assign_new(id, slot, told);
             if moving.arbiter == self.view.me {
                 let [previous, _] = self.view.order(id, slot, Some(self.view.me));
                 moving.sure = false;
@@ -236,13 +238,7 @@
             self.set_moving(id, slot, moving);
         } else if group.moved <= self.known_since {
             // This entry became synced without a peer that knew of the move.
-            let moving = Moving {
-                known_since,
-                moved: group.moved,
-                active_at: (active >= group.moved).then_some(stamp),
-                ..Moving::new(base, group.stable, stamp, self.view.me)
-            };
-            let moving = self.assign_new(id, slot, moving);
+            let moving = self.assign_new(id, slot, told);
             self.set_moving(id, slot, Moving { former: false, ..moving });
             self.scan = Some(0);
             self.pending.clear();
--- a/crates/flow/src/scheme.rs
+++ b/crates/flow/src/scheme.rs
@@ -27,14 +27,17 @@
     /// Decides on a packet that came from the fabric.
     fn packet(&self, packet: &Packet, now: Instant, out: &mut Vec<Outgoing>) -> Action;
 
-    /// Decides on a packet that a peer forwarded; `via` is the peer, the hops and the proxy flag.
+    /// Decides on a packet that a peer forwarded; `via` is the peer, the hops and the proxy flag. A scheme
+    /// whose entries all decide alike treats it as one from the fabric.
     fn forwarded(
         &self,
-        via: (InstanceId, u8, bool),
+        _via: (InstanceId, u8, bool),
         packet: &Packet,
         now: Instant,
         out: &mut Vec<Outgoing>,
-    ) -> Action;
+    ) -> Action {
+        self.packet(packet, now, out)
+    }
 
     /// Takes in a peer's frame.
     fn message(&self, from: InstanceId, frame: &Frame, now: Instant, out: &mut Vec<Outgoing>);
@@ -181,16 +184,6 @@
         placed.map_or_else(|action| action, |(_, target)| Action::ToTarget(target.address))
     }
 
-    fn forwarded(
-        &self,
-        _via: (InstanceId, u8, bool),
-        packet: &Packet,
-        now: Instant,
-        out: &mut Vec<Outgoing>,
-    ) -> Action {
-        self.packet(packet, now, out)
-    }
-
     fn message(&self, _from: InstanceId, _frame: &Frame, _now: Instant, _out: &mut Vec<Outgoing>) {}
 
     fn prepare(
@@ -297,16 +290,6 @@
         }
     }
 
-    fn forwarded(
-        &self,
-        _via: (InstanceId, u8, bool),
-        packet: &Packet,
-        now: Instant,
-        out: &mut Vec<Outgoing>,
-    ) -> Action {
-        self.packet(packet, now, out)
-    }
-
     fn message(&self, from: InstanceId, frame: &Frame, _now: Instant, _out: &mut Vec<Outgoing>) {
         {
             let mut outbox = lock(&self.outbox);
--- a/crates/flow/src/sync.rs
+++ b/crates/flow/src/sync.rs
@@ -120,8 +120,13 @@
         control.view.synced = true;
         control.scan = Some(0);
         let uninformed = |peer: &InstanceId| told.get(peer).is_none_or(|s| control.knows_more(s));
-        for peer in control.view.others().filter(uninformed) {
-            self.outbox().barrier(peer, control.state());
+        let uninformed: Vec<_> = control.view.others().filter(uninformed).collect();
+        if uninformed.is_empty() {
+            return;
+        }
+        let state = control.state();
+        for peer in uninformed {
+            self.outbox().barrier(peer, state.clone());
         }
     }
 }
--- a/crates/flow/tests/starts.rs
+++ b/crates/flow/tests/starts.rs
@@ -135,6 +135,15 @@
     bad.then(|| format!("unsynced {unsynced:?}, {moving} slots in transition"))
 }
 
+/// A running deployment whose targets have just changed.
+fn in_transition(seed: u64) -> Node {
+    let options = Options { entries: ENTRIES, idle_ms: IDLE_MS, ..options(seed) };
+    let mut world: Node = World::new(options);
+    world.sets.services[0].targets[0].weight = 1_000;
+    world.change();
+    world
+}
+
 fn assert_none(failures: &[String]) {
     let shown = failures.iter().take(10).cloned().collect::<Vec<_>>().join("\n");
     assert!(failures.is_empty(), "{} schedules failed:\n{shown}", failures.len());
@@ -158,10 +167,7 @@
 fn transitions_end_after_an_entry_was_taken_for_lost() {
     let mut failures = Vec::new();
     for seed in 0..SEEDS / 3 {
-        let mut world: Node =
-            World::new(Options { entries: ENTRIES, idle_ms: IDLE_MS, ..options(seed) });
-        world.sets.services[0].targets[0].weight = 1_000;
-        world.change();
+        let mut world = in_transition(seed);
         let during_reports = world.rng.random_range(0..400);
         world.run(during_reports);
         let all = world.peers.clone();
@@ -180,10 +186,7 @@
 fn transitions_end_after_a_restart_learnt_late() {
     let mut failures = Vec::new();
     for seed in 0..SEEDS / 3 {
-        let mut world: Node =
-            World::new(Options { entries: ENTRIES, idle_ms: IDLE_MS, ..options(seed) });
-        world.sets.services[0].targets[0].weight = 1_000;
-        world.change();
+        let mut world = in_transition(seed);
         world.run(1_000);
         let before = world.peers.clone();
         for id in [InstanceId(2), InstanceId(3)] {
