--- a/crates/consensus/src/disk/error.rs
+++ b/crates/consensus/src/disk/error.rs
@@ -46,7 +46,7 @@
     }
 
     /// Sorts an error of a write.
-    pub(super) fn write(error: io::Error) -> Self {
+    pub(crate) fn write(error: io::Error) -> Self {
         match error.kind() {
             io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => Self::DiskFull(error),
             _ => Self::Folder(error),
@@ -54,7 +54,7 @@
     }
 
     /// Sorts an error of a sync.
-    pub(super) fn sync(error: io::Error) -> Self {
+    pub(crate) fn sync(error: io::Error) -> Self {
         match error.kind() {
             io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => Self::DiskFull(error),
             _ => Self::Sync(error),
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod log;
 pub mod message;
 pub mod node;
+pub mod register;
--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -50,6 +50,11 @@
     }
 }
 
+/// A response that is JSON already.
+pub fn json_bytes(bytes: impl Into<Bytes>) -> Response<Body> {
+    respond(ResultCode::Ok, "application/json", bytes)
+}
+
 /// A response that reports a code with an explanation.
 pub fn result(code: ResultCode, message: &str) -> Response<Body> {
     let value = json!({
--- /dev/null
+++ b/crates/fleet/src/control/register.rs
@@ -0,0 +1,247 @@
+//! Runs the rounds of the replicated register over the links to the voters.
+
+use super::voter::Voter;
+use crate::links::Links;
+use crate::messages::{FleetRequest, FleetResponse, StartId};
+use comfreyhold_consensus::register::read::{Confirm, Confirmation};
+use comfreyhold_consensus::register::round::{Progress, Proposal, Requests, Round};
+use comfreyhold_consensus::register::{
+    Addressed, Ballot, DiskId, Replica, Request, Response, Value,
+};
+use comfreyhold_types::codes::ResultCode;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use rand::RngExt;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use thiserror::Error;
+
+/// Time in which a voter must answer. It leaves an operator's call, which waits a second, time for an
+/// answer that there is no majority.
+const VOTE_DEADLINE: Duration = Duration::from_millis(800);
+
+/// Longest pause before a round that another proposer has preempted is tried again, per attempt so far. It
+/// is several times the length of a round between domains.
+const PREEMPTED_PAUSE: Duration = Duration::from_millis(25);
+
+/// Most rounds for one proposal; the caller asks again after that.
+const MAX_ROUNDS: u32 = 12;
+
+/// Chosen values that are kept, so that entries which are slightly behind get differences.
+const KEPT_VALUES: usize = 8;
+
+/// Why the register could not be read or changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum RegisterError {
+    /// No majority of the voters has answered; the change may still take effect.
+    #[error("no majority of the voters has answered")]
+    NoQuorum,
+    /// Other proposers were faster each time.
+    #[error("other changes were under way all the time")]
+    Contention,
+    /// No voters are known yet.
+    #[error("this daemon has not found the others yet")]
+    NotJoined,
+}
+
+impl RegisterError {
+    /// The numbered result.
+    #[must_use]
+    pub fn code(self) -> ResultCode {
+        ResultCode::NoQuorum
+    }
+}
+
+enum Attempt {
+    Chosen(Arc<Value>, bool),
+    Preempted,
+    NoQuorum,
+}
+
+/// The register as one daemon sees it.
+pub struct Register {
+    me: Replica,
+    start: StartId,
+    voter: Rc<Voter>,
+    links: Rc<Links>,
+    /// The newest values known to be chosen, the newest last.
+    chosen: RefCell<VecDeque<Arc<Value>>>,
+    /// What a first round starts from: the initial value, or what the own disk holds.
+    base: RefCell<Option<Arc<Value>>>,
+    seen: Cell<Ballot>,
+}
+
+impl Register {
+    /// Starts from the initial value of a first start, or from the disk.
+    #[must_use]
+    pub fn new(
+        me: Replica,
+        start: StartId,
+        voter: Rc<Voter>,
+        links: Rc<Links>,
+        initial: Option<Arc<Value>>,
+    ) -> Self {
+        let base = voter.accepted().or(initial);
+        let seen = voter.promised();
+        Self {
+            me,
+            start,
+            voter,
+            links,
+            chosen: RefCell::new(VecDeque::new()),
+            base: RefCell::new(base),
+            seen: Cell::new(seen),
+        }
+    }
+
+    /// The newest value known to be chosen.
+    #[must_use]
+    pub fn chosen(&self) -> Option<Arc<Value>> {
+        self.chosen.borrow().back().cloned()
+    }
+
+    /// Its ballot.
+    #[must_use]
+    pub fn chosen_ballot(&self) -> Ballot {
+        self.chosen().map(|value| value.ballot).unwrap_or_default()
+    }
+
+    /// A chosen value by the change number of its state, while it is kept.
+    #[must_use]
+    pub fn chosen_at(&self, change: u64) -> Option<Arc<Value>> {
+        self.chosen.borrow().iter().rev().find(|value| value.state.change == change).cloned()
+    }
+
+    /// The newest value known, chosen or not.
+    #[must_use]
+    pub fn known(&self) -> Option<Arc<Value>> {
+        self.chosen().or_else(|| self.base.borrow().clone())
+    }
+
+    /// Whether the own disk holds a value that is not known to be chosen.
+    #[must_use]
+    pub fn has_unconfirmed(&self) -> bool {
+        let accepted = self.voter.accepted().map(|value| value.ballot);
+        accepted.is_some_and(|accepted| accepted > self.chosen_ballot())
+    }
+
+    /// Takes in a value that is chosen. Returns whether it is newer than what was known.
+    pub fn learn(&self, value: &Arc<Value>) -> bool {
+        if value.ballot <= self.chosen_ballot() {
+            return false;
+        }
+        let mut chosen = self.chosen.borrow_mut();
+        // A repeated write of the same state needs no second copy of it.
+        let same_state = chosen.back().filter(|last| last.state.change == value.state.change);
+        let value = match same_state {
+            Some(last) => {
+                let state = last.state.clone();
+                Arc::new(Value { state, ballot: value.ballot, voters: value.voters.clone() })
+            }
+            None => Arc::clone(value),
+        };
+        chosen.push_back(value);
+        while chosen.len() > KEPT_VALUES {
+            chosen.pop_front();
+        }
+        true
+    }
+
+    /// Takes in that the own disk holds the value chosen under a ballot. Returns whether it does and that
+    /// is news.
+    pub fn learn_accepted(&self, ballot: Ballot) -> bool {
+        let accepted = self.voter.accepted().filter(|value| value.ballot == ballot);
+        accepted.is_some_and(|value| self.learn(&value))
+    }
+
+    /// Changes the register. An empty proposal finds the newest value.
+    ///
+    /// # Errors
+    /// No majority answers, or the daemon has not found the others yet.
+    pub async fn propose(&self, proposal: &Proposal) -> Result<Arc<Value>, RegisterError> {
+        for attempt in 1..=MAX_ROUNDS {
+            match self.round(proposal.clone()).await? {
+                Attempt::Chosen(value, true) => {
+                    self.learn(&value);
+                    return Ok(value);
+                }
+                Attempt::Chosen(value, false) => {
+                    self.learn(&value);
+                }
+                Attempt::NoQuorum => return Err(RegisterError::NoQuorum),
+                Attempt::Preempted => {
+                    let share = rand::rng().random::<f64>() * f64::from(attempt);
+                    tokio::time::sleep(PREEMPTED_PAUSE.mul_f64(share)).await;
+                }
+            }
+        }
+        Err(RegisterError::Contention)
+    }
+
+    async fn round(&self, proposal: Proposal) -> Result<Attempt, RegisterError> {
+        let known = self.known().ok_or(RegisterError::NotJoined)?;
+        let seen = self.seen.get().max(known.ballot).max(self.voter.promised());
+        let ballot = Ballot::above(seen, self.me.disk, self.start.0);
+        self.seen.set(ballot);
+        let (mut round, requests) = Round::new(ballot, known, proposal);
+        let mut calls = FuturesUnordered::new();
+        let ask = |requests: Requests| requests.into_iter().map(|(to, req)| self.ask(to, req));
+        calls.extend(ask(requests));
+        while let Some((from, response)) = calls.next().await {
+            let Some(response) = response else { continue };
+            match round.response(from, response) {
+                Progress::Send(requests) => calls.extend(ask(requests)),
+                Progress::Chosen { value, proposed } => {
+                    return Ok(Attempt::Chosen(value, proposed));
+                }
+                Progress::Preempted(ballot) => {
+                    self.seen.set(self.seen.get().max(ballot));
+                    return Ok(Attempt::Preempted);
+                }
+            }
+        }
+        Ok(Attempt::NoQuorum)
+    }
+
+    /// The newest value, confirmed by a majority after this call began.
+    ///
+    /// # Errors
+    /// No majority answers, or the daemon has not found the others yet.
+    pub async fn newest(&self) -> Result<Arc<Value>, RegisterError> {
+        let Some(value) = self.chosen() else {
+            return self.propose(&Proposal::default()).await;
+        };
+        let (mut confirm, requests) = Confirm::new(Arc::clone(&value));
+        let mut calls: FuturesUnordered<_> =
+            requests.into_iter().map(|(to, request)| self.ask(to, request)).collect();
+        while let Some((from, response)) = calls.next().await {
+            let Some(response) = response else { continue };
+            match confirm.response(from, &response) {
+                Confirmation::Waiting => {}
+                Confirmation::Newest => return Ok(value),
+                Confirmation::Newer(_) => return self.propose(&Proposal::default()).await,
+            }
+        }
+        Err(RegisterError::NoQuorum)
+    }
+
+    async fn ask(&self, to: Replica, request: Request) -> (DiskId, Option<Response>) {
+        let addressed = Addressed { to: to.disk, request };
+        if to.address == self.me.address {
+            let answer = tokio::time::timeout(VOTE_DEADLINE, self.voter.answer(addressed)).await;
+            return (to.disk, answer.ok());
+        }
+        let request = FleetRequest::Vote(addressed);
+        match self.links.call(to.address, &request, VOTE_DEADLINE).await {
+            Ok(FleetResponse::Vote(response)) => (to.disk, Some(response)),
+            Ok(_) => (to.disk, None),
+            Err(error) => {
+                log::debug!("voter at {}: {error}", to.address);
+                (to.disk, None)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/control/voter.rs
@@ -0,0 +1,140 @@
+//! The thread that owns a control daemon's folder, so that a slow disk delays nothing else.
+
+use comfreyhold_consensus::disk::{DataFolder, StoreError};
+use comfreyhold_consensus::register::store::VoterStore;
+use comfreyhold_consensus::register::{Addressed, Ballot, DiskId, Request, Response, Value};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, PoisonError, mpsc};
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Attempts to open a folder. With the pause they last longer than a disk is usually full or stalled.
+const OPEN_ATTEMPTS: u32 = 60;
+
+/// Pause between them.
+const OPEN_PAUSE: Duration = Duration::from_millis(500);
+
+struct Task {
+    addressed: Addressed,
+    reply: oneshot::Sender<Response>,
+}
+
+/// What is synced, for readers that need not wait for the disk.
+#[derive(Clone, Default)]
+struct Synced {
+    disk: DiskId,
+    promised: Ballot,
+    accepted: Option<Arc<Value>>,
+}
+
+/// Access to the voter of this process.
+pub struct Voter {
+    tasks: mpsc::Sender<Task>,
+    synced: Arc<Mutex<Synced>>,
+}
+
+impl Voter {
+    /// Opens a folder and starts the thread. A damaged folder is set aside and counts as lost.
+    ///
+    /// # Errors
+    /// The folder can't be opened or written, or the thread can't be started.
+    pub fn start(folder: &Path, new: DiskId) -> anyhow::Result<Self> {
+        let mut store = open_patiently(folder, new)?;
+        let synced = Arc::new(Mutex::new(state_of(&store)));
+        let (tx, rx) = mpsc::channel::<Task>();
+        let shared = Arc::clone(&synced);
+        std::thread::Builder::new().name("disk".to_owned()).spawn(move || {
+            while let Ok(task) = rx.recv() {
+                let response = store.answer(&task.addressed);
+                *lock(&shared) = state_of(&store);
+                // The asker may have given up; what was synced stays.
+                let _ = task.reply.send(response);
+            }
+        })?;
+        Ok(Self { tasks: tx, synced })
+    }
+
+    /// Identity of the folder.
+    #[must_use]
+    pub fn disk(&self) -> DiskId {
+        lock(&self.synced).disk
+    }
+
+    /// The newest value on the disk.
+    #[must_use]
+    pub fn accepted(&self) -> Option<Arc<Value>> {
+        lock(&self.synced).accepted.clone()
+    }
+
+    /// The highest ballot promised.
+    #[must_use]
+    pub fn promised(&self) -> Ballot {
+        lock(&self.synced).promised
+    }
+
+    /// Answers a request once what the answer depends on is synced.
+    pub async fn answer(&self, addressed: Addressed) -> Response {
+        if addressed.request == Request::Read {
+            // A write that is under way was not confirmed to anyone yet.
+            let synced = lock(&self.synced);
+            if synced.disk != addressed.to {
+                return Response::Unavailable;
+            }
+            return Response::Newest(
+                synced.accepted.as_ref().map_or_else(Ballot::default, |v| v.ballot),
+            );
+        }
+        let (tx, rx) = oneshot::channel();
+        if self.tasks.send(Task { addressed, reply: tx }).is_err() {
+            return Response::Unavailable;
+        }
+        rx.await.unwrap_or(Response::Unavailable)
+    }
+}
+
+/// Waits while the disk takes no writes: a daemon that ended instead would be started again at once.
+fn open_patiently(folder: &Path, new: DiskId) -> anyhow::Result<VoterStore<DataFolder>> {
+    for _ in 0..OPEN_ATTEMPTS {
+        match open(folder, new) {
+            Ok(store) => return Ok(store),
+            Err(error) => log::error!("{}: {error:#}", folder.display()),
+        }
+        std::thread::sleep(OPEN_PAUSE);
+    }
+    open(folder, new)
+}
+
+fn open(folder: &Path, new: DiskId) -> anyhow::Result<VoterStore<DataFolder>> {
+    match VoterStore::open(DataFolder::open(folder)?, new) {
+        Err(StoreError::Corrupt { file, offset }) => {
+            log::error!("{}: {file} is damaged at byte {offset}", folder.display());
+            let aside = set_aside(folder)?;
+            log::error!("the damaged folder is now {}; this daemon starts empty", aside.display());
+            let unlike = DiskId(new.0.wrapping_add(rand::random::<u64>() | 1));
+            Ok(VoterStore::open(DataFolder::open(folder)?, unlike)?)
+        }
+        result => Ok(result?),
+    }
+}
+
+fn set_aside(folder: &Path) -> anyhow::Result<PathBuf> {
+    let aside = folder.join("damaged");
+    std::fs::create_dir_all(&aside)?;
+    for name in ["register"] {
+        std::fs::rename(folder.join(name), aside.join(name))?;
+    }
+    Ok(aside)
+}
+
+fn state_of(store: &VoterStore<DataFolder>) -> Synced {
+    let acceptor = store.acceptor();
+    Synced {
+        disk: acceptor.disk(),
+        promised: acceptor.promised(),
+        accepted: acceptor.accepted().cloned(),
+    }
+}
+
+fn lock(synced: &Mutex<Synced>) -> std::sync::MutexGuard<'_, Synced> {
+    synced.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/fleet/src/entry/watch.rs
@@ -0,0 +1,113 @@
+//! Watches control daemons for targets and declarations.
+
+use super::{Entry, PacketCodec, WATCHED};
+use crate::control::HOLD_WATCH;
+use crate::messages::{FleetRequest, FleetResponse, News, Watch};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Time in which a daemon must answer a question. It holds a question without news for `HOLD_WATCH`.
+const WATCH_DEADLINE: Duration = HOLD_WATCH.saturating_add(Duration::from_millis(600));
+
+/// Pause between two questions, in which changes gather.
+const WATCH_PAUSE: Duration = Duration::from_millis(40);
+
+/// Pause after a question that was not answered.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Questions after which an entry looks whether it can watch a daemon of its own domain again.
+const RETURN_EVERY: u32 = 20;
+
+impl<C: PacketCodec> Entry<C> {
+    pub(super) async fn run_watch(self: Rc<Self>, source: usize) {
+        let mut asked: u32 = 0;
+        loop {
+            let Some(control) = self.control_to_watch(source, asked) else {
+                tokio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            };
+            asked = asked.wrapping_add(1);
+            let question = self.view.borrow().question(source);
+            let request = FleetRequest::Watch(question);
+            match self.links.call(control, &request, WATCH_DEADLINE).await {
+                Ok(FleetResponse::News(news)) => {
+                    self.take_news(source, control, &question, *news);
+                    tokio::time::sleep(WATCH_PAUSE).await;
+                }
+                Ok(_) => self.lose_control(source, control, "answered with something else"),
+                Err(error) => {
+                    self.lose_control(source, control, &error.to_string());
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn control_to_watch(&self, source: usize, asked: u32) -> Option<SocketAddr> {
+        let now = self.clock.now();
+        let controls = self.controls.borrow();
+        let mut watching = self.watching.borrow_mut();
+        let home = source == 0;
+        let current = watching[source].filter(|current| {
+            let look = home && asked.is_multiple_of(RETURN_EVERY);
+            !(look && controls.should_return(*current, now))
+        });
+        let taken: Vec<SocketAddr> =
+            (0..WATCHED).filter(|other| *other != source).filter_map(|o| watching[o]).collect();
+        let chosen = current.or_else(|| controls.choose(home, &taken, now));
+        // With fewer daemons than sources, one daemon serves for both.
+        watching[source] = chosen;
+        chosen
+    }
+
+    fn lose_control(&self, source: usize, control: SocketAddr, reason: &str) {
+        self.controls.borrow_mut().failed(control, self.clock.now());
+        self.watching.borrow_mut()[source] = None;
+        self.record("control-lost", || json!({"control": control, "reason": reason}));
+    }
+
+    fn take_news(&self, source: usize, control: SocketAddr, question: &Watch, news: News) {
+        let now = self.clock.now();
+        self.controls.borrow_mut().named(&news.controls, now);
+        if news.source != question.source {
+            self.record("control-watched", || json!({"control": control}));
+        }
+        let changes = self.view.borrow_mut().take(source, question, news, now);
+        for spec in changes.targets {
+            let told = spec.clone();
+            if self.balancer.borrow_mut().set_target(spec, now) {
+                self.record("target", || {
+                    json!({
+                        "target": told.id.to_string(),
+                        "service": told.service,
+                        "address": told.address,
+                        "domain": told.domain.to_string(),
+                        "availability": told.availability.to_string(),
+                        "silent": told.silent,
+                        "born_ms": told.born_ms,
+                        "cold_ms": told.cold_until.saturating_duration_since(now).as_millis(),
+                        "control": control,
+                    })
+                });
+            }
+        }
+        if changes.routing {
+            let routing = self.view.borrow().routing().clone();
+            let (change, withdrawn) = (routing.change, routing.withdrawn.clone());
+            let version = routing.table.as_ref().map(|table| table.version);
+            if self.balancer.borrow_mut().set_routing(routing, now) {
+                self.record("declarations", || {
+                    json!({
+                        "change": change,
+                        "version": version,
+                        "withdrawn": withdrawn,
+                        "control": control,
+                    })
+                });
+            }
+        }
+        self.update_readiness();
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/messages.rs
@@ -0,0 +1,126 @@
+//! Messages between control daemons, and between entries and control daemons.
+
+use comfreyhold_consensus::register::{Addressed, Ballot, Replica, Response, Value};
+use comfreyhold_membership::announcements::TargetReport;
+use comfreyhold_types::announcement::{Announcement, AnnouncementStamp};
+use comfreyhold_types::keys::{DomainName, TargetId};
+use comfreyhold_types::routes::{FormerServices, RouteDifference, RouteTable};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Number of this protocol among those of the exchange.
+pub const TOPIC: u16 = 10;
+
+/// Identity of one start of a process.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct StartId(pub u64);
+
+/// What a control daemon tells about itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlState {
+    /// Its address and folder.
+    pub replica: Replica,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// This start of its process.
+    pub start: StartId,
+    /// Ballot of the newest value that it knows to be chosen.
+    pub chosen: Ballot,
+    /// Digest of its targets.
+    pub targets: u64,
+    /// Control daemons that it has heard lately.
+    pub peers: Vec<SocketAddr>,
+}
+
+/// A request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum FleetRequest {
+    /// For a voter.
+    Vote(Addressed),
+    /// The sender's state; the response is the receiver's.
+    Hello(ControlState),
+    /// A value was chosen under this ballot; the daemon at this address holds it.
+    Chosen(Ballot, SocketAddr),
+    /// Asks for the newest chosen value, unless it is this one.
+    Newest(Ballot),
+    /// Announcements that changed something, or of targets that the receiver does not know.
+    Announced(Vec<Announcement>),
+    /// Announcements that repeat what is known.
+    Refreshed(Vec<(TargetId, AnnouncementStamp)>),
+    /// A target has said that it ends.
+    Ended(TargetId),
+    /// An entry asks for what has changed.
+    Watch(Watch),
+}
+
+/// A response.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum FleetResponse {
+    /// To `Vote`.
+    Vote(Response),
+    /// To `Hello`.
+    Hello(ControlState),
+    /// To `Newest`: the value, if there is a newer one.
+    Newest(Option<Arc<Value>>),
+    /// To `Refreshed`: targets whose announcements the receiver lacks.
+    Lacking(Vec<TargetId>),
+    /// To requests that need no answer.
+    Done,
+    /// To `Watch`.
+    News(Box<News>),
+}
+
+/// What an entry already knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Watch {
+    /// Start of the daemon that the targets came from.
+    pub source: StartId,
+    /// Revision of the targets there.
+    pub targets: u64,
+    /// Change number of the declarations.
+    pub change: u64,
+}
+
+/// What has changed for an entry.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// This start of the daemon.
+    pub source: StartId,
+    /// Revision of its targets.
+    pub revision: u64,
+    /// Whether `targets` are all targets and not only the changed ones.
+    pub all_targets: bool,
+    /// Targets.
+    pub targets: Vec<TargetReport>,
+    /// Declarations, if there are newer ones.
+    pub declarations: Option<DeclarationNews>,
+    /// Control daemons that are known to answer, with their failure domains.
+    pub controls: Vec<(SocketAddr, DomainName)>,
+}
+
+/// Newer declarations.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DeclarationNews {
+    /// Their change number.
+    pub change: u64,
+    /// Failure domains that are out.
+    pub withdrawn: BTreeSet<DomainName>,
+    /// Routes.
+    pub routes: RouteNews,
+}
+
+/// Routes for an entry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum RouteNews {
+    /// No routes are published.
+    None,
+    /// All of them, with the services that each address has led to.
+    Full(Arc<RouteTable>, Arc<FormerServices>),
+    /// What differs from the declarations with the change number that the entry named.
+    Difference(RouteDifference),
+}
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -3,6 +3,7 @@
 //! current time go in, actions come out.
 
 pub mod control;
+pub mod cookie;
 pub mod decide;
 pub mod flow;
 mod handover;
--- /dev/null
+++ b/crates/membership/src/announcements.rs
@@ -0,0 +1,256 @@
+//! The targets that have announced themselves, as one control daemon knows them.
+//!
+//! Announcements arrive from targets and from other control daemons, in any order and more than once.
+//! They are ordered by the target's start and number, so that all daemons come to the same records. They
+//! are soft state: targets repeat them, and a restarted daemon learns them again.
+
+use comfreyhold_types::announcement::{Announcement, AnnouncementStamp, Availability};
+use comfreyhold_types::keys::TargetId;
+use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
+use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+/// Time for which the record of an ended target is kept. Delayed announcements are held up by a partition
+/// for seconds; without the record they would bring the target back.
+const KEEP_ENDED: Duration = Duration::from_secs(300);
+
+/// A cold period is reported again when it ends later than known by more than this. Smaller differences
+/// come from the delay of announcements.
+const COLD_SLACK: Duration = Duration::from_millis(300);
+
+/// Most records, so that a faulty announcer can't exhaust the memory. Several times the targets that the
+/// system is designed for.
+const MAX_RECORDS: usize = 20_000;
+
+/// What an announcement came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// Routing depends on what it says.
+    Changed,
+    /// It repeats what is known.
+    Refreshed,
+    /// A later one is known, or its target has ended.
+    Stale,
+}
+
+/// A target as told to entries.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetReport {
+    /// Its newest announcement, with the rest of its cold period.
+    pub announcement: Announcement,
+    /// Whether no daemon has heard it for longer than the silence limit.
+    pub silent: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Record {
+    announcement: Announcement,
+    heard: Instant,
+    cold_until: Instant,
+    silent: bool,
+    /// Whether another target has taken over its address, so that nothing more counts from this start.
+    displaced: bool,
+    changed: u64,
+}
+
+/// All records of one daemon.
+pub struct Announcements {
+    records: BTreeMap<TargetId, Record>,
+    holders: BTreeMap<SocketAddrV4, TargetId>,
+    silence: Duration,
+    revision: u64,
+}
+
+impl Announcements {
+    /// Creates an empty set. A target unheard for `silence` is reported as silent.
+    #[must_use]
+    pub fn new(silence: Duration) -> Self {
+        Self { records: BTreeMap::new(), holders: BTreeMap::new(), silence, revision: 0 }
+    }
+
+    /// Number that grows with every change that entries need to know.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Takes in an announcement.
+    pub fn hear(&mut self, announcement: &Announcement, now: Instant) -> Heard {
+        if self.is_stale(announcement) {
+            return Heard::Stale;
+        }
+        if !self.records.contains_key(&announcement.id) && self.records.len() >= MAX_RECORDS {
+            log::warn!("{}: too many targets, announcement left out", announcement.id);
+            return Heard::Stale;
+        }
+        let cold_until = now + Duration::from_millis(announcement.cold_ms);
+        let known = self.records.get(&announcement.id);
+        let refreshed = known.is_some_and(|known| {
+            announcement.routes_like(&known.announcement)
+                && cold_until <= known.cold_until.max(now) + COLD_SLACK
+                && !known.silent
+        });
+        let changed = if refreshed {
+            known.map_or(0, |known| known.changed)
+        } else {
+            self.revision += 1;
+            self.revision
+        };
+        let record = Record {
+            announcement: announcement.clone(),
+            heard: now,
+            cold_until,
+            silent: false,
+            displaced: false,
+            changed,
+        };
+        self.records.insert(announcement.id, record);
+        if refreshed {
+            return Heard::Refreshed;
+        }
+        self.take_address(announcement);
+        Heard::Changed
+    }
+
+    /// Takes in that another daemon has heard these announcements, whose content is known here. Returns
+    /// those that are not.
+    pub fn refresh(
+        &mut self,
+        stamps: &[(TargetId, AnnouncementStamp)],
+        now: Instant,
+    ) -> Vec<TargetId> {
+        let mut unknown = Vec::new();
+        for (id, stamp) in stamps {
+            let Some(record) = self.records.get(id) else {
+                unknown.push(*id);
+                continue;
+            };
+            let known = record.announcement.stamp;
+            if stamp.born_ms != known.born_ms || record.displaced {
+                if stamp.born_ms > known.born_ms {
+                    unknown.push(*id);
+                }
+                continue;
+            }
+            if stamp.sequence > known.sequence
+                && record.announcement.availability != Availability::Ended
+            {
+                let left = record.cold_until.saturating_duration_since(now);
+                let mut announcement = record.announcement.clone();
+                announcement.stamp = *stamp;
+                announcement.cold_ms = millis(left);
+                self.hear(&announcement, now);
+            }
+        }
+        unknown
+    }
+
+    fn is_stale(&self, announcement: &Announcement) -> bool {
+        let known = self.records.get(&announcement.id);
+        let older = known.is_some_and(|known| {
+            let stamp = known.announcement.stamp;
+            let ended = known.announcement.availability == Availability::Ended || known.displaced;
+            announcement.stamp <= stamp || (ended && announcement.stamp.born_ms <= stamp.born_ms)
+        });
+        let holder = self.holders.get(&announcement.address).and_then(|id| self.records.get(id));
+        let displaced = holder.is_some_and(|holder| {
+            holder.announcement.id != announcement.id
+                && holder.announcement.stamp.born_ms > announcement.stamp.born_ms
+        });
+        older || displaced
+    }
+
+    /// The target that started last holds an address; an earlier one there has ended.
+    fn take_address(&mut self, announcement: &Announcement) {
+        let former = self.holders.insert(announcement.address, announcement.id);
+        let former = former.filter(|former| *former != announcement.id);
+        let Some(record) = former.and_then(|former| self.records.get_mut(&former)) else { return };
+        if record.announcement.address == announcement.address && !record.displaced {
+            record.displaced = true;
+            record.announcement.availability = Availability::Ended;
+            self.revision += 1;
+            record.changed = self.revision;
+        }
+    }
+
+    /// Marks targets that have fallen silent, and forgets ended ones. Returns the newly silent ones.
+    pub fn check_silence(&mut self, now: Instant) -> Vec<TargetId> {
+        let (silence, revision) = (self.silence, &mut self.revision);
+        let mut fallen = Vec::new();
+        for (id, record) in &mut self.records {
+            let alive = record.announcement.availability != Availability::Ended;
+            if alive && !record.silent && now >= record.heard + silence {
+                record.silent = true;
+                *revision += 1;
+                record.changed = *revision;
+                fallen.push(*id);
+            }
+        }
+        let gone = |record: &Record| {
+            let ended = record.announcement.availability == Availability::Ended || record.silent;
+            ended && now >= record.heard + KEEP_ENDED
+        };
+        self.records.retain(|_, record| !gone(record));
+        let records = &self.records;
+        self.holders.retain(|_, id| records.contains_key(id));
+        fallen
+    }
+
+    /// Targets that changed after a revision; all of them for revision 0.
+    #[must_use]
+    pub fn changed_since(&self, revision: u64, now: Instant) -> Vec<TargetReport> {
+        let changed = self.records.values().filter(|record| record.changed > revision);
+        changed
+            .map(|record| {
+                let mut announcement = record.announcement.clone();
+                announcement.cold_ms = millis(record.cold_until.saturating_duration_since(now));
+                TargetReport { announcement, silent: record.silent }
+            })
+            .collect()
+    }
+
+    /// The newest announcements of all targets that are not silent, for another daemon.
+    #[must_use]
+    pub fn all(&self, now: Instant) -> Vec<Announcement> {
+        let reports = self.changed_since(0, now).into_iter();
+        reports.filter(|report| !report.silent).map(|report| report.announcement).collect()
+    }
+
+    /// The newest announcements of some targets.
+    #[must_use]
+    pub fn named(&self, ids: &[TargetId], now: Instant) -> Vec<Announcement> {
+        self.all(now).into_iter().filter(|announcement| ids.contains(&announcement.id)).collect()
+    }
+
+    /// Digest of what routing depends on. Daemons with equal digests need not exchange their records.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let mut digest = 0;
+        for record in self.records.values().filter(|record| !record.silent) {
+            let mut hasher = SipHasher13::new();
+            let announcement = &record.announcement;
+            announcement.id.hash(&mut hasher);
+            announcement.stamp.born_ms.hash(&mut hasher);
+            announcement.availability.hash(&mut hasher);
+            announcement.address.hash(&mut hasher);
+            digest ^= hasher.finish();
+        }
+        digest
+    }
+
+    /// Number of records that are neither silent nor ended.
+    #[must_use]
+    pub fn live(&self) -> usize {
+        let live = |record: &&Record| {
+            !record.silent && record.announcement.availability != Availability::Ended
+        };
+        self.records.values().filter(live).count()
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -2,6 +2,7 @@
 //! entry leases, grow-only counters and the event ring. All of them are sans-I/O state machines: an
 //! event and the current time go in, actions come out.
 
+pub mod announcements;
 pub mod collector;
 pub mod counters;
 pub mod detector;
--- a/crates/types/src/clock.rs
+++ b/crates/types/src/clock.rs
@@ -32,6 +32,43 @@
     }
 }
 
+/// The operating system's clock that also counts the time in which the machine was suspended. Leases and
+/// deadlines of a suspended process must not stand still while they run out for everyone else.
+#[derive(Clone, Copy, Debug)]
+pub struct BootClock {
+    start: Instant,
+    boot_at_start: Duration,
+}
+
+impl BootClock {
+    /// Creates a clock.
+    #[must_use]
+    pub fn new() -> Self {
+        Self { start: Instant::now(), boot_at_start: since_boot() }
+    }
+}
+
+impl Default for BootClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for BootClock {
+    fn now(&self) -> Instant {
+        self.start + since_boot().saturating_sub(self.boot_at_start)
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+fn since_boot() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Duration::try_from(time).unwrap_or_default()
+}
+
 /// A clock that moves only when told to, for tests and simulations.
 #[derive(Debug)]
 pub struct ManualClock {
--- a/crates/types/src/keys.rs
+++ b/crates/types/src/keys.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::fmt;
+use std::sync::Arc;
 
 macro_rules! key {
     ($(#[$doc:meta])* $name:ident, $repr:ty, $prefix:literal) => {
@@ -45,6 +46,28 @@
     Revision, u64, "r"
 );
 
+key!(
+    /// Identity that a target was given; a later start of a target may have the same one.
+    TargetId, u64, "g"
+);
+
+/// Name of a failure domain, where domains have no numbers.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct DomainName(pub Arc<str>);
+
+impl fmt::Display for DomainName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl From<&str> for DomainName {
+    fn from(name: &str) -> Self {
+        Self(name.into())
+    }
+}
+
 impl Revision {
     /// The revision that follows this one.
     #[must_use]
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -1,6 +1,7 @@
 //! Domain types shared by every comfreyhold package: keys, profiles, result codes, time, events and
 //! the replicated declarations.
 
+pub mod announcement;
 pub mod api;
 pub mod clock;
 pub mod codes;
@@ -11,4 +12,5 @@
 pub mod keys;
 pub mod prelude;
 pub mod profile;
+pub mod routes;
 pub mod target;
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -26,3 +26,9 @@
   deliver @0 (envelopes :List(Envelope)) -> (code :UInt16);
   # Hands over a batch. The code is 0 or that of the first envelope that was refused.
 }
+
+interface Exchange {
+  call @0 (version :UInt16, topic :UInt16, body :Data) -> (code :UInt16, body :Data);
+  # A request and its response, both in the encoding of the topic. The code is 0, or tells why there is no
+  # response.
+}
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -23,6 +23,12 @@
     /// The body exceeds the size limit.
     #[error("body of {0} bytes exceeds the limit of {limit}", limit = crate::envelope::MAX_BODY_BYTES)]
     FrameTooLarge(usize),
+    /// The peer could not be connected to, or did not respond in time.
+    #[error("disconnected: {0}")]
+    Disconnected(String),
+    /// The peer refused the request with a numbered result.
+    #[error("refused with code {0}")]
+    Refused(u16),
     /// A socket failed.
     #[error("socket: {0}")]
     Io(#[from] std::io::Error),
@@ -39,7 +45,11 @@
             Self::BadVersion { .. } => ResultCode::BadVersion,
             Self::WrongReceiver(_) => ResultCode::WrongReceiver,
             Self::FrameTooLarge(_) => ResultCode::FrameTooLarge,
-            Self::BadFrame(_) | Self::Io(_) | Self::Capnp(_) => ResultCode::BadFrame,
+            Self::BadFrame(_)
+            | Self::Disconnected(_)
+            | Self::Refused(_)
+            | Self::Io(_)
+            | Self::Capnp(_) => ResultCode::BadFrame,
         }
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod envelope;
 pub mod error;
+pub mod exchange;
 #[allow(missing_docs, clippy::all, clippy::pedantic, clippy::unwrap_used, clippy::panic, clippy::unimplemented)]
 #[rustfmt::skip]
 pub mod peer_capnp;
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -914,3 +914,601 @@
         }
     }
 }
+
+
+pub mod exchange {
+    #![allow(unused_variables)]
+    pub type CallParams<> = ::capnp::capability::Params<crate::peer_capnp::exchange::call_params::Owned>;
+    pub type CallResults<> = ::capnp::capability::Results<crate::peer_capnp::exchange::call_results::Owned>;
+
+    pub struct Client {
+        pub client: ::capnp::capability::Client,
+    }
+    impl  ::capnp::capability::FromClientHook for Client {
+        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
+            Self { client: ::capnp::capability::Client::new(hook),  }
+        }
+        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
+            self.client.hook
+        }
+        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
+            &*self.client.hook
+        }
+    }
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Capability.into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Client; type Builder<'a> = Client; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Client; }
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Client<>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(reader.get_capability()?))
+        }
+    }
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Client<>  {
+        fn init_pointer(_builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            unimplemented!()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(builder.get_capability()?))
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Client<>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, from: Self, _canonicalize: bool) -> ::capnp::Result<()> {
+            pointer.set_capability(from.client.hook);
+            ::core::result::Result::Ok(())
+        }
+    }
+    impl  ::capnp::traits::HasTypeId for Client {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl  Clone for Client {
+        fn clone(&self) -> Self {
+            Self { client: self.client.clone(),  }
+        }
+    }
+    impl  Client {
+        pub fn call_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::exchange::call_params::Owned,crate::peer_capnp::exchange::call_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
+        }
+    }
+    pub trait Server<> : 'static  {
+        fn call(self: ::capnp::capability::Rc<Self>, _: CallParams<>, _: CallResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method exchange::Server::call not implemented".to_string()))) }
+    }
+    pub struct ServerDispatch<_T,> {
+        pub server: ::capnp::capability::Rc<_T>,
+    }
+    impl <_S: Server + 'static, > ::capnp::capability::FromServer<_S> for Client   {
+        type Dispatch = ServerDispatch<_S, >;
+        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S, > {
+            ServerDispatch { server: s,  }
+        }
+    }
+    impl <_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
+        type Target = _T;
+        fn deref(&self) -> &_T { &self.server}
+    }
+    impl <_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
+        fn clone(&self) -> Self { Self { server: self.server.clone(),  } }
+    }
+    impl <_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
+        fn dispatch_call(self, interface_id: u64, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match interface_id {
+                _private::TYPE_ID => Self::dispatch_call_internal(self.server, method_id, params, results),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+        fn as_ptr(&self) -> usize { ::capnp::capability::Rc::as_ptr(&self.server) as usize }
+    }
+    impl <_T :Server> ServerDispatch<_T> {
+        pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match method_id {
+                0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::call(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+    }
+    pub(crate) mod _private {
+        pub(crate) const TYPE_ID: u64 = 0xb438_1a07_eb86_a27f;
+    }
+
+    pub mod call_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_version(self) -> u16 {
+                self.reader.get_data_field::<u16>(0)
+            }
+            #[inline]
+            pub fn get_topic(self) -> u16 {
+                self.reader.get_data_field::<u16>(1)
+            }
+            #[inline]
+            pub fn get_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_body(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_version(self) -> u16 {
+                self.builder.get_data_field::<u16>(0)
+            }
+            #[inline]
+            pub fn set_version(&mut self, value: u16)  {
+                self.builder.set_data_field::<u16>(0, value);
+            }
+            #[inline]
+            pub fn get_topic(self) -> u16 {
+                self.builder.get_data_field::<u16>(1)
+            }
+            #[inline]
+            pub fn set_topic(&mut self, value: u16)  {
+                self.builder.set_data_field::<u16>(1, value);
+            }
+            #[inline]
+            pub fn get_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_body(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_body(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_body(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(27, 81, 106, 58, 85, 56, 191, 165),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 69, 120, 99, 104, 97),
+                ::capnp::word(110, 103, 101, 46, 99, 97, 108, 108),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 111, 112, 105, 99, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(98, 111, 100, 121, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+            pub(crate) const TYPE_ID: u64 = 0xa5bf_3855_3a6a_511b;
+        }
+    }
+
+    pub mod call_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_code(self) -> u16 {
+                self.reader.get_data_field::<u16>(0)
+            }
+            #[inline]
+            pub fn get_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_body(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_code(self) -> u16 {
+                self.builder.get_data_field::<u16>(0)
+            }
+            #[inline]
+            pub fn set_code(&mut self, value: u16)  {
+                self.builder.set_data_field::<u16>(0, value);
+            }
+            #[inline]
+            pub fn get_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_body(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_body(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_body(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(185, 179, 35, 88, 2, 95, 106, 238),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 69, 120, 99, 104, 97),
+                ::capnp::word(110, 103, 101, 46, 99, 97, 108, 108),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(99, 111, 100, 101, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(98, 111, 100, 121, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0xee6a_5f02_5823_b3b9;
+        }
+    }
+}
--- a/crates/wire/src/peer_link.rs
+++ b/crates/wire/src/peer_link.rs
@@ -2,12 +2,10 @@
 
 use crate::envelope::Envelope;
 use crate::peer_capnp::peer;
-use crate::server::reader_options;
+use crate::server::connect_stream;
 use crate::stats::Stats;
 use crate::transport::{Inbox, PROBE_DEADLINE};
-use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use comfreyhold_types::prelude::InstanceId;
-use futures_util::AsyncReadExt;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -15,7 +13,6 @@
 use std::time::Duration;
 use tokio::sync::{Semaphore, mpsc};
 use tokio::task::AbortHandle;
-use tokio_util::compat::TokioAsyncReadCompatExt;
 
 /// Most body bytes in one batch.
 const MAX_BATCH_BYTES: usize = 64 * 1024;
@@ -124,12 +121,8 @@
         .await
         .map_err(|_| "connect timed out".to_owned())?
         .map_err(|error| error.to_string())?;
-    stream.set_nodelay(true).map_err(|error| error.to_string())?;
-    let (reader, writer) = stream.compat().split();
-    let side = rpc_twoparty_capnp::Side::Client;
-    let network = twoparty::VatNetwork::new(reader, writer, side, reader_options());
-    let mut system = RpcSystem::new(Box::new(network), None);
-    let client: peer::Client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+    let (client, system) =
+        connect_stream::<peer::Client>(stream).map_err(|error| error.to_string())?;
     let broken = Rc::new(Cell::new(false));
     let ended = Rc::clone(&broken);
     let task = tokio::task::spawn_local(async move {
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -4,6 +4,7 @@
 use crate::peer_capnp::peer;
 use crate::stats::Stats;
 use crate::transport::Inbox;
+use capnp::capability::FromClientHook;
 use capnp::message::ReaderOptions;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use comfreyhold_types::prelude::InstanceId;
@@ -11,6 +12,7 @@
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
 /// Largest frame that is read, in 8-byte words: four full bodies.
@@ -82,7 +84,7 @@
     let client: peer::Client = capnp_rpc::new_client(server);
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => serve(stream, client.clone()),
+            Ok((stream, _)) => serve_stream(stream, client.clone().client),
             Err(error) => {
                 log::warn!("accept failed: {error}");
                 tokio::time::sleep(ACCEPT_RETRY).await;
@@ -91,7 +93,8 @@
     }
 }
 
-fn serve(stream: tokio::net::TcpStream, client: peer::Client) {
+/// Serves one connection until it ends.
+pub fn serve_stream(stream: TcpStream, client: capnp::capability::Client) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("TCP_NODELAY: {error}");
     }
@@ -102,10 +105,26 @@
         rpc_twoparty_capnp::Side::Server,
         reader_options(),
     );
-    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    let system = RpcSystem::new(Box::new(network), Some(client));
     tokio::task::spawn_local(async move {
         if let Err(error) = system.await {
             log::debug!("peer connection ended: {error}");
         }
     });
 }
+
+/// Prepares the calling side of a connection. The returned system must run while the client is used.
+///
+/// # Errors
+/// The socket's options can't be set.
+pub fn connect_stream<C: FromClientHook>(
+    stream: TcpStream,
+) -> std::io::Result<(C, RpcSystem<rpc_twoparty_capnp::Side>)> {
+    stream.set_nodelay(true)?;
+    let (reader, writer) = stream.compat().split();
+    let side = rpc_twoparty_capnp::Side::Client;
+    let network = twoparty::VatNetwork::new(reader, writer, side, reader_options());
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+    Ok((client, system))
+}
