--- a/crates/cli/tests/apply.rs
+++ b/crates/cli/tests/cli/apply.rs
@@ -1,10 +1,6 @@
 //! `comfreyhold apply` against a deployment.
 
-#![allow(clippy::unwrap_used)]
-
-mod support;
-
-use support::{Scratch, assert_bad_files_refused, assert_refused, filtered};
+use crate::support::{Scratch, assert_bad_files_refused, assert_refused, filtered};
 
 /// Guards against a publication that is reported wrongly, and a resend or conflict that is hidden.
 #[tokio::test]
--- a/crates/cli/tests/check.rs
+++ b/crates/cli/tests/cli/check.rs
@@ -1,10 +1,6 @@
 //! `comfreyhold check` against a deployment.
 
-#![allow(clippy::unwrap_used)]
-
-mod support;
-
-use support::{ORDERS, assert_refused, run};
+use crate::support::{ORDERS, assert_refused, run};
 
 /// Guards against a wrong file that passes, and against a refusal that doesn't name file and field.
 #[test]
--- a/crates/cli/tests/counts.rs
+++ b/crates/cli/tests/cli/counts.rs
@@ -1,15 +1,11 @@
 //! `comfreyhold counts` against a deployment.
 
-#![allow(clippy::unwrap_used)]
-
-mod support;
-
+use crate::support::{LIMIT, Scratch, assert_bad_files_refused};
 use comfreyhold_lab::http::{self, Client, Sent};
 use comfreyhold_lab::scenario::wait_for;
 use comfreyhold_lab::up::DaemonKind;
 use hyper::Method;
 use std::net::SocketAddr;
-use support::{LIMIT, Scratch, assert_bad_files_refused};
 
 const REQUESTS: u64 = 5;
 
--- a/crates/cli/tests/diff.rs
+++ b/crates/cli/tests/cli/diff.rs
@@ -1,10 +1,6 @@
 //! `comfreyhold diff` against a deployment.
 
-#![allow(clippy::unwrap_used)]
-
-mod support;
-
-use support::{ORDERS, Scratch, assert_bad_files_refused, assert_refused, filtered};
+use crate::support::{ORDERS, Scratch, assert_bad_files_refused, assert_refused, filtered};
 
 /// Guards against a preview that tells another outcome than publishing would have, or that publishes.
 #[tokio::test]
--- a/crates/cli/tests/domain.rs
+++ b/crates/cli/tests/cli/domain.rs
@@ -1,10 +1,6 @@
 //! `comfreyhold domain` against a deployment.
 
-#![allow(clippy::unwrap_used)]
-
-mod support;
-
-use support::{Scratch, assert_bad_files_refused, assert_refused, filtered};
+use crate::support::{Scratch, assert_bad_files_refused, assert_refused, filtered};
 
 /// Guards against a failure domain that can't be taken out and brought back, and against a race under
 /// one version number that has two winners.
--- a/crates/cli/tests/history.rs
+++ b/crates/cli/tests/cli/history.rs
@@ -1,10 +1,6 @@
 //! `comfreyhold history` against a deployment.
 
-#![allow(clippy::unwrap_used)]
-
-mod support;
-
-use support::{Scratch, assert_bad_files_refused, filtered};
+use crate::support::{Scratch, assert_bad_files_refused, filtered};
 
 /// Guards against a history that lacks a version or names the wrong operator.
 #[tokio::test]
--- a/crates/cli/tests/replace.rs
+++ b/crates/cli/tests/cli/replace.rs
@@ -1,10 +1,6 @@
 //! `comfreyhold replace` against a deployment.
 
-#![allow(clippy::unwrap_used)]
-
-mod support;
-
-use support::{Scratch, assert_bad_files_refused, assert_refused};
+use crate::support::{Scratch, assert_bad_files_refused, assert_refused};
 
 /// Guards against a lost data folder that can't be repaired from the command line, and against a
 /// replacement that names no voter.
--- a/crates/cli/tests/status.rs
+++ b/crates/cli/tests/cli/status.rs
@@ -1,10 +1,6 @@
 //! `comfreyhold status` against a deployment.
 
-#![allow(clippy::unwrap_used)]
-
-mod support;
-
-use support::{Scratch, assert_bad_files_refused, filtered};
+use crate::support::{Scratch, assert_bad_files_refused, filtered};
 
 /// Guards against a process that is left out of the status, above all one that doesn't answer.
 #[tokio::test]
--- a/crates/cli/tests/targets.rs
+++ b/crates/cli/tests/cli/targets.rs
@@ -1,10 +1,6 @@
 //! `comfreyhold targets` against a deployment.
 
-#![allow(clippy::unwrap_used)]
-
-mod support;
-
-use support::{Scratch, assert_bad_files_refused, assert_refused, filtered};
+use crate::support::{Scratch, assert_bad_files_refused, assert_refused, filtered};
 
 /// Guards against a target that serves and isn't listed, and an entry that doesn't answer and hides it.
 #[tokio::test]
--- a/crates/cli/tests/timeline.rs
+++ b/crates/cli/tests/cli/timeline.rs
@@ -1,10 +1,6 @@
 //! `comfreyhold timeline` against a deployment.
 
-#![allow(clippy::unwrap_used)]
-
-mod support;
-
-use support::{Scratch, assert_bad_files_refused, assert_refused};
+use crate::support::{Scratch, assert_bad_files_refused, assert_refused};
 
 /// Guards against a killed process that is silently left out, events out of order and filters that
 /// pass other events.
--- /dev/null
+++ b/crates/consensus/tests/register.rs
@@ -0,0 +1,146 @@
+//! The replicated register under lost messages, lost folders, restarts and changes of voters.
+
+#![allow(clippy::unwrap_used, clippy::panic)]
+
+mod register_support;
+
+use comfreyhold_consensus::register::repair::{Candidate, next_voters, voters_needed};
+use comfreyhold_consensus::register::{DiskId, Replica};
+use register_support::{Fleet, replica};
+use std::collections::BTreeSet;
+
+/// Schedules per test. A schedule takes about a millisecond.
+const SCHEDULES: u64 = 400;
+
+fn seeds() -> Vec<u64> {
+    match std::env::var("REGISTER_SEED") {
+        Ok(seed) => vec![seed.parse().unwrap()],
+        Err(_) => (0..SCHEDULES).collect(),
+    }
+}
+
+/// Guards against an acknowledged change that a later round loses, when messages get lost, arrive late and
+/// proposers compete.
+#[test]
+fn acknowledged_changes_stay_under_lost_messages() {
+    for seed in seeds() {
+        let mut fleet = Fleet::new(seed, 4, 3);
+        for _ in 0..30 {
+            fleet.publish_somewhere();
+            fleet.run_some();
+        }
+        fleet.heal_and_settle();
+        fleet.assert_nothing_lost();
+    }
+}
+
+/// Guards against an older value that is served or built on after one folder at a time was lost and its
+/// voter exchanged.
+#[test]
+fn acknowledged_changes_stay_when_folders_are_lost_one_by_one() {
+    for seed in seeds() {
+        let mut fleet = Fleet::new(seed, 4, 3);
+        for round in 0..12 {
+            fleet.publish_somewhere();
+            fleet.run_some();
+            if round % 3 == 2 {
+                fleet.heal_and_settle();
+                fleet.assert_nothing_lost();
+                fleet.lose_folder();
+                fleet.repair();
+            }
+        }
+        fleet.heal_and_settle();
+        fleet.assert_nothing_lost();
+    }
+}
+
+/// Guards against two sets of voters that decide beside each other, when repairs run on outdated knowledge
+/// and stop halfway.
+#[test]
+fn repairs_on_outdated_knowledge_lose_nothing() {
+    for seed in seeds() {
+        let mut fleet = Fleet::new(seed, 5, 3);
+        for _ in 0..25 {
+            fleet.publish_somewhere();
+            fleet.repair_on_outdated_knowledge();
+            fleet.run_some();
+        }
+        fleet.heal_and_settle();
+        fleet.assert_nothing_lost();
+    }
+}
+
+/// Guards against different content under one version that both operators are told is in force.
+#[test]
+fn two_operators_with_one_version_get_one_winner() {
+    for seed in seeds() {
+        let mut fleet = Fleet::new(seed, 4, 3);
+        fleet.race(7);
+        fleet.heal_and_settle();
+        fleet.assert_one_content_per_version();
+    }
+}
+
+/// Guards against a confirmed read that is older than a change acknowledged before the read began.
+#[test]
+fn confirmed_reads_are_never_older_than_acknowledged_changes() {
+    for seed in seeds() {
+        let mut fleet = Fleet::new(seed, 4, 3);
+        for _ in 0..20 {
+            fleet.publish_somewhere();
+            fleet.run_some();
+            fleet.read_somewhere();
+        }
+    }
+}
+
+/// Guards against a system that can't lose a second disk after the first: the voter of a renewed folder is
+/// exchanged at once, without an operator.
+#[test]
+fn a_renewed_folder_takes_the_place_of_the_lost_one() {
+    let voters: BTreeSet<Replica> = (0..3).map(|n| replica(n, n)).collect();
+    let renewed = replica(1, 91);
+    let live = [replica(0, 0), renewed, replica(2, 2), replica(3, 3)].map(candidate);
+    let next = next_voters(&voters, &live, &BTreeSet::new(), 3).unwrap();
+    assert!(next.contains(&renewed) && !next.contains(&replica(1, 1)) && next.len() == 3);
+}
+
+/// Guards against a silent voter that stays although a spare daemon answers, and against a replacement
+/// while there is none.
+#[test]
+fn a_silent_voter_is_replaced_only_by_a_daemon_that_answers() {
+    let voters: BTreeSet<Replica> = (0..3).map(|n| replica(n, n)).collect();
+    let silent = BTreeSet::from([DiskId(2)]);
+    let without_spare = [replica(0, 0), replica(1, 1)].map(candidate);
+    assert_eq!(next_voters(&voters, &without_spare, &silent, 3), None);
+    let live = [replica(0, 0), replica(1, 1), replica(3, 3)].map(candidate);
+    let next = next_voters(&voters, &live, &silent, 3).unwrap();
+    assert_eq!(next, BTreeSet::from([replica(0, 0), replica(1, 1), replica(3, 3)]));
+}
+
+/// Guards against too few voters for the stated losses, and against more than needed.
+#[test]
+fn voters_grow_to_what_the_stated_losses_need() {
+    let live: Vec<Candidate> = (0..8).map(|n| candidate(replica(n, n))).collect();
+    let mut voters: BTreeSet<Replica> = (0..3).map(|n| replica(n, n)).collect();
+    while let Some(next) = next_voters(&voters, &live, &BTreeSet::new(), voters_needed(2)) {
+        assert_eq!(next.len(), voters.len() + 1);
+        voters = next;
+    }
+    assert_eq!(voters.len(), 5);
+}
+
+/// Guards against voters that gather in one failure domain while others have none.
+#[test]
+fn new_voters_come_from_domains_with_the_fewest() {
+    let live: Vec<Candidate> =
+        (0..6).map(|n| Candidate { replica: replica(n, n), domain: usize::from(n >= 4) }).collect();
+    let voters: BTreeSet<Replica> = (0..3).map(|n| replica(n, n)).collect();
+    let next = next_voters(&voters, &live, &BTreeSet::new(), 5).unwrap();
+    assert!(next.contains(&replica(4, 4)) || next.contains(&replica(5, 5)));
+}
+
+fn candidate(replica: Replica) -> Candidate {
+    Candidate { replica, domain: usize::try_from(replica.disk.0).unwrap() }
+}
--- /dev/null
+++ b/crates/consensus/tests/register_support/mod.rs
@@ -0,0 +1,327 @@
+//! Daemons with registers on a network that loses, delays and reorders messages, driven by a seed.
+
+use comfreyhold_consensus::register::acceptor::Acceptor;
+use comfreyhold_consensus::register::read::{Confirm, Confirmation};
+use comfreyhold_consensus::register::repair::{Candidate, next_voters};
+use comfreyhold_consensus::register::round::{Progress, Proposal, Round, VoterChange};
+use comfreyhold_consensus::register::{
+    Addressed, Ballot, DiskId, Replica, Request, Response, Value, Voters,
+};
+use comfreyhold_types::routes::{RoutePublication, RouteTable, StateChange};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Share of messages that get lost while the network is bad.
+const LOSS: f64 = 0.15;
+
+/// Deliveries after which a settled network must have brought every round to its end.
+const SETTLE_DELIVERIES: usize = 20_000;
+
+pub fn replica(number: u64, disk: u64) -> Replica {
+    let address = SocketAddr::from(([10, 0, 0, u8::try_from(number).unwrap()], 7_000));
+    Replica { disk: DiskId(disk), address }
+}
+
+enum Message {
+    Request { from: usize, to: Replica, round: Ballot, request: Request },
+    Response { to: usize, round: Ballot, from: DiskId, response: Response },
+}
+
+struct Daemon {
+    number: u64,
+    acceptor: Acceptor,
+    known: Arc<Value>,
+    chosen: Option<Arc<Value>>,
+    round: Option<(Round, Option<u64>, Proposal)>,
+    seen: Ballot,
+    /// Rounds that ended with a chosen value that includes their proposal.
+    completed: u64,
+}
+
+pub struct Fleet {
+    seed: u64,
+    rng: StdRng,
+    daemons: Vec<Daemon>,
+    messages: Vec<Message>,
+    loss: f64,
+    version: u64,
+    next_disk: u64,
+    /// Highest version that an operator was told is in force.
+    acknowledged: u64,
+    /// Contents that were chosen, by version.
+    contents: BTreeMap<u64, BTreeSet<Vec<u8>>>,
+}
+
+impl Fleet {
+    pub fn new(seed: u64, daemons: u64, voters: u64) -> Self {
+        let voters = Voters::stable((0..voters).map(|n| replica(n, 100 + n)).collect());
+        let initial = Arc::new(Value { voters, ..Value::default() });
+        let daemon = |number| Daemon {
+            number,
+            acceptor: acceptor(DiskId(100 + number)),
+            known: Arc::clone(&initial),
+            chosen: None,
+            round: None,
+            seen: Ballot::default(),
+            completed: 0,
+        };
+        Self {
+            seed,
+            rng: StdRng::seed_from_u64(seed),
+            daemons: (0..daemons).map(daemon).collect(),
+            messages: Vec::new(),
+            loss: LOSS,
+            version: 0,
+            next_disk: 1_000,
+            acknowledged: 0,
+            contents: BTreeMap::new(),
+        }
+    }
+
+    fn any(&mut self) -> usize {
+        self.rng.random_range(0..self.daemons.len())
+    }
+
+    /// An operator sends the next version to some daemon.
+    pub fn publish_somewhere(&mut self) {
+        self.version += self.rng.random_range(1..4);
+        let (version, at) = (self.version, self.any());
+        self.propose(at, publication(version, &version.to_le_bytes()), Some(version));
+    }
+
+    /// Two operators send different content under one version to two daemons.
+    pub fn race(&mut self, version: u64) {
+        self.version = version;
+        self.propose(0, publication(version, b"first"), Some(version));
+        self.propose(1, publication(version, b"second"), Some(version));
+    }
+
+    fn propose(&mut self, at: usize, proposal: Proposal, version: Option<u64>) {
+        let me = self.replica(at);
+        let daemon = &mut self.daemons[at];
+        let known = match &daemon.chosen {
+            Some(chosen) if chosen.ballot > daemon.known.ballot => Arc::clone(chosen),
+            _ => Arc::clone(&daemon.known),
+        };
+        let seen = daemon.seen.max(known.ballot).max(daemon.acceptor.promised());
+        let ballot = Ballot::above(seen, me.disk, 0);
+        daemon.seen = ballot;
+        let (round, requests) = Round::new(ballot, known, proposal.clone());
+        daemon.round = Some((round, version, proposal));
+        self.send(at, ballot, requests);
+    }
+
+    fn send(&mut self, from: usize, round: Ballot, requests: Vec<(Replica, Request)>) {
+        for (to, request) in requests {
+            self.messages.push(Message::Request { from, to, round, request });
+        }
+    }
+
+    fn replica(&self, at: usize) -> Replica {
+        replica(self.daemons[at].number, self.daemons[at].acceptor.disk().0)
+    }
+
+    /// Delivers some of the messages, in any order.
+    pub fn run_some(&mut self) {
+        let steps = self.rng.random_range(0..30);
+        for _ in 0..steps {
+            self.deliver_one();
+        }
+    }
+
+    fn deliver_one(&mut self) {
+        if self.messages.is_empty() {
+            return;
+        }
+        let index = self.rng.random_range(0..self.messages.len());
+        let message = self.messages.swap_remove(index);
+        if self.rng.random_bool(self.loss) {
+            return;
+        }
+        match message {
+            Message::Request { from, to, round, request } => {
+                let at =
+                    self.daemons.iter().position(|d| replica(d.number, 0).address == to.address);
+                let Some(at) = at else { return };
+                let response = self.answer(at, &Addressed { to: to.disk, request });
+                self.messages.push(Message::Response { to: from, round, from: to.disk, response });
+            }
+            Message::Response { to, round, from, response } => {
+                self.take_response(to, round, from, response);
+            }
+        }
+    }
+
+    fn answer(&mut self, at: usize, addressed: &Addressed) -> Response {
+        let acceptor = &mut self.daemons[at].acceptor;
+        let decision = acceptor.decide(addressed);
+        if let Some(write) = decision.write {
+            acceptor.apply(write);
+        }
+        decision.response
+    }
+
+    fn take_response(&mut self, at: usize, ballot: Ballot, from: DiskId, response: Response) {
+        let daemon = &mut self.daemons[at];
+        let Some((round, ..)) = &mut daemon.round else { return };
+        if round.ballot() != ballot {
+            return;
+        }
+        match round.response(from, response) {
+            Progress::Send(requests) => self.send(at, ballot, requests),
+            Progress::Preempted(higher) => {
+                daemon.seen = daemon.seen.max(higher);
+                daemon.round = None;
+            }
+            Progress::Chosen { value, proposed } => self.chosen(at, value, proposed),
+        }
+    }
+
+    fn chosen(&mut self, at: usize, value: Arc<Value>, proposed: bool) {
+        let Some((_, version, proposal)) = self.daemons[at].round.take() else { return };
+        if let Some(publication) = &value.state.publication {
+            let contents = self.contents.entry(publication.table.version).or_default();
+            contents.insert(publication.document.to_vec());
+        }
+        let daemon = &mut self.daemons[at];
+        if daemon.chosen.as_ref().is_none_or(|known| known.ballot < value.ballot) {
+            daemon.chosen = Some(value);
+        }
+        daemon.completed += u64::from(proposed);
+        match (proposed, version) {
+            (true, Some(version)) => self.acknowledged = self.acknowledged.max(version),
+            (true, None) => {}
+            (false, _) => self.propose(at, proposal, version),
+        }
+    }
+
+    /// Ends the losses, and lets one daemon find the newest value.
+    pub fn heal_and_settle(&mut self) {
+        self.messages.clear();
+        self.loss = 0.0;
+        for daemon in &mut self.daemons {
+            daemon.round = None;
+        }
+        let at = self.any();
+        let before = self.daemons[at].completed;
+        for _ in 0..50 {
+            self.propose(at, Proposal::default(), None);
+            for _ in 0..SETTLE_DELIVERIES {
+                if self.daemons[at].round.is_none() || self.messages.is_empty() {
+                    break;
+                }
+                self.deliver_one();
+            }
+            if self.daemons[at].completed > before {
+                break;
+            }
+        }
+        let settled = self.daemons[at].completed > before;
+        assert!(settled, "seed {}: no round ends after the network healed", self.seed);
+        let newest = self.daemons[at].chosen.clone();
+        for daemon in &mut self.daemons {
+            daemon.chosen.clone_from(&newest);
+        }
+        self.loss = LOSS;
+    }
+
+    pub fn assert_nothing_lost(&self) {
+        let newest = self.daemons[0].chosen.as_ref().unwrap();
+        let version = newest.state.version().unwrap_or_default();
+        let acknowledged = self.acknowledged;
+        assert!(version >= acknowledged, "seed {}: {version} after {acknowledged}", self.seed);
+        self.assert_one_content_per_version();
+    }
+
+    pub fn assert_one_content_per_version(&self) {
+        for (version, contents) in &self.contents {
+            assert_eq!(contents.len(), 1, "seed {}: version {version}", self.seed);
+        }
+    }
+
+    /// One voter restarts with an empty folder.
+    pub fn lose_folder(&mut self) {
+        let voters: Vec<Replica> =
+            self.daemons[0].chosen.as_ref().unwrap().voters.current.iter().copied().collect();
+        let lost = voters[self.rng.random_range(0..voters.len())];
+        let daemon = self.daemons.iter_mut().find(|d| d.acceptor.disk() == lost.disk).unwrap();
+        self.next_disk += 1;
+        daemon.acceptor = acceptor(DiskId(self.next_disk));
+        daemon.round = None;
+    }
+
+    /// Exchanges voters until nothing is left to repair.
+    pub fn repair(&mut self) {
+        self.loss = 0.0;
+        self.messages.clear();
+        for _ in 0..10 {
+            self.heal_and_settle();
+            let voters = self.daemons[0].chosen.as_ref().unwrap().voters.current.clone();
+            let Some(to) = next_voters(&voters, &self.candidates(), &BTreeSet::new(), 3) else {
+                return;
+            };
+            let voters = Some(VoterChange { from: voters, to });
+            self.propose(0, Proposal { changes: Vec::new(), voters }, None);
+            self.loss = 0.0;
+            while !self.messages.is_empty() {
+                self.deliver_one();
+            }
+        }
+        panic!("seed {}: voters are exchanged without end", self.seed);
+    }
+
+    fn candidates(&self) -> Vec<Candidate> {
+        let all = 0..self.daemons.len();
+        all.map(|at| Candidate { replica: self.replica(at), domain: at }).collect()
+    }
+
+    /// Some daemon exchanges a voter by what it happens to know.
+    pub fn repair_on_outdated_knowledge(&mut self) {
+        let at = self.any();
+        let Some(chosen) = self.daemons[at].chosen.clone() else { return };
+        let voters = chosen.voters.current.clone();
+        let silent = voters.iter().nth(self.rng.random_range(0..voters.len())).unwrap().disk;
+        let to = next_voters(&voters, &self.candidates(), &BTreeSet::from([silent]), 3);
+        let voters = to.map(|to| VoterChange { from: voters, to });
+        self.propose(at, Proposal { changes: Vec::new(), voters }, None);
+    }
+
+    /// Some daemon confirms the newest value that it knows, with what a majority answers now.
+    pub fn read_somewhere(&mut self) {
+        let at = self.any();
+        let Some(chosen) = self.daemons[at].chosen.clone() else { return };
+        let acknowledged = self.acknowledged;
+        let (mut confirm, requests) = Confirm::new(Arc::clone(&chosen));
+        for (to, request) in requests {
+            let voter = self.daemons.iter().position(|d| d.acceptor.disk() == to.disk).unwrap();
+            let response = self.answer(voter, &Addressed { to: to.disk, request });
+            if self.rng.random_bool(LOSS) {
+                continue;
+            }
+            match confirm.response(to.disk, &response) {
+                Confirmation::Waiting => {}
+                Confirmation::Newer(_) => return,
+                Confirmation::Newest => {
+                    let version = chosen.state.version().unwrap_or_default();
+                    assert!(version >= acknowledged, "seed {}: read {version}", self.seed);
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn acceptor(disk: DiskId) -> Acceptor {
+    let mut acceptor = Acceptor::default();
+    acceptor.apply(comfreyhold_consensus::register::acceptor::Write::Identity(disk));
+    acceptor
+}
+
+fn publication(version: u64, document: &[u8]) -> Proposal {
+    let table = Arc::new(RouteTable { version, ..RouteTable::default() });
+    let publication = RoutePublication { document: Arc::new(document.to_vec()), table };
+    Proposal { changes: vec![StateChange::Publish(publication)], voters: None }
+}
--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/daemon/answers.rs
@@ -1,10 +1,7 @@
 //! Answers of misbehaving targets, callers that leave, and bad input.
 
-#![allow(clippy::unwrap_used)]
-
-mod support;
-mod traffic;
-
+use crate::support::{Answer, Cluster, LIMIT, get, result_code, settings};
+use crate::traffic;
 use comfreyhold_lab::http;
 use comfreyhold_lab::scenario::{wait_for, wait_until};
 use comfreyhold_lab::up::{UpService, UpSettings};
@@ -14,7 +11,6 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use support::{Answer, Cluster, LIMIT, get, result_code, settings};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 
--- a/crates/daemon/tests/disks.rs
+++ b/crates/daemon/tests/daemon/disks.rs
@@ -1,22 +1,16 @@
 //! Data folders of control daemons that are torn, damaged, lost or restored from an older copy.
 
-#![allow(clippy::unwrap_used)]
-
-#[path = "support/operator.rs"]
-mod operator;
-mod support;
-
+use crate::operator::{Operator, Series, follower, orders, outcome_in, status_of};
+use crate::support::{Cluster, LIMIT, settings};
 use comfreyhold_lab::http;
 use comfreyhold_lab::scenario::wait_for;
 use comfreyhold_lab::up::DaemonKind;
 use comfreyhold_types::api::ReplaceRequest;
 use comfreyhold_types::prelude::*;
 use hyper::Method;
-use operator::{Operator, Series, follower, orders, outcome_in, status_of};
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
-use support::{Cluster, LIMIT, settings};
 use tokio::sync::{Mutex, MutexGuard};
 
 /// One deployment at a time.
--- a/crates/daemon/tests/domains.rs
+++ b/crates/daemon/tests/daemon/domains.rs
@@ -1,10 +1,8 @@
 //! A failure domain that operators take out and back in under load.
 
-#![allow(clippy::unwrap_used)]
-
-mod support;
-mod traffic;
-
+use crate::support::{Cluster, LIMIT, settings};
+use crate::traffic;
+use crate::traffic::{Rounds, flow_settings, kind, load_settings, spawn, tally};
 use comfreyhold_lab::flow_load::FlowEnd;
 use comfreyhold_lab::request_load::Outcome;
 use comfreyhold_lab::scenario::wait_until;
@@ -13,8 +11,6 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
-use support::{Cluster, LIMIT, settings};
-use traffic::{Rounds, flow_settings, kind, load_settings, spawn, tally};
 
 /// The domain that is taken out. Two orders targets and one of the catalogue are in other domains.
 const DOMAIN: u16 = 2;
--- a/crates/daemon/tests/entry_failures.rs
+++ b/crates/daemon/tests/daemon/entry_failures.rs
@@ -1,15 +1,11 @@
 //! Entries that are killed while keyed requests run.
 
-#![allow(clippy::unwrap_used)]
-
-mod support;
-mod traffic;
-
+use crate::support::{Cluster, LIMIT, post, result_code, settings};
+use crate::traffic;
+use crate::traffic::{Rounds, detail, kind, load_settings, tally};
 use comfreyhold_lab::request_load::Outcome;
 use comfreyhold_lab::scenario::wait_for;
 use std::net::SocketAddr;
-use support::{Cluster, LIMIT, post, result_code, settings};
-use traffic::{Rounds, detail, kind, load_settings, tally};
 
 /// Keys that are used before the first failure and again after the last one.
 const EARLY_KEYS: usize = 20;
--- a/crates/daemon/tests/flows.rs
+++ b/crates/daemon/tests/daemon/flows.rs
@@ -1,10 +1,8 @@
 //! Packet flows through planned changes.
 
-#![allow(clippy::unwrap_used)]
-
-mod support;
-mod traffic;
-
+use crate::support::{Cluster, LIMIT, settings};
+use crate::traffic;
+use crate::traffic::{flow_settings, spawn, target_settings, wait_declared, warm_profile};
 use comfreyhold_lab::flow_load::{FlowEnd, FlowResults};
 use comfreyhold_lab::load::LoadResults;
 use comfreyhold_lab::scenario::{wait_for, wait_until};
@@ -13,9 +11,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
-use support::{Cluster, LIMIT, settings};
 use tokio::sync::Mutex;
-use traffic::{flow_settings, spawn, target_settings, wait_declared, warm_profile};
 
 /// At most one deployment of this file runs at a time.
 static ONE_DEPLOYMENT: Mutex<()> = Mutex::const_new(());
--- /dev/null
+++ b/crates/daemon/tests/daemon/main.rs
@@ -0,0 +1,23 @@
+//! Integration tests of the daemons, with real processes. One binary, so that the deployments of different
+//! files run side by side.
+
+#![allow(clippy::unwrap_used)]
+
+mod answers;
+mod disks;
+mod domains;
+mod entry_failures;
+mod flows;
+mod load_reports;
+mod operator;
+mod planned_stop;
+mod publications;
+mod relay;
+mod requests;
+mod second_start;
+mod settings;
+mod silence;
+mod storage_faults;
+mod streams;
+mod support;
+mod traffic;
--- a/crates/daemon/tests/support/operator.rs
+++ b/crates/daemon/tests/daemon/operator.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, clippy::unwrap_used)]
 
-use super::support::{Cluster, LIMIT};
+use crate::support::{Cluster, LIMIT};
 use comfreyhold_lab::http;
 use comfreyhold_lab::scenario::wait_for;
 use comfreyhold_lab::up::{DaemonKind, DaemonPlan};
--- a/crates/daemon/tests/planned_stop.rs
+++ b/crates/daemon/tests/daemon/planned_stop.rs
@@ -1,10 +1,8 @@
 //! Planned stop of an entry under request load and open packet flows.
 
-#![allow(clippy::unwrap_used)]
-
-mod support;
-mod traffic;
-
+use crate::support::{Cluster, LIMIT, settings};
+use crate::traffic;
+use crate::traffic::{Rounds, detail, flow_settings, kind, load_settings, spawn, tally};
 use comfreyhold_lab::http;
 use comfreyhold_lab::load::LoadSettings;
 use comfreyhold_lab::request_load::{Outcome, RequestResult};
@@ -15,8 +13,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use support::{Cluster, LIMIT, settings};
-use traffic::{Rounds, detail, flow_settings, kind, load_settings, spawn, tally};
 
 /// A service that only the load uses, so that its counts are those of the load.
 const COUNTED: &str = "bookings";
--- a/crates/daemon/tests/publications.rs
+++ b/crates/daemon/tests/daemon/publications.rs
@@ -1,26 +1,20 @@
 //! Publications while control daemons crash and stall and operators race.
 
-#![allow(clippy::unwrap_used)]
-
-#[path = "support/operator.rs"]
-mod operator;
-mod support;
-mod traffic;
-
+use crate::operator::{Operator, Raw, Watch, orders, outcome_in, refusal_in};
+use crate::support::{Cluster, LIMIT, post, result_code, settings};
+use crate::traffic;
+use crate::traffic::{Rounds, kind, load_settings, tally};
 use comfreyhold_lab::http;
 use comfreyhold_lab::scenario::wait_for;
 use comfreyhold_lab::up::DaemonKind;
 use comfreyhold_types::api::HistoryReply;
 use comfreyhold_types::prelude::*;
 use hyper::Method;
-use operator::{Operator, Raw, Watch, orders, outcome_in, refusal_in};
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use support::{Cluster, LIMIT, post, result_code, settings};
 use tokio::sync::{Mutex, MutexGuard};
-use traffic::{Rounds, kind, load_settings, tally};
 
 /// One deployment at a time.
 static DEPLOYMENT: Mutex<()> = Mutex::const_new(());
--- a/crates/daemon/tests/relay.rs
+++ b/crates/daemon/tests/daemon/relay.rs
@@ -1,7 +1,5 @@
 //! Messages between processes that can't reach each other but both reach a third one.
 
-#![allow(clippy::unwrap_used)]
-
 use comfreyhold_daemon::context::Context;
 use comfreyhold_daemon::process::start_transport;
 use comfreyhold_daemon::settings::{LogSettings, Member, Role, Settings};
--- a/crates/daemon/tests/requests.rs
+++ b/crates/daemon/tests/daemon/requests.rs
@@ -1,10 +1,6 @@
 //! Requests through the real daemons.
 
-#![allow(clippy::unwrap_used)]
-
-mod support;
-
-use support::{Cluster, post, result_code, settings};
+use crate::support::{Cluster, post, result_code, settings};
 
 /// Guards against a path that is broken anywhere between a caller and a target, and against a resend
 /// through another entry that runs the request again or gets another answer.
--- a/crates/daemon/tests/second_start.rs
+++ b/crates/daemon/tests/daemon/second_start.rs
@@ -1,24 +1,18 @@
 //! A second process that is started by mistake under an instance number in use, with other addresses.
 
-#![allow(clippy::unwrap_used)]
-
-#[path = "support/operator.rs"]
-mod operator;
-mod support;
-mod traffic;
-
+use crate::operator::{Series, follower, status_of};
+use crate::support::{Cluster, LIMIT, post, result_code, settings};
+use crate::traffic;
+use crate::traffic::{Rounds, kind, load_settings, tally};
 use comfreyhold_lab::scenario::{Process, wait_for};
 use comfreyhold_lab::up::DaemonPlan;
 use comfreyhold_lab::{daemon_settings, http};
 use comfreyhold_types::api::TimelineReply;
 use comfreyhold_types::prelude::*;
-use operator::{Series, follower, status_of};
 use std::fs;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::time::Duration;
-use support::{Cluster, LIMIT, post, result_code, settings};
 use tokio::sync::Mutex;
-use traffic::{Rounds, kind, load_settings, tally};
 
 /// One deployment at a time.
 static DEPLOYMENT: Mutex<()> = Mutex::const_new(());
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/daemon/settings.rs
@@ -1,7 +1,5 @@
 //! Settings files that are refused.
 
-#![allow(clippy::unwrap_used)]
-
 use comfreyhold_daemon::settings::Settings;
 use proptest::prelude::*;
 use std::fmt::Write as _;
--- a/crates/daemon/tests/silence.rs
+++ b/crates/daemon/tests/daemon/silence.rs
@@ -1,11 +1,7 @@
 //! Connections between processes that go silent, and a failure domain that is cut off.
 
-#![allow(clippy::unwrap_used)]
-
-#[path = "support/operator.rs"]
-mod operator;
-mod support;
-
+use crate::operator::{Operator, Watch, orders, refusal_in};
+use crate::support::{Cluster, DECLARATIONS, LIMIT, Scratch, get, result_code, settings};
 use anyhow::Result;
 use comfreyhold_lab::daemon_settings;
 use comfreyhold_lab::packet::Protocol;
@@ -13,11 +9,9 @@
 use comfreyhold_lab::scenario::wait_for;
 use comfreyhold_lab::up::{DaemonPlan, Deployment, Plan};
 use comfreyhold_types::prelude::*;
-use operator::{Operator, Watch, orders, refusal_in};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Mutex as StdMutex;
 use std::time::Duration;
-use support::{Cluster, DECLARATIONS, LIMIT, Scratch, get, result_code, settings};
 use tokio::runtime::Handle;
 use tokio::sync::{Mutex, MutexGuard};
 
--- a/crates/daemon/tests/storage_faults.rs
+++ b/crates/daemon/tests/daemon/storage_faults.rs
@@ -1,23 +1,19 @@
 //! Data folders of control daemons that can't be written any more while the daemon runs.
 
-#![allow(clippy::unwrap_used)]
-
-#[path = "support/operator.rs"]
-mod operator;
-mod support;
-
+use crate::operator::{
+    Operator, Series, Watch, follower, orders, outcome_in, refusal_in, status_of,
+};
+use crate::support::{Cluster, LIMIT, settings};
 use comfreyhold_lab::http;
 use comfreyhold_lab::scenario::wait_for;
 use comfreyhold_lab::up::{DaemonKind, DaemonPlan};
 use comfreyhold_types::api::TimelineReply;
 use comfreyhold_types::prelude::*;
 use hyper::Method;
-use operator::{Operator, Series, Watch, follower, orders, outcome_in, refusal_in, status_of};
 use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant};
-use support::{Cluster, LIMIT, settings};
 use tokio::sync::Mutex;
 
 /// One deployment at a time.
--- a/crates/daemon/tests/streams.rs
+++ b/crates/daemon/tests/daemon/streams.rs
@@ -1,9 +1,6 @@
 //! Relayed TCP streams through a real entry.
 
-#![allow(clippy::unwrap_used)]
-
-mod support;
-
+use crate::support::{Cluster, DECLARATIONS, LIMIT, Scratch, settings};
 use comfreyhold_daemon::settings::StreamListener;
 use comfreyhold_lab::daemon_settings;
 use comfreyhold_lab::http;
@@ -13,7 +10,6 @@
 use hyper::Method;
 use std::net::SocketAddr;
 use std::sync::OnceLock;
-use support::{Cluster, DECLARATIONS, LIMIT, Scratch, settings};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
--- a/crates/fleet/src/control/gossip.rs
+++ b/crates/fleet/src/control/gossip.rs
@@ -26,6 +26,12 @@
 /// Time in which another daemon must hand over a value.
 const FETCH_DEADLINE: Duration = Duration::from_millis(1_500);
 
+/// Interval at which changed targets are saved for the next start. It bounds the syncs that they cost.
+const SAVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Interval of hellos until the declarations are known, which nothing can be served without.
+const FIRST_HELLO_INTERVAL: Duration = Duration::from_millis(80);
+
 /// States in a row with other targets after which all announcements are sent. One difference alone is
 /// usually an announcement on its way.
 const DIFFERENCES: u32 = 2;
@@ -34,9 +40,13 @@
     pub(super) async fn run_hellos(self: Rc<Self>) {
         loop {
             for address in self.peers.borrow().addresses() {
-                tokio::task::spawn_local(Rc::clone(&self).say_hello(address));
+                if self.greeting.borrow_mut().insert(address) {
+                    tokio::task::spawn_local(Rc::clone(&self).say_hello(address));
+                }
             }
-            tokio::time::sleep(HELLO_INTERVAL).await;
+            let joined = self.register.chosen().is_some();
+            let pause = if joined { HELLO_INTERVAL } else { FIRST_HELLO_INTERVAL };
+            tokio::time::sleep(pause).await;
             let now = self.clock.now();
             if let Some(value) = self.register.known() {
                 self.peers.borrow_mut().forget(&value.voters.all(), now);
@@ -52,7 +62,9 @@
 
     async fn say_hello(self: Rc<Self>, address: SocketAddr) {
         let request = FleetRequest::Hello(self.state());
-        match self.links.call(address, &request, HELLO_DEADLINE).await {
+        let response = self.links.call(address, &request, HELLO_DEADLINE).await;
+        self.greeting.borrow_mut().remove(&address);
+        match response {
             Ok(FleetResponse::Hello(state)) => self.heard_hello(state),
             Ok(_) => log::warn!("{address} answered a hello with something else"),
             Err(error) => log::debug!("hello to {address}: {error}"),
@@ -228,6 +240,19 @@
         }
     }
 
+    /// Saves changed targets for the next start.
+    pub(super) async fn run_saves(self: Rc<Self>) {
+        let mut saved = self.targets.borrow().revision();
+        loop {
+            tokio::time::sleep(SAVE_INTERVAL).await;
+            let revision = self.targets.borrow().revision();
+            if revision != saved {
+                saved = revision;
+                self.voter.save_targets(self.targets.borrow().to_save());
+            }
+        }
+    }
+
     async fn pass_on(self: Rc<Self>, to: SocketAddr, request: FleetRequest) {
         match self.links.call(to, &request, SPREAD_DEADLINE).await {
             Ok(FleetResponse::Lacking(ids)) if !ids.is_empty() => {
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -33,6 +33,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -51,6 +52,10 @@
 /// may be lost with its daemon, and the next one may need a second attempt.
 const SILENT_INTERVALS: u32 = 3;
 
+/// Announcement intervals for which the targets of an earlier start are trusted. Each target announces
+/// itself within one; the second allows for a daemon that did not answer.
+const RESTORED_INTERVALS: u32 = 2;
+
 /// One control daemon. It runs on one thread.
 pub struct Control {
     settings: FleetSettings,
@@ -66,6 +71,8 @@
     targets: RefCell<Announcements>,
     /// Announcements heard here that repeat what is known, until the next gossip.
     repeated: RefCell<BTreeSet<TargetId>>,
+    /// Daemons that have not answered the last hello yet.
+    greeting: RefCell<BTreeSet<SocketAddr>>,
     orders: mpsc::Sender<orders::Order>,
     changed: Notify,
 }
@@ -95,7 +102,7 @@
         let start = StartId(rand::random());
         let links = Rc::new(Links::default());
         let register = Register::new(me, start, Rc::clone(&voter), Rc::clone(&links), initial);
-        let silence = settings.announce_interval() * SILENT_INTERVALS;
+        let targets = restored_targets(&settings, &folder, clock.now());
         let (orders, order_queue) = mpsc::channel(orders::MAX_WAITING);
         let control = Rc::new(Self {
             domain: DomainName::from(settings.domain.as_str()),
@@ -108,8 +115,9 @@
             links,
             voter,
             register,
-            targets: RefCell::new(Announcements::new(silence)),
+            targets: RefCell::new(targets),
             repeated: RefCell::default(),
+            greeting: RefCell::default(),
             orders,
             changed: Notify::new(),
         });
@@ -131,6 +139,7 @@
         tokio::task::spawn_local(Rc::clone(self).run_hellos());
         tokio::task::spawn_local(Rc::clone(self).run_gossip());
         tokio::task::spawn_local(Rc::clone(self).run_repair());
+        tokio::task::spawn_local(Rc::clone(self).run_saves());
         handle
     }
 
@@ -282,6 +291,14 @@
     }
 }
 
+/// The targets that an earlier start of this daemon knew.
+fn restored_targets(settings: &FleetSettings, folder: &Path, now: Instant) -> Announcements {
+    let interval = settings.announce_interval();
+    let mut targets = Announcements::new(interval * SILENT_INTERVALS);
+    targets.restore(voter::saved_targets(folder), interval * RESTORED_INTERVALS, now);
+    targets
+}
+
 /// The value that a deployment starts with: no declarations, and the seeds as voters.
 fn first_value(settings: &FleetSettings, seeds: &[SocketAddr]) -> Option<Arc<Value>> {
     let replica =
--- a/crates/fleet/src/control/repair.rs
+++ b/crates/fleet/src/control/repair.rs
@@ -15,6 +15,13 @@
 /// Interval of the checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Interval at which a daemon that has started looks whether a majority answers.
+const JOIN_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Time that a daemon leaves to the first one after a start; a round takes a few milliseconds and two
+/// syncs.
+const JOIN_TURN: Duration = Duration::from_millis(250);
+
 /// Time for which a value may be on the own disk without being known as chosen. A proposer that lives
 /// tells within one round trip.
 const UNCONFIRMED_LIMIT: Duration = Duration::from_millis(500);
@@ -25,28 +32,60 @@
 
 impl Control {
     pub(super) async fn run_repair(self: Rc<Self>) {
+        self.join().await;
         let started = self.clock.now();
         let mut unconfirmed: Option<Instant> = None;
         loop {
             tokio::time::sleep(CHECK_INTERVAL).await;
             let now = self.clock.now();
-            let needs_settling =
-                self.register.chosen().is_none() || self.register.has_unconfirmed();
-            if !needs_settling {
+            if !self.register.has_unconfirmed() {
                 unconfirmed = None;
                 self.check_voters(now, started).await;
+            } else if now >= *unconfirmed.get_or_insert(now) + UNCONFIRMED_LIMIT {
+                unconfirmed = None;
+                self.settle().await;
+            }
+        }
+    }
+
+    /// Finds the newest value after a start, as soon as a majority of the voters answers. One of them tries
+    /// at once and the others a little later, so that their rounds do not cross.
+    async fn join(&self) {
+        let mut ready: Option<Instant> = None;
+        while self.register.chosen().is_none() {
+            tokio::time::sleep(JOIN_INTERVAL).await;
+            let now = self.clock.now();
+            let Some((majority, first)) = self.majority_answers(now) else { continue };
+            if !majority {
                 continue;
             }
-            let since = *unconfirmed.get_or_insert(now);
-            if now >= since + UNCONFIRMED_LIMIT || self.register.chosen().is_none() {
-                unconfirmed = None;
-                if let Err(error) = self.order(OrderKind::Settle).await {
-                    self.record("not-settled", || json!({"error": error.to_string()}));
-                }
+            let since = *ready.get_or_insert(now);
+            if first || now >= since + JOIN_TURN {
+                self.settle().await;
             }
         }
     }
 
+    /// Whether a majority of the known voters answers, and whether this daemon is the first of those.
+    fn majority_answers(&self, now: Instant) -> Option<(bool, bool)> {
+        let voters = self.register.known()?.voters.clone();
+        let peers = self.peers.borrow();
+        let live: Vec<Replica> = peers
+            .heard_within(super::PEER_SILENCE, now)
+            .map(|(_, state)| state.replica)
+            .chain([self.me])
+            .collect();
+        let majority = voters.has_quorum(|disk| live.iter().any(|replica| replica.disk == disk));
+        let first = live.iter().map(|replica| replica.address).min() == Some(self.me.address);
+        Some((majority, first))
+    }
+
+    async fn settle(&self) {
+        if let Err(error) = self.order(OrderKind::Settle).await {
+            self.record("not-settled", || json!({"error": error.to_string()}));
+        }
+    }
+
     async fn check_voters(&self, now: Instant, started: Instant) {
         let Some(change) = self.voter_change(now, started) else { return };
         self.record(
--- a/crates/fleet/src/control/voter.rs
+++ b/crates/fleet/src/control/voter.rs
@@ -1,8 +1,11 @@
 //! The thread that owns a control daemon's folder, so that a slow disk delays nothing else.
 
-use comfreyhold_consensus::disk::{DataFolder, StoreError};
+use comfreyhold_consensus::disk::{DataFolder, ReadEnd, StoreError, frame, read_frames};
 use comfreyhold_consensus::register::store::VoterStore;
 use comfreyhold_consensus::register::{Addressed, Ballot, DiskId, Request, Response, Value};
+use comfreyhold_types::announcement::Announcement;
+use std::fs::File;
+use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, PoisonError, mpsc};
 use std::time::Duration;
@@ -14,11 +17,16 @@
 /// Pause between them.
 const OPEN_PAUSE: Duration = Duration::from_millis(500);
 
-struct Task {
-    addressed: Addressed,
-    reply: oneshot::Sender<Response>,
+enum Task {
+    Answer { addressed: Addressed, reply: oneshot::Sender<Response> },
+    SaveTargets(Vec<Announcement>),
 }
 
+/// File with the targets that were known last. It is only a help for the next start.
+const TARGETS_FILE: &str = "targets";
+
+const TARGETS_TEMPORARY: &str = "targets.tmp";
+
 /// What is synced, for readers that need not wait for the disk.
 #[derive(Clone, Default)]
 struct Synced {
@@ -42,18 +50,35 @@
         let mut store = open_patiently(folder, new)?;
         let synced = Arc::new(Mutex::new(state_of(&store)));
         let (tx, rx) = mpsc::channel::<Task>();
+        let path = folder.to_owned();
         let shared = Arc::clone(&synced);
         std::thread::Builder::new().name("disk".to_owned()).spawn(move || {
             while let Ok(task) = rx.recv() {
-                let response = store.answer(&task.addressed);
-                *lock(&shared) = state_of(&store);
-                // The asker may have given up; what was synced stays.
-                let _ = task.reply.send(response);
+                match task {
+                    Task::Answer { addressed, reply } => {
+                        let response = store.answer(&addressed);
+                        *lock(&shared) = state_of(&store);
+                        // The asker may have given up; what was synced stays.
+                        let _ = reply.send(response);
+                    }
+                    Task::SaveTargets(targets) => {
+                        if let Err(error) = save_targets(&path, &targets) {
+                            log::warn!("targets not saved for the next start: {error:#}");
+                        }
+                    }
+                }
             }
         })?;
         Ok(Self { tasks: tx, synced })
     }
 
+    /// Saves the targets for the next start, after what the disk has to do before.
+    pub fn save_targets(&self, targets: Vec<Announcement>) {
+        if self.tasks.send(Task::SaveTargets(targets)).is_err() {
+            log::error!("the disk thread has ended");
+        }
+    }
+
     /// Identity of the folder.
     #[must_use]
     pub fn disk(&self) -> DiskId {
@@ -85,7 +110,7 @@
             );
         }
         let (tx, rx) = oneshot::channel();
-        if self.tasks.send(Task { addressed, reply: tx }).is_err() {
+        if self.tasks.send(Task::Answer { addressed, reply: tx }).is_err() {
             return Response::Unavailable;
         }
         rx.await.unwrap_or(Response::Unavailable)
@@ -126,6 +151,32 @@
     Ok(aside)
 }
 
+fn save_targets(folder: &Path, targets: &[Announcement]) -> anyhow::Result<()> {
+    let bytes = frame(&postcard::to_stdvec(targets)?);
+    let temporary = folder.join(TARGETS_TEMPORARY);
+    let mut file = File::create(&temporary)?;
+    file.write_all(&bytes)?;
+    file.sync_data()?;
+    std::fs::rename(&temporary, folder.join(TARGETS_FILE))?;
+    File::open(folder)?.sync_all()?;
+    Ok(())
+}
+
+/// The targets that an earlier start has saved; none if there is no whole file.
+#[must_use]
+pub fn saved_targets(folder: &Path) -> Vec<Announcement> {
+    let Ok(bytes) = std::fs::read(folder.join(TARGETS_FILE)) else { return Vec::new() };
+    match read_frames(&bytes) {
+        (frames, ReadEnd::Clean) if frames.len() == 1 => {
+            postcard::from_bytes(frames[0].1).unwrap_or_default()
+        }
+        _ => {
+            log::warn!("the saved targets are incomplete; targets will announce themselves");
+            Vec::new()
+        }
+    }
+}
+
 fn state_of(store: &VoterStore<DataFolder>) -> Synced {
     let acceptor = store.acceptor();
     Synced {
--- a/crates/fleet/src/entry/watch.rs
+++ b/crates/fleet/src/entry/watch.rs
@@ -17,6 +17,13 @@
 /// Pause after a question that was not answered.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time in which a connection must be established until the routes are known. The daemons start at the
+/// same time after a loss of power, and those that are up answer within a few milliseconds.
+const FIRST_CONNECT: Duration = Duration::from_millis(80);
+
+/// Pause after a question that was not answered, until the routes are known.
+const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(20);
+
 /// Questions after which an entry looks whether it can watch a daemon of its own domain again.
 const RETURN_EVERY: u32 = 20;
 
@@ -29,6 +36,8 @@
                 continue;
             };
             asked = asked.wrapping_add(1);
+            let joined = self.view.borrow().routing().change > 0;
+            self.links.limit_connects(if joined { None } else { Some(FIRST_CONNECT) });
             let question = self.view.borrow().question(source);
             let request = FleetRequest::Watch(question);
             match self.links.call(control, &request, WATCH_DEADLINE).await {
@@ -39,7 +48,7 @@
                 Ok(_) => self.lose_control(source, control, "answered with something else"),
                 Err(error) => {
                     self.lose_control(source, control, &error.to_string());
-                    tokio::time::sleep(RETRY_PAUSE).await;
+                    tokio::time::sleep(if joined { RETRY_PAUSE } else { FIRST_RETRY_PAUSE }).await;
                 }
             }
         }
--- a/crates/lab/tests/fabric.rs
+++ b/crates/lab/tests/lab/fabric.rs
@@ -1,7 +1,7 @@
 //! The fabric: spraying over entries, registration, and control at run time.
 
-mod common;
-
+use crate::common;
+use crate::common::{LIMIT, loopback, packet_forwarder, program, service_address};
 use comfreyhold_lab::fabric::{EntryChange, Fabric, FabricReport, FabricSettings, PathSettings};
 use comfreyhold_lab::flow_load::FlowEnd;
 use comfreyhold_lab::http;
@@ -9,7 +9,6 @@
 use comfreyhold_lab::packet::{self, Content, Protocol};
 use comfreyhold_lab::scenario::{Process, wait_until};
 use comfreyhold_lab::target::{Target, TargetSettings};
-use common::{LIMIT, loopback, packet_forwarder, program, service_address};
 use etherparse::icmpv4::DestUnreachableHeader;
 use etherparse::{Icmpv4Type, PacketBuilder};
 use hyper::Method;
--- a/crates/lab/tests/load.rs
+++ b/crates/lab/tests/lab/load.rs
@@ -1,7 +1,6 @@
 //! The load: outcomes as callers see them, resends, and the comparison with the targets' logs.
 
-mod common;
-
+use crate::common::{Behaviour, LIMIT, forwarder, loopback, program};
 use comfreyhold_lab::checks::imbalance;
 use comfreyhold_lab::http::{self, json};
 use comfreyhold_lab::load::{self, LoadSettings, RequestKind, arrivals, part_seed};
@@ -10,7 +9,6 @@
 use comfreyhold_lab::scenario::wait_until;
 use comfreyhold_lab::service_time::ServiceTime;
 use comfreyhold_lab::target::{Target, TargetSettings};
-use common::{Behaviour, LIMIT, forwarder, loopback, program};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 use tokio::net::TcpListener;
--- /dev/null
+++ b/crates/lab/tests/lab/main.rs
@@ -0,0 +1,11 @@
+//! Integration tests of the stand-ins and the load generator.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+mod deployments;
+mod fabric;
+mod load;
+mod proxy;
+mod target;
+mod up;
--- a/crates/lab/tests/proxy.rs
+++ b/crates/lab/tests/lab/proxy.rs
@@ -1,12 +1,10 @@
 //! The proxy: each fault does what it says, and ends when it is switched off.
 
-mod common;
-
+use crate::common::{LIMIT, loopback, program};
 use comfreyhold_lab::http;
 use comfreyhold_lab::packet::Protocol;
 use comfreyhold_lab::proxy::{Corruption, Cut, Faults, Proxy, ProxyReport, ProxySettings};
 use comfreyhold_lab::scenario::{Process, wait_for, wait_until};
-use common::{LIMIT, loopback, program};
 use hyper::Method;
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
--- a/crates/lab/tests/target.rs
+++ b/crates/lab/tests/lab/target.rs
@@ -1,7 +1,6 @@
 //! The target: admission, refusals, cancellation, announcements and the packet echo.
 
-mod common;
-
+use crate::common::{LIMIT, loopback, program};
 use comfreyhold_lab::echo::Echo;
 use comfreyhold_lab::http::{self, Client, Sent, json, text};
 use comfreyhold_lab::lock;
@@ -12,7 +11,6 @@
 use comfreyhold_lab::target::{ColdStart, Target, TargetReport, TargetSettings};
 use comfreyhold_lab::target_tasks::Announcement;
 use comfreyhold_types::prelude::*;
-use common::{LIMIT, loopback, program};
 use hyper::{Method, StatusCode};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::{Arc, Mutex};
--- a/crates/lab/tests/up.rs
+++ b/crates/lab/tests/lab/up.rs
@@ -1,11 +1,10 @@
 //! The local deployment, with scripts in the place of the daemons.
 
-mod common;
-
+use crate::common;
+use crate::common::{LIMIT, program};
 use comfreyhold_lab::daemon_settings::render;
 use comfreyhold_lab::scenario::{Process, wait_for, wait_until};
 use comfreyhold_lab::up::{DaemonKind, Deployment, Plan, UpService, UpSettings};
-use common::{LIMIT, program};
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 
--- a/crates/membership/src/announcements.rs
+++ b/crates/membership/src/announcements.rs
@@ -53,6 +53,8 @@
     silent: bool,
     /// Whether another target has taken over its address, so that nothing more counts from this start.
     displaced: bool,
+    /// Whether it comes from before the start of this process and was not repeated since.
+    restored: bool,
     changed: u64,
 }
 
@@ -77,6 +79,28 @@
         self.revision
     }
 
+    /// Takes in the records of an earlier start of this process. They count as heard for `trust`, within
+    /// which each target repeats its announcement, and are not passed on to other daemons.
+    pub fn restore(&mut self, saved: Vec<Announcement>, trust: Duration, now: Instant) {
+        let Some(heard) = (now + trust).checked_sub(self.silence) else { return };
+        for mut announcement in saved {
+            announcement.cold_ms = 0;
+            if self.hear(&announcement, now) == Heard::Changed
+                && let Some(record) = self.records.get_mut(&announcement.id)
+            {
+                record.heard = heard;
+                record.restored = true;
+            }
+        }
+    }
+
+    /// Everything that is worth saving for the next start.
+    #[must_use]
+    pub fn to_save(&self) -> Vec<Announcement> {
+        let records = self.records.values().filter(|record| !record.silent);
+        records.map(|record| record.announcement.clone()).collect()
+    }
+
     /// Takes in an announcement.
     pub fn hear(&mut self, announcement: &Announcement, now: Instant) -> Heard {
         if self.is_stale(announcement) {
@@ -92,6 +116,7 @@
             announcement.routes_like(&known.announcement)
                 && cold_until <= known.cold_until.max(now) + COLD_SLACK
                 && !known.silent
+                && !known.restored
         });
         let changed = if refreshed {
             known.map_or(0, |known| known.changed)
@@ -105,6 +130,7 @@
             cold_until,
             silent: false,
             displaced: false,
+            restored: false,
             changed,
         };
         self.records.insert(announcement.id, record);
@@ -153,7 +179,10 @@
         let older = known.is_some_and(|known| {
             let stamp = known.announcement.stamp;
             let ended = known.announcement.availability == Availability::Ended || known.displaced;
-            announcement.stamp <= stamp || (ended && announcement.stamp.born_ms <= stamp.born_ms)
+            // A restored record is repeated by its target, maybe from a start with the same numbers.
+            let repeated = known.restored && announcement.stamp == stamp;
+            (announcement.stamp <= stamp && !repeated)
+                || (ended && announcement.stamp.born_ms <= stamp.born_ms)
         });
         let holder = self.holders.get(&announcement.address).and_then(|id| self.records.get(id));
         let displaced = holder.is_some_and(|holder| {
@@ -204,19 +233,15 @@
     pub fn changed_since(&self, revision: u64, now: Instant) -> Vec<TargetReport> {
         let changed = self.records.values().filter(|record| record.changed > revision);
         changed
-            .map(|record| {
-                let mut announcement = record.announcement.clone();
-                announcement.cold_ms = millis(record.cold_until.saturating_duration_since(now));
-                TargetReport { announcement, silent: record.silent }
-            })
+            .map(|record| TargetReport { announcement: record.told(now), silent: record.silent })
             .collect()
     }
 
     /// The newest announcements of all targets that are not silent, for another daemon.
     #[must_use]
     pub fn all(&self, now: Instant) -> Vec<Announcement> {
-        let reports = self.changed_since(0, now).into_iter();
-        reports.filter(|report| !report.silent).map(|report| report.announcement).collect()
+        let told = self.records.values().filter(|record| !record.silent && !record.restored);
+        told.map(|record| record.told(now)).collect()
     }
 
     /// The newest announcements of some targets.
@@ -229,7 +254,7 @@
     #[must_use]
     pub fn digest(&self) -> u64 {
         let mut digest = 0;
-        for record in self.records.values().filter(|record| !record.silent) {
+        for record in self.records.values().filter(|record| !record.silent && !record.restored) {
             let mut hasher = SipHasher13::new();
             let announcement = &record.announcement;
             announcement.id.hash(&mut hasher);
@@ -251,6 +276,14 @@
     }
 }
 
+impl Record {
+    /// The announcement with the rest of the cold period.
+    fn told(&self, now: Instant) -> Announcement {
+        let cold_ms = millis(self.cold_until.saturating_duration_since(now));
+        Announcement { cold_ms, ..self.announcement.clone() }
+    }
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/wire/src/exchange.rs
+++ b/crates/wire/src/exchange.rs
@@ -14,6 +14,15 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 
+/// How long a caller waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Patience {
+    /// Time in which a connection must be established, if there is none.
+    pub connect: Duration,
+    /// Time in which the response must arrive after that.
+    pub response: Duration,
+}
+
 /// Answers the requests of other processes.
 pub trait Responder: 'static {
     /// Answers one request. `topic` names the protocol of the body.
@@ -58,22 +67,22 @@
     /// connection that went silent can't be told from a slow one.
     ///
     /// # Errors
-    /// No response within `deadline`, a broken connection, or a refusal by the peer.
+    /// No response in time, a broken connection, or a refusal by the peer.
     pub async fn call(
         &self,
         topic: u16,
         body: &[u8],
-        deadline: Duration,
+        patience: Patience,
     ) -> Result<Vec<u8>, WireError> {
         if body.len() > MAX_BODY_BYTES {
             return Err(WireError::FrameTooLarge(body.len()));
         }
-        let connection = self.connected(deadline).await?;
+        let connection = self.connected(patience.connect).await?;
         let mut request = connection.client.call_request();
         request.get().set_version(PROTOCOL_VERSION);
         request.get().set_topic(topic);
         request.get().set_body(body);
-        let result = tokio::time::timeout(deadline, request.send().promise).await;
+        let result = tokio::time::timeout(patience.response, request.send().promise).await;
         let response = match result {
             Ok(Ok(response)) => response,
             Ok(Err(error)) => return Err(self.broken(&connection, error.to_string())),
