--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -1,13 +1,13 @@
 //! A control daemon: shares the operators' declarations with the other control daemons, gathers the
 //! targets' announcements, and tells entries about both.
 
-mod feed;
+pub mod feed;
 mod gossip;
 mod orders;
-mod peers;
+pub mod peers;
 mod register;
 mod repair;
-mod voter;
+pub mod voter;
 
 pub use orders::{ControlCall, ControlHandle};
 pub use register::RegisterError;
--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -1,8 +1,8 @@
 //! An entry: takes callers' packets and passes them on to targets.
 
-mod controls;
+pub mod controls;
 mod packets;
-mod view;
+pub mod view;
 mod watch;
 
 pub use packets::{PacketCodec, PacketError};
--- /dev/null
+++ b/crates/fleet/tests/fleet/settings.rs
@@ -0,0 +1,49 @@
+//! Checks of the settings file.
+
+use comfreyhold_fleet::settings::FleetSettings;
+
+const GOOD: &str = "
+instance: entry-1
+domain: a
+ip: 10.0.0.1
+exchange_port: 7700
+seeds: [\"10.0.0.2:80\", \"10.0.1.2:80\"]
+announce_interval_ms: 1000
+tolerate:
+  instances: 1
+bounds:
+  stop_s: 6
+  in_force_ms: 3000
+";
+
+/// Guards against seeds that are called at the port for operators.
+#[test]
+fn seeds_are_reached_at_the_exchange_port() {
+    let settings = FleetSettings::parse(GOOD).unwrap();
+    let seeds: Vec<String> = settings.seed_exchanges().iter().map(ToString::to_string).collect();
+    assert_eq!(seeds, ["10.0.0.2:7700", "10.0.1.2:7700"]);
+}
+
+/// Guards against a daemon that starts with settings it does not understand.
+#[test]
+fn bad_settings_are_refused_by_field() {
+    let cases = [
+        ("instance: entry-1", "instance: \"\"", "instance"),
+        ("domain: a", "domain: \"\"", "domain"),
+        ("exchange_port: 7700", "exchange_port: 0", "exchange_port"),
+        ("exchange_port: 7700", "exchange_port: 70000", "exchange_port"),
+        ("ip: 10.0.0.1", "ip: ten", "ip"),
+        ("seeds: [\"10.0.0.2:80\", \"10.0.1.2:80\"]", "seeds: []", "seeds"),
+        ("announce_interval_ms: 1000", "announce_interval_ms: 0", "announce_interval_ms"),
+        ("instances: 1", "instances: 5", "tolerate.instances"),
+        ("stop_s: 6", "stop_s: 0", "bounds.stop_s"),
+        ("domain: a", "domain: a\ncolour: red", "colour"),
+        ("ip: 10.0.0.1", "", "ip"),
+    ];
+    for (good, bad, named) in cases {
+        let text = GOOD.replace(good, bad);
+        assert_ne!(text, GOOD);
+        let error = format!("{:#}", FleetSettings::parse(&text).unwrap_err());
+        assert!(error.contains(named), "{bad}: {error}");
+    }
+}
--- a/crates/membership/src/announcements.rs
+++ b/crates/membership/src/announcements.rs
@@ -58,10 +58,17 @@
     changed: u64,
 }
 
+/// The latest start that was heard at an address, whether its own record still says so or not.
+#[derive(Clone, Copy, Debug)]
+struct Holder {
+    start: (u64, TargetId),
+    heard: Instant,
+}
+
 /// All records of one daemon.
 pub struct Announcements {
     records: BTreeMap<TargetId, Record>,
-    holders: BTreeMap<SocketAddrV4, TargetId>,
+    holders: BTreeMap<SocketAddrV4, Holder>,
     silence: Duration,
     revision: u64,
 }
@@ -103,13 +110,18 @@
 
     /// Takes in an announcement.
     pub fn hear(&mut self, announcement: &Announcement, now: Instant) -> Heard {
-        if self.is_stale(announcement) {
+        self.take_address(announcement, now);
+        if self.is_older(announcement) {
             return Heard::Stale;
         }
         if !self.records.contains_key(&announcement.id) && self.records.len() >= MAX_RECORDS {
             log::warn!("{}: too many targets, announcement left out", announcement.id);
             return Heard::Stale;
         }
+        if self.is_displaced(announcement) {
+            self.record_displaced(announcement, now);
+            return Heard::Stale;
+        }
         let cold_until = now + Duration::from_millis(announcement.cold_ms);
         let known = self.records.get(&announcement.id);
         let refreshed = known.is_some_and(|known| {
@@ -134,11 +146,7 @@
             changed,
         };
         self.records.insert(announcement.id, record);
-        if refreshed {
-            return Heard::Refreshed;
-        }
-        self.take_address(announcement);
-        Heard::Changed
+        if refreshed { Heard::Refreshed } else { Heard::Changed }
     }
 
     /// Takes in that another daemon has heard these announcements, whose content is known here. Returns
@@ -174,34 +182,62 @@
         unknown
     }
 
-    fn is_stale(&self, announcement: &Announcement) -> bool {
+    fn is_older(&self, announcement: &Announcement) -> bool {
         let known = self.records.get(&announcement.id);
-        let older = known.is_some_and(|known| {
+        known.is_some_and(|known| {
             let stamp = known.announcement.stamp;
             let ended = known.announcement.availability == Availability::Ended || known.displaced;
             // A restored record is repeated by its target, maybe from a start with the same numbers.
             let repeated = known.restored && announcement.stamp == stamp;
             (announcement.stamp <= stamp && !repeated)
                 || (ended && announcement.stamp.born_ms <= stamp.born_ms)
-        });
-        let holder = self.holders.get(&announcement.address).and_then(|id| self.records.get(id));
-        let displaced = holder.is_some_and(|holder| {
-            holder.announcement.id != announcement.id
-                && holder.announcement.stamp.born_ms > announcement.stamp.born_ms
-        });
-        older || displaced
+        })
     }
 
-    /// The target that started last holds an address; an earlier one there has ended.
-    fn take_address(&mut self, announcement: &Announcement) {
-        let former = self.holders.insert(announcement.address, announcement.id);
-        let former = former.filter(|former| *former != announcement.id);
-        let Some(record) = former.and_then(|former| self.records.get_mut(&former)) else { return };
-        if record.announcement.address == announcement.address && !record.displaced {
-            record.displaced = true;
-            record.announcement.availability = Availability::Ended;
-            self.revision += 1;
-            record.changed = self.revision;
+    /// Whether a target that started later holds the address of this one.
+    fn is_displaced(&self, announcement: &Announcement) -> bool {
+        let holder = self.holders.get(&announcement.address);
+        holder.is_some_and(|holder| holder.ends(announcement))
+    }
+
+    /// Records a start that has ended already, since it ends every earlier start of its target.
+    fn record_displaced(&mut self, announcement: &Announcement, now: Instant) {
+        self.revision += 1;
+        let record = Record {
+            announcement: Announcement {
+                availability: Availability::Ended,
+                ..announcement.clone()
+            },
+            heard: now,
+            cold_until: now,
+            silent: false,
+            displaced: true,
+            restored: false,
+            changed: self.revision,
+        };
+        self.records.insert(announcement.id, record);
+    }
+
+    /// The target that started last holds an address; earlier ones there have ended.
+    fn take_address(&mut self, announcement: &Announcement, now: Instant) {
+        let start = (announcement.stamp.born_ms, announcement.id);
+        let holder = Holder { start, heard: now };
+        match self.holders.get_mut(&announcement.address) {
+            Some(known) if known.start > start => return,
+            Some(known) if known.start == start => {
+                known.heard = now;
+                return;
+            }
+            _ => self.holders.insert(announcement.address, holder),
+        };
+        for record in self.records.values_mut() {
+            let there = record.announcement.address == announcement.address;
+            if there && !record.displaced && holder.ends(&record.announcement) {
+                record.displaced = true;
+                record.announcement.availability = Availability::Ended;
+                self.revision += 1;
+                record.changed = self.revision;
+            }
         }
     }
 
@@ -224,7 +260,9 @@
         };
         self.records.retain(|_, record| !gone(record));
         let records = &self.records;
-        self.holders.retain(|_, id| records.contains_key(id));
+        self.holders.retain(|_, holder| {
+            records.contains_key(&holder.start.1) || now < holder.heard + KEEP_ENDED
+        });
         fallen
     }
 
@@ -276,6 +314,13 @@
     }
 }
 
+impl Holder {
+    /// Whether the start of another target must have ended before this one.
+    fn ends(&self, other: &Announcement) -> bool {
+        self.start.1 != other.id && self.start > (other.stamp.born_ms, other.id)
+    }
+}
+
 impl Record {
     /// The announcement with the rest of the cold period.
     fn told(&self, now: Instant) -> Announcement {
