Read the register without writing; wait longer between crossing rounds

With 1,200 routes a value has some 0.4 MB, a round takes over 0.1 s on 0.15 of a core, and eight daemons that settle at the same moment preempt each other in rounds that each carry the value to and from five voters. Ruled out: a body over 1 MiB (the value is smaller), lost folders (nothing was lost, only not confirmed), lists of targets (some 20 KB each). Change: a read, the first settling after a start and the repair of a value left behind ask the voters for the ballots of their newest values, and fetch one value at most; only if no majority agrees a round is run. The pause after a preempted round doubles up to 0.8 s. Lists of targets are sent after 4 differing hellos.

--- a/crates/consensus/src/register/acceptor.rs
+++ b/crates/consensus/src/register/acceptor.rs
@@ -85,6 +85,7 @@
                 Decision { write, response: Response::Accepted }
             }
             Request::Read => answer(Response::Newest(self.accepted_ballot())),
+            Request::Fetch => answer(Response::Fetched(self.accepted.clone())),
         }
     }
 
--- a/crates/consensus/src/register/mod.rs
+++ b/crates/consensus/src/register/mod.rs
@@ -131,6 +131,8 @@
     Accept(Arc<Value>),
     /// Asks for the ballot of the newest value.
     Read,
+    /// Asks for the newest value.
+    Fetch,
 }
 
 /// The response of a voter.
@@ -152,6 +154,8 @@
     },
     /// Ballot of the newest value on this disk.
     Newest(Ballot),
+    /// The newest value on this disk.
+    Fetched(Option<Arc<Value>>),
     /// The folder of the receiver is another one, or can't be written.
     Unavailable,
 }
--- a/crates/consensus/src/register/read.rs
+++ b/crates/consensus/src/register/read.rs
@@ -1,43 +1,72 @@
-//! Confirms with a quorum that a chosen value is still the newest.
+//! Finds the newest chosen value with the answers of a quorum, without writing anything.
 
-use super::{Ballot, DiskId, Replica, Request, Response, Value};
-use std::collections::BTreeSet;
+use super::{Ballot, DiskId, Replica, Request, Value};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// What a confirmation has come to.
+/// What a survey has come to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Confirmation {
-    /// More responses are needed.
+pub enum Finding {
+    /// More answers are needed.
     Waiting,
-    /// No newer value had been chosen when the confirmation began.
-    Newest,
-    /// A voter holds a newer value, which may be chosen or not; a round has to tell.
-    Newer(Ballot),
+    /// The value under this ballot is chosen, and none newer was chosen before the survey began.
+    Chosen(Ballot),
+    /// A quorum has answered, and the newest value is on some disks only; a round has to settle it unless
+    /// further answers do.
+    Unsettled,
 }
 
-/// One confirmation.
-pub struct Confirm {
-    value: Arc<Value>,
-    answered: BTreeSet<DiskId>,
+/// One survey of the voters.
+pub struct Survey {
+    known: Arc<Value>,
+    /// Whether `known` is known to be chosen.
+    is_chosen: bool,
+    answers: BTreeMap<DiskId, Ballot>,
 }
 
-impl Confirm {
-    /// Starts to confirm a chosen value.
+impl Survey {
+    /// Starts a survey of the voters of the newest value known.
     #[must_use]
-    pub fn new(value: Arc<Value>) -> (Self, Vec<(Replica, Request)>) {
-        let voters = value.voters.all();
+    pub fn new(known: Arc<Value>, is_chosen: bool) -> (Self, Vec<(Replica, Request)>) {
+        let voters = known.voters.all();
         let requests = voters.into_iter().map(|voter| (voter, Request::Read)).collect();
-        (Self { value, answered: BTreeSet::new() }, requests)
+        (Self { known, is_chosen, answers: BTreeMap::new() }, requests)
     }
 
-    /// Takes in the response of a voter.
-    pub fn response(&mut self, from: DiskId, response: &Response) -> Confirmation {
-        let Response::Newest(ballot) = response else { return Confirmation::Waiting };
-        if *ballot > self.value.ballot {
-            return Confirmation::Newer(*ballot);
+    /// Takes in the ballot of the newest value on a voter's disk.
+    pub fn answer(&mut self, from: DiskId, ballot: Ballot) -> Finding {
+        self.answers.insert(from, ballot);
+        self.finding()
+    }
+
+    /// What the answers so far come to.
+    #[must_use]
+    pub fn finding(&self) -> Finding {
+        let voters = &self.known.voters;
+        if !voters.has_quorum(|disk| self.answers.contains_key(&disk)) {
+            return Finding::Waiting;
         }
-        self.answered.insert(from);
-        let quorum = self.value.voters.has_quorum(|disk| self.answered.contains(&disk));
-        if quorum { Confirmation::Newest } else { Confirmation::Waiting }
+        let newest = self.newest();
+        if self.is_chosen && newest <= self.known.ballot {
+            return Finding::Chosen(self.known.ballot);
+        }
+        // The initial value was never written, so no disk can show that it is chosen.
+        let settled = newest != Ballot::default()
+            && voters.has_quorum(|disk| self.answers.get(&disk) == Some(&newest));
+        if settled { Finding::Chosen(newest) } else { Finding::Unsettled }
+    }
+
+    /// The highest ballot that was answered.
+    #[must_use]
+    pub fn newest(&self) -> Ballot {
+        self.answers.values().copied().max().unwrap_or_default()
+    }
+
+    /// A voter whose disk holds the newest value.
+    #[must_use]
+    pub fn holder(&self) -> Option<Replica> {
+        let newest = self.newest();
+        let voters = self.known.voters.all().into_iter();
+        voters.filter(|voter| self.answers.get(&voter.disk) == Some(&newest)).last()
     }
 }
--- a/crates/consensus/src/register/store.rs
+++ b/crates/consensus/src/register/store.rs
@@ -5,7 +5,8 @@
 use crate::disk::{Folder, ReadEnd, StoreError, frame, read_frames};
 use std::io;
 
-const FILE: &str = "register";
+/// Name of the file.
+pub const FILE: &str = "register";
 const TEMPORARY: &str = "register.tmp";
 
 /// Length at which the file is written anew with its newest records only, in bytes. It bounds the time
--- a/crates/consensus/tests/register_support/mod.rs
+++ b/crates/consensus/tests/register_support/mod.rs
@@ -1,7 +1,7 @@
 //! Daemons with registers on a network that loses, delays and reorders messages, driven by a seed.
 
 use comfreyhold_consensus::register::acceptor::Acceptor;
-use comfreyhold_consensus::register::read::{Confirm, Confirmation};
+use comfreyhold_consensus::register::read::{Finding, Survey};
 use comfreyhold_consensus::register::repair::{Candidate, next_voters};
 use comfreyhold_consensus::register::round::{Progress, Proposal, Round, VoterChange};
 use comfreyhold_consensus::register::{
@@ -294,21 +294,24 @@
         let at = self.any();
         let Some(chosen) = self.daemons[at].chosen.clone() else { return };
         let acknowledged = self.acknowledged;
-        let (mut confirm, requests) = Confirm::new(Arc::clone(&chosen));
+        let (mut survey, requests) = Survey::new(Arc::clone(&chosen), true);
         for (to, request) in requests {
             let voter = self.daemons.iter().position(|d| d.acceptor.disk() == to.disk).unwrap();
             let response = self.answer(voter, &Addressed { to: to.disk, request });
+            let Response::Newest(ballot) = response else { panic!("{response:?}") };
             if self.rng.random_bool(LOSS) {
                 continue;
             }
-            match confirm.response(to.disk, &response) {
-                Confirmation::Waiting => {}
-                Confirmation::Newer(_) => return,
-                Confirmation::Newest => {
-                    let version = chosen.state.version().unwrap_or_default();
-                    assert!(version >= acknowledged, "seed {}: read {version}", self.seed);
-                    return;
-                }
+            if let Finding::Chosen(ballot) = survey.answer(to.disk, ballot) {
+                let holder = survey.holder().unwrap();
+                let at = self.daemons.iter().position(|d| d.acceptor.disk() == holder.disk);
+                let found = match ballot == chosen.ballot {
+                    true => chosen,
+                    false => self.daemons[at.unwrap()].acceptor.accepted().cloned().unwrap(),
+                };
+                let version = found.state.version().unwrap_or_default();
+                assert!(version >= acknowledged, "seed {}: read {version}", self.seed);
+                return;
             }
         }
     }
--- a/crates/fleet/src/control/gossip.rs
+++ b/crates/fleet/src/control/gossip.rs
@@ -33,8 +33,8 @@
 const FIRST_HELLO_INTERVAL: Duration = Duration::from_millis(80);
 
 /// States in a row with other targets after which all announcements are sent. One difference alone is
-/// usually an announcement on its way.
-const DIFFERENCES: u32 = 2;
+/// usually an announcement on its way, and some last until a target is silent everywhere.
+const DIFFERENCES: u32 = 4;
 
 impl Control {
     pub(super) async fn run_hellos(self: Rc<Self>) {
--- a/crates/fleet/src/control/orders.rs
+++ b/crates/fleet/src/control/orders.rs
@@ -29,8 +29,6 @@
 pub(super) enum OrderKind {
     Change(StateChange),
     Voters(VoterChange),
-    /// Finds the newest value.
-    Settle,
 }
 
 /// A call from outside.
@@ -108,10 +106,7 @@
                 let _ = reply.send(result.map(|_| ()));
             }
             ControlCall::Read(reply) => {
-                let newest = self.register.newest().await;
-                if let Ok(value) = &newest {
-                    self.learn(value);
-                }
+                let newest = self.newest().await;
                 let _ = reply.send(newest.map(|value| value.state.publication.clone()));
             }
             ControlCall::Announce(announcement, reply) => {
@@ -125,6 +120,19 @@
         }
     }
 
+    /// The newest value, confirmed by a majority; what is new about it is told to the entries.
+    pub(super) async fn newest(self: &Rc<Self>) -> Result<Arc<Value>, RegisterError> {
+        let before = self.register.chosen_ballot();
+        let newest = self.register.newest().await;
+        if let Ok(value) = &newest
+            && value.ballot > before
+        {
+            self.note_chosen();
+            self.spread_chosen(value);
+        }
+        newest
+    }
+
     /// Queues an order and waits for its result.
     pub(super) async fn order(&self, what: OrderKind) -> Result<Arc<Value>, RegisterError> {
         let (reply, result) = oneshot::channel();
@@ -146,7 +154,6 @@
                 match &order.what {
                     OrderKind::Change(change) => proposal.changes.push(change.clone()),
                     OrderKind::Voters(change) => proposal.voters = Some(change.clone()),
-                    OrderKind::Settle => {}
                 }
             }
             let before = self.register.chosen_ballot();
--- a/crates/fleet/src/control/register.rs
+++ b/crates/fleet/src/control/register.rs
@@ -3,7 +3,7 @@
 use super::voter::Voter;
 use crate::links::Links;
 use crate::messages::{FleetRequest, FleetResponse, StartId};
-use comfreyhold_consensus::register::read::{Confirm, Confirmation};
+use comfreyhold_consensus::register::read::{Finding, Survey};
 use comfreyhold_consensus::register::round::{Progress, Proposal, Requests, Round};
 use comfreyhold_consensus::register::{
     Addressed, Ballot, DiskId, Replica, Request, Response, Value,
@@ -23,12 +23,23 @@
 /// answer that there is no majority.
 const VOTE_DEADLINE: Duration = Duration::from_millis(800);
 
-/// Longest pause before a round that another proposer has preempted is tried again, per attempt so far. It
-/// is several times the length of a round between domains.
+/// Longest pause before the second round of a proposal that another proposer has preempted; it doubles
+/// with each further one. It is several times the length of a round between domains.
 const PREEMPTED_PAUSE: Duration = Duration::from_millis(25);
 
+/// Limit of that pause: several times the length of a round with the largest publications on the slowest
+/// machines.
+const MAX_PREEMPTED_PAUSE: Duration = Duration::from_millis(800);
+
 /// Most rounds for one proposal; the caller asks again after that.
-const MAX_ROUNDS: u32 = 12;
+const MAX_ROUNDS: u32 = 8;
+
+/// Most surveys for one read: the first may find voters that this daemon did not know, and a second change
+/// of voters may cross it.
+const MAX_SURVEYS: u32 = 3;
+
+/// Time for answers that are left once a majority has answered, in which the slowest healthy voter answers.
+const STRAGGLER_PATIENCE: Duration = Duration::from_millis(60);
 
 /// Chosen values that are kept, so that entries which are slightly behind get differences.
 const KEPT_VALUES: usize = 8;
@@ -118,7 +129,8 @@
     /// The newest value known, chosen or not.
     #[must_use]
     pub fn known(&self) -> Option<Arc<Value>> {
-        self.chosen().or_else(|| self.base.borrow().clone())
+        let known = [self.chosen(), self.base.borrow().clone(), self.voter.accepted()];
+        known.into_iter().flatten().max_by_key(|value| value.ballot)
     }
 
     /// Whether the own disk holds a value that is not known to be chosen.
@@ -173,8 +185,9 @@
                 }
                 Attempt::NoQuorum => return Err(RegisterError::NoQuorum),
                 Attempt::Preempted => {
-                    let share = rand::rng().random::<f64>() * f64::from(attempt);
-                    tokio::time::sleep(PREEMPTED_PAUSE.mul_f64(share)).await;
+                    let longest = PREEMPTED_PAUSE.saturating_mul(1 << attempt.min(8));
+                    let share = rand::rng().random::<f64>();
+                    tokio::time::sleep(longest.min(MAX_PREEMPTED_PAUSE).mul_f64(share)).await;
                 }
             }
         }
@@ -206,26 +219,66 @@
         Ok(Attempt::NoQuorum)
     }
 
-    /// The newest value, confirmed by a majority after this call began.
+    /// The newest value, confirmed by a majority after this call began. Nothing is written as long as the
+    /// answers show which value is chosen.
     ///
     /// # Errors
     /// No majority answers, or the daemon has not found the others yet.
     pub async fn newest(&self) -> Result<Arc<Value>, RegisterError> {
-        let Some(value) = self.chosen() else {
-            return self.propose(&Proposal::default()).await;
-        };
-        let (mut confirm, requests) = Confirm::new(Arc::clone(&value));
+        for _ in 0..MAX_SURVEYS {
+            let known = self.known().ok_or(RegisterError::NotJoined)?;
+            let is_chosen = known.ballot == self.chosen_ballot() && self.chosen().is_some();
+            let (survey, finding) = self.survey(Arc::clone(&known), is_chosen).await;
+            match finding {
+                Finding::Waiting => return Err(RegisterError::NoQuorum),
+                Finding::Chosen(ballot) if ballot == known.ballot => {
+                    self.learn(&known);
+                    return Ok(known);
+                }
+                Finding::Chosen(_) => {
+                    if !self.fetch(&survey).await {
+                        break;
+                    }
+                }
+                Finding::Unsettled => break,
+            }
+        }
+        self.propose(&Proposal::default()).await
+    }
+
+    /// Asks the voters which value is their newest. Once a majority has answered, those that are left get a
+    /// little time to settle what the others leave open.
+    async fn survey(&self, known: Arc<Value>, is_chosen: bool) -> (Survey, Finding) {
+        let (mut survey, requests) = Survey::new(known, is_chosen);
         let mut calls: FuturesUnordered<_> =
             requests.into_iter().map(|(to, request)| self.ask(to, request)).collect();
-        while let Some((from, response)) = calls.next().await {
-            let Some(response) = response else { continue };
-            match confirm.response(from, &response) {
-                Confirmation::Waiting => {}
-                Confirmation::Newest => return Ok(value),
-                Confirmation::Newer(_) => return self.propose(&Proposal::default()).await,
+        let mut patience = VOTE_DEADLINE;
+        while let Ok(Some((from, response))) = tokio::time::timeout(patience, calls.next()).await {
+            let Some(Response::Newest(ballot)) = response else { continue };
+            match survey.answer(from, ballot) {
+                Finding::Waiting => {}
+                finding @ Finding::Chosen(_) => return (survey, finding),
+                Finding::Unsettled => patience = STRAGGLER_PATIENCE,
+            }
+        }
+        let finding = survey.finding();
+        (survey, finding)
+    }
+
+    /// Gets the newest value of a survey, to go on from it. Its voters may be others than those asked.
+    async fn fetch(&self, survey: &Survey) -> bool {
+        let Some(holder) = survey.holder() else { return false };
+        match self.ask(holder, Request::Fetch).await {
+            (_, Some(Response::Fetched(Some(value)))) => {
+                let known = self.known().map(|known| known.ballot).unwrap_or_default();
+                let newer = value.ballot > known;
+                if newer {
+                    *self.base.borrow_mut() = Some(value);
+                }
+                newer
             }
+            _ => false,
         }
-        Err(RegisterError::NoQuorum)
     }
 
     async fn ask(&self, to: Replica, request: Request) -> (DiskId, Option<Response>) {
--- a/crates/fleet/src/control/repair.rs
+++ b/crates/fleet/src/control/repair.rs
@@ -50,7 +50,7 @@
 
     /// Finds the newest value after a start, as soon as a majority of the voters answers. One of them tries
     /// at once and the others a little later, so that their rounds do not cross.
-    async fn join(&self) {
+    async fn join(self: &Rc<Self>) {
         let mut ready: Option<Instant> = None;
         while self.register.chosen().is_none() {
             tokio::time::sleep(JOIN_INTERVAL).await;
@@ -80,8 +80,8 @@
         Some((majority, first))
     }
 
-    async fn settle(&self) {
-        if let Err(error) = self.order(OrderKind::Settle).await {
+    async fn settle(self: &Rc<Self>) {
+        if let Err(error) = self.newest().await {
             self.record("not-settled", || json!({"error": error.to_string()}));
         }
     }
--- a/crates/fleet/src/control/voter.rs
+++ b/crates/fleet/src/control/voter.rs
@@ -1,7 +1,7 @@
 //! The thread that owns a control daemon's folder, so that a slow disk delays nothing else.
 
 use comfreyhold_consensus::disk::{DataFolder, ReadEnd, StoreError, frame, read_frames};
-use comfreyhold_consensus::register::store::VoterStore;
+use comfreyhold_consensus::register::store::{FILE as REGISTER_FILE, VoterStore};
 use comfreyhold_consensus::register::{Addressed, Ballot, DiskId, Request, Response, Value};
 use comfreyhold_types::announcement::Announcement;
 use std::fs::File;
@@ -97,17 +97,23 @@
         lock(&self.synced).promised
     }
 
+    fn read(&self, addressed: &Addressed) -> Response {
+        let synced = lock(&self.synced);
+        match addressed.request {
+            _ if synced.disk != addressed.to => Response::Unavailable,
+            Request::Fetch => Response::Fetched(synced.accepted.clone()),
+            _ => {
+                let accepted = synced.accepted.as_ref();
+                Response::Newest(accepted.map(|value| value.ballot).unwrap_or_default())
+            }
+        }
+    }
+
     /// Answers a request once what the answer depends on is synced.
     pub async fn answer(&self, addressed: Addressed) -> Response {
-        if addressed.request == Request::Read {
+        if matches!(addressed.request, Request::Read | Request::Fetch) {
             // A write that is under way was not confirmed to anyone yet.
-            let synced = lock(&self.synced);
-            if synced.disk != addressed.to {
-                return Response::Unavailable;
-            }
-            return Response::Newest(
-                synced.accepted.as_ref().map_or_else(Ballot::default, |v| v.ballot),
-            );
+            return self.read(&addressed);
         }
         let (tx, rx) = oneshot::channel();
         if self.tasks.send(Task::Answer { addressed, reply: tx }).is_err() {
@@ -145,9 +151,7 @@
 fn set_aside(folder: &Path) -> anyhow::Result<PathBuf> {
     let aside = folder.join("damaged");
     std::fs::create_dir_all(&aside)?;
-    for name in ["register"] {
-        std::fs::rename(folder.join(name), aside.join(name))?;
-    }
+    std::fs::rename(folder.join(REGISTER_FILE), aside.join(REGISTER_FILE))?;
     Ok(aside)
 }
 
