--- a/crates/consensus/src/register/read.rs
+++ b/crates/consensus/src/register/read.rs
@@ -66,7 +66,7 @@
     #[must_use]
     pub fn holder(&self) -> Option<Replica> {
         let newest = self.newest();
-        let voters = self.known.voters.all().into_iter();
-        voters.filter(|voter| self.answers.get(&voter.disk) == Some(&newest)).last()
+        let mut voters = self.known.voters.all().into_iter().rev();
+        voters.find(|voter| self.answers.get(&voter.disk) == Some(&newest))
     }
 }
--- a/crates/consensus/tests/register.rs
+++ b/crates/consensus/tests/register.rs
@@ -95,6 +95,32 @@
     }
 }
 
+/// Guards against daemons that preempt each other with whole values when all of them look for the newest
+/// one at the same moment, as after a loss of power. Found by a hunted day with 1,200 routes.
+#[test]
+fn daemons_that_start_together_find_a_settled_value_without_a_round() {
+    for seed in seeds() {
+        let mut fleet = Fleet::new(seed, 8, 5);
+        fleet.publish_and_settle();
+        fleet.restart_all();
+        let promised = fleet.promises();
+        for at in 0..8 {
+            assert!(fleet.survey(at, 0), "seed {seed}: daemon {at} needs a round");
+        }
+        assert_eq!(fleet.promises(), promised, "seed {seed}: a survey has written");
+    }
+}
+
+/// Guards against a value that only some disks hold and that a survey takes for chosen.
+#[test]
+fn a_value_on_a_minority_is_left_to_a_round() {
+    let mut fleet = Fleet::new(1, 5, 5);
+    fleet.publish_and_settle();
+    fleet.accept_on_one_disk();
+    fleet.restart_all();
+    assert!(!fleet.survey(0, 0), "the value on one disk is not chosen");
+}
+
 /// Guards against a system that can't lose a second disk after the first: the voter of a renewed folder is
 /// exchanged at once, without an operator.
 #[test]
--- a/crates/consensus/tests/register_support/mod.rs
+++ b/crates/consensus/tests/register_support/mod.rs
@@ -228,6 +228,66 @@
         self.loss = LOSS;
     }
 
+    /// Publishes on a good network until the value is chosen.
+    pub fn publish_and_settle(&mut self) {
+        self.loss = 0.0;
+        self.publish_somewhere();
+        while !self.messages.is_empty() {
+            self.deliver_one();
+        }
+        self.heal_and_settle();
+        self.loss = 0.0;
+    }
+
+    /// All daemons start anew with their disks.
+    pub fn restart_all(&mut self) {
+        self.messages.clear();
+        for daemon in &mut self.daemons {
+            daemon.round = None;
+            daemon.chosen = None;
+            if let Some(accepted) = daemon.acceptor.accepted() {
+                daemon.known = Arc::clone(accepted);
+            }
+        }
+    }
+
+    /// One voter accepts a value that its proposer has told no other.
+    pub fn accept_on_one_disk(&mut self) {
+        let newest = Value::clone(self.daemons[0].chosen.as_ref().unwrap());
+        let ballot = Ballot { count: newest.ballot.count + 1, ..newest.ballot };
+        let value = Arc::new(Value { ballot, ..newest });
+        let to = self.daemons[0].acceptor.disk();
+        let response = self.answer(0, &Addressed { to, request: Request::Accept(value) });
+        assert_eq!(response, Response::Accepted);
+    }
+
+    /// Promises on all disks.
+    pub fn promises(&self) -> Vec<Ballot> {
+        self.daemons.iter().map(|daemon| daemon.acceptor.promised()).collect()
+    }
+
+    /// Whether a daemon finds the newest value by surveys alone, with all voters answering.
+    pub fn survey(&mut self, at: usize, depth: u32) -> bool {
+        let known = Arc::clone(&self.daemons[at].known);
+        let (mut survey, requests) = Survey::new(Arc::clone(&known), false);
+        for (to, request) in requests {
+            let voter = self.daemons.iter().position(|d| d.acceptor.disk() == to.disk).unwrap();
+            let response = self.answer(voter, &Addressed { to: to.disk, request });
+            let Response::Newest(ballot) = response else { panic!("{response:?}") };
+            survey.answer(to.disk, ballot);
+        }
+        match survey.finding() {
+            Finding::Chosen(ballot) if ballot == known.ballot => true,
+            Finding::Chosen(_) if depth < 3 => {
+                let holder = survey.holder().unwrap();
+                let found = self.daemons.iter().find(|d| d.acceptor.disk() == holder.disk);
+                self.daemons[at].known = Arc::clone(found.unwrap().acceptor.accepted().unwrap());
+                self.survey(at, depth + 1)
+            }
+            _ => false,
+        }
+    }
+
     pub fn assert_nothing_lost(&self) {
         let newest = self.daemons[0].chosen.as_ref().unwrap();
         let version = newest.state.version().unwrap_or_default();
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -90,7 +90,8 @@
         let folder =
             settings.data_folder.clone().context("data_folder: a control daemon needs one")?;
         let address = settings.exchange_address();
-        let listener = TcpListener::bind(address).await.with_context(|| address.to_string())?;
+        let bind = settings.exchange_bind.unwrap_or(address);
+        let listener = TcpListener::bind(bind).await.with_context(|| bind.to_string())?;
         let seeds = settings.seed_exchanges();
         let initial = first_value(&settings, &seeds);
         let is_initial = initial
--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -31,7 +31,7 @@
 
 /// Advantage of a target in the own domain, in requests per slot: one request that waits for a free slot
 /// costs more than a packet to another domain does.
-const HOME_ADVANTAGE: f64 = 0.5;
+pub const HOME_ADVANTAGE: f64 = 0.5;
 
 /// Announcement intervals after the return of a failure domain in which its targets count as cold. Each
 /// target has announced itself by then.
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -22,6 +22,10 @@
     pub ip: Ipv4Addr,
     /// Port at which daemons talk to each other; the same on all instances.
     pub exchange_port: u16,
+    /// Address that is listened on for other daemons, where it differs from the one that they call, as behind
+    /// a forwarded port.
+    #[serde(default)]
+    pub exchange_bind: Option<SocketAddr>,
     /// Address of control daemons to start from, with any port.
     pub seeds: Vec<SocketAddr>,
     /// Whether the whole deployment starts for the first time, with empty disks.
--- /dev/null
+++ b/crates/lab/src/cmd/emulate.rs
@@ -0,0 +1,73 @@
+//! `comfreyhold-lab emulate [--entries N] [--targets N] [--pattern NAME] [--plot FILE]`
+//!
+//! Compares schemes of placement in virtual time: the same load, one row a scheme.
+
+use anyhow::Result;
+use bpaf::Bpaf;
+use comfreyhold_lab::emulator::{self, Outcomes, Pattern, SchemeName, Settings};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use strum::IntoEnumIterator;
+
+#[derive(Clone, Debug, Bpaf)]
+pub struct Args {
+    /// Entries
+    #[bpaf(argument("N"), fallback(5))]
+    entries: usize,
+    /// Targets
+    #[bpaf(argument("N"), fallback(14))]
+    targets: usize,
+    /// Failure domains
+    #[bpaf(argument("N"), fallback(4))]
+    domains: usize,
+    /// Share of the slots that the steady load uses
+    #[bpaf(argument("SHARE"), fallback(0.43))]
+    utilisation: f64,
+    /// What happens beside the load: steady, burst, moved, dead or slow
+    #[bpaf(argument("PATTERN"), fallback(Pattern::Steady))]
+    pattern: Pattern,
+    /// Seed of all random choices
+    #[bpaf(argument("SEED"), fallback(1))]
+    seed: u64,
+    /// Draw the shares answered in time to an SVG file
+    #[bpaf(argument("FILE"), optional)]
+    plot: Option<PathBuf>,
+}
+
+pub fn run(args: &Args) -> Result<ExitCode> {
+    let settings = Settings::builder()
+        .seed(args.seed)
+        .entries(args.entries)
+        .targets(args.targets)
+        .domains(args.domains)
+        .utilisation(args.utilisation)
+        .pattern(args.pattern)
+        .build();
+    let mut rows: Vec<(SchemeName, Outcomes)> = Vec::new();
+    println!("scheme        asked in-time   late refused unanswered copies remote busiest  p99 ms");
+    for scheme in SchemeName::iter() {
+        let o = emulator::run(&settings, scheme)?;
+        println!(
+            "{:<12} {:>6}  {:.4} {:>6} {:>7} {:>10} {:>6}  {:.3}    {:.2} {:>7.1}",
+            scheme.to_string(),
+            o.asked,
+            o.in_time_share(),
+            o.late,
+            o.refused,
+            o.unanswered,
+            o.copies,
+            o.remote as f64 / o.flows.max(1) as f64,
+            o.imbalance,
+            o.p99_ms
+        );
+        rows.push((scheme, o));
+    }
+    if let Some(path) = &args.plot {
+        let caption = format!(
+            "{} entries, {} targets, {} of the slots, {}",
+            args.entries, args.targets, args.utilisation, args.pattern
+        );
+        emulator::draw(&rows, &caption, path)?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/lab/src/cmd/mod.rs
+++ b/crates/lab/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! Commands of `comfreyhold-lab`, one file each.
 
 mod demo;
+mod emulate;
 mod fabric;
 mod load;
 mod proxy;
@@ -39,6 +40,9 @@
     /// Show a shipped deployment at work
     #[bpaf(command)]
     Demo(#[bpaf(external(demo::args))] demo::Args),
+    /// Compare schemes of placement in virtual time
+    #[bpaf(command)]
+    Emulate(#[bpaf(external(emulate::args))] emulate::Args),
     /// Run a measured scenario on a shipped deployment
     #[bpaf(command)]
     Scenario(#[bpaf(external(scenario::args))] scenario::Args),
@@ -91,6 +95,7 @@
             Command::Load(args) => load::run(args).await,
             Command::Up(args) => up::run(args).await,
             Command::Demo(args) => demo::run(args).await,
+            Command::Emulate(args) => emulate::run(&args),
             Command::Scenario(args) => scenario::run(args).await,
         }
     })
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod daemon_settings;
 pub mod deployments;
 pub mod echo;
+pub mod emulator;
 pub mod fabric;
 pub mod flow_load;
 pub mod http;
