--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -151,6 +151,11 @@
         self.record("reload", || json!({"seeds": seeds}));
     }
 
+    /// Notes that the process is told to stop.
+    pub fn stop(&self) {
+        self.record("stop", || json!({"targets": self.targets.borrow().live()}));
+    }
+
     fn record(&self, kind: &'static str, fields: impl FnOnce() -> serde_json::Value) {
         self.decisions.record(kind, self.clock.now(), fields);
     }
