--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 pub mod counts;
 pub mod diff;
 pub mod domain;
+pub mod explain;
 pub mod history;
 pub mod replace;
 pub mod status;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -31,6 +31,9 @@
     /// Take a failure domain out of service or bring it back
     #[bpaf(command)]
     Domain(#[bpaf(external(cmd::domain::args))] cmd::domain::Args),
+    /// Show what was logged about one flow
+    #[bpaf(command)]
+    Explain(#[bpaf(external(cmd::explain::args))] cmd::explain::Args),
     /// Show who published which version
     #[bpaf(command)]
     History(#[bpaf(external(cmd::history::args))] cmd::history::Args),
@@ -59,6 +62,7 @@
         Command::Counts(args) => cmd::counts::run(&args),
         Command::Diff(args) => cmd::diff::run(&args),
         Command::Domain(args) => cmd::domain::run(&args),
+        Command::Explain(args) => cmd::explain::run(&args),
         Command::History(args) => cmd::history::run(&args),
         Command::Replace(args) => cmd::replace::run(&args),
         Command::Status(args) => cmd::status::run(&args),
--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -7,6 +7,7 @@
 mod counts;
 mod diff;
 mod domain;
+mod explain;
 mod history;
 mod replace;
 mod status;
--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -29,9 +29,10 @@
 /// Control daemons that an entry watches. With two, the loss of one delays no news.
 const WATCHED: usize = 2;
 
-/// Advantage of a target in the own domain, in requests per slot: one request that waits for a free slot
+/// Advantage of a target in the own domain, in requests per slot: a flow to another domain is lost when the
+/// domains are cut off from each other, which is worse than a request that waits for a slot in turn. One
 /// costs more than a packet to another domain does.
-pub const HOME_ADVANTAGE: f64 = 0.5;
+pub const HOME_ADVANTAGE: f64 = 1.0;
 
 /// Announcement intervals after the return of a failure domain in which its targets count as cold. Each
 /// target has announced itself by then.
@@ -67,6 +68,7 @@
     received: RefCell<Received>,
     stopping: Cell<bool>,
     last_tick: Cell<Instant>,
+    last_news: Cell<Instant>,
     readiness: Readiness,
 }
 
@@ -104,6 +106,7 @@
             received: RefCell::new(Received::default()),
             stopping: Cell::new(false),
             last_tick: Cell::new(now),
+            last_news: Cell::new(now),
             readiness: Readiness::default(),
         });
         entry.record("start", || json!({"settings": settings.summary()}));
--- a/crates/fleet/src/entry/packets.rs
+++ b/crates/fleet/src/entry/packets.rs
@@ -152,23 +152,35 @@
         }
         match verdict {
             Verdict::Reset(reason) => self.note_reset(&packet, reason),
-            Verdict::Forward { target, .. } => self.note_forward(&packet, target),
+            Verdict::Forward { target, cookie, .. } => {
+                self.note_forward(&packet, (target, cookie), now);
+            }
             Verdict::Discard(_) => {}
         }
     }
 
-    fn note_forward(&self, packet: &CallerPacket, target: TargetId) {
+    fn note_forward(
+        &self,
+        packet: &CallerPacket,
+        (target, cookie): (TargetId, Cookie),
+        now: Instant,
+    ) {
         metrics::counter!("packets_forwarded").increment(1);
         if let PacketKind::Open { copy } = packet.kind {
             metrics::counter!("openings", "copy" => if copy == 0 { "first" } else { "repeated" })
                 .increment(1);
             self.record("opening", || {
+                let balancer = self.balancer.borrow();
+                let placed = balancer.directory().find(cookie);
+                let load = placed.and_then(|key| balancer.directory().get(key)).map(|t| t.load);
                 json!({
                     "flow": flow(&packet.flow),
                     "seq": packet.seq,
                     "copy": copy,
                     "target": target.to_string(),
-                    "change": self.balancer.borrow().routing().change,
+                    "load": load,
+                    "change": balancer.routing().change,
+                    "news_ms": (now - self.last_news.get()).as_millis(),
                 })
             });
         }
--- a/crates/fleet/src/entry/watch.rs
+++ b/crates/fleet/src/entry/watch.rs
@@ -79,6 +79,7 @@
 
     fn take_news(&self, source: usize, control: SocketAddr, question: &Watch, news: News) {
         let now = self.clock.now();
+        self.last_news.set(now);
         self.controls.borrow_mut().named(&news.controls, now);
         if news.source != question.source {
             self.record("control-watched", || json!({"control": control}));
