Reset flows of replaced targets at once; measure times of rounds, reads and openings

Ruled out: resets on missing announcements and stalled flows alone (a target whose control daemon fails may announce itself late while it serves). Change: the directory marks replaced starts, whose flows are reset with the next packet.

--- a/crates/fleet/src/control/gossip.rs
+++ b/crates/fleet/src/control/gossip.rs
@@ -130,6 +130,8 @@
     pub(super) async fn announced(self: &Rc<Self>, announcement: &Announcement) {
         let now = self.clock.now();
         let heard = self.targets.borrow_mut().hear(announcement, now);
+        let name: &'static str = heard.into();
+        metrics::counter!("announcements", "heard" => name).increment(1);
         match heard {
             Heard::Changed => {
                 self.changed.notify_waiters();
--- a/crates/fleet/src/control/orders.rs
+++ b/crates/fleet/src/control/orders.rs
@@ -123,7 +123,9 @@
     /// The newest value, confirmed by a majority; what is new about it is told to the entries.
     pub(super) async fn newest(self: &Rc<Self>) -> Result<Arc<Value>, RegisterError> {
         let before = self.register.chosen_ballot();
+        let begun = self.clock.now();
         let newest = self.register.newest().await;
+        metrics::histogram!("read_seconds").record(self.clock.now() - begun);
         if let Ok(value) = &newest
             && value.ballot > before
         {
@@ -159,11 +161,15 @@
             let before = self.register.chosen_ballot();
             let begun = self.clock.now();
             let result = self.register.propose(&proposal).await;
+            let took = self.clock.now() - begun;
+            metrics::histogram!("round_seconds").record(took);
+            metrics::counter!("orders", "result" => if result.is_ok() { "done" } else { "failed" })
+                .increment(batch.len() as u64);
             self.record("round", || {
                 json!({
                     "changes": proposal.changes.len(),
                     "voters": proposal.voters.is_some(),
-                    "took_ms": (self.clock.now() - begun).as_secs_f64() * 1_000.0,
+                    "took_ms": took.as_secs_f64() * 1_000.0,
                     "error": result.as_ref().err().map(ToString::to_string),
                 })
             });
--- a/crates/fleet/src/entry/packets.rs
+++ b/crates/fleet/src/entry/packets.rs
@@ -134,7 +134,10 @@
         let verdict = self.balancer.borrow_mut().packet(&packet, late, now);
         out.clear();
         let to = match verdict {
-            Verdict::Forward { target, address, cookie } => {
+            Verdict::Forward { target, address, cookie, answered } => {
+                if let Some(answered) = answered {
+                    metrics::histogram!("opening_answered_seconds").record(answered);
+                }
                 self.codec.to_target(datagram, target, cookie, out);
                 address
             }
--- a/crates/flow/src/cookie/balancer.rs
+++ b/crates/flow/src/cookie/balancer.rs
@@ -168,7 +168,7 @@
         let mut flow = Flow::opening(key, route.class, now);
         flow.tried = tried;
         self.flows.insert(packet.flow, flow, &mut self.directory);
-        self.to_target(key)
+        self.to_target(key, None)
     }
 
     fn forward(&mut self, packet: &CallerPacket, route: &Route, now: Instant) -> Verdict {
@@ -176,13 +176,12 @@
             Ok(key) => key,
             Err(reason) => return Verdict::Discard(reason),
         };
-        self.note_packet(packet, key, route.class, now);
-        let ended = self.directory.get(key).and_then(|target| target.ended);
-        if ended.is_some_and(|ended| now >= ended + END_GRACE) {
+        let answered = self.note_packet(packet, key, route.class, now);
+        if self.directory.get(key).is_some_and(|target| is_gone(target, now)) {
             self.flows.remove(&packet.flow, &mut self.directory);
             return Verdict::Reset(ResetReason::TargetEnded);
         }
-        self.to_target(key)
+        self.to_target(key, answered)
     }
 
     /// The target of an open flow. A flow whose handshake was seen here stays where it was acknowledged,
@@ -215,22 +214,24 @@
         route.leads_to(service) || former.is_some_and(|services| services.contains(service))
     }
 
+    /// Takes in a packet of an open flow. Returns the time since its opening if it is the first one.
     fn note_packet(
         &mut self,
         packet: &CallerPacket,
         key: TargetKey,
         class: RequestClass,
         now: Instant,
-    ) {
-        let opened = match self.flows.get(&packet.flow).map(|flow| flow.stage) {
-            None => {
-                let flow = Flow::taken_over(key, class, now);
-                self.flows.insert(packet.flow, flow, &mut self.directory);
-                true
-            }
-            Some(stage) => stage == Stage::Opening,
+    ) -> Option<Duration> {
+        let known = self.flows.get(&packet.flow).map(|flow| (flow.stage, flow.seen));
+        let answered = match known {
+            Some((Stage::Opening, seen)) => Some(now.saturating_duration_since(seen)),
+            _ => None,
         };
-        if opened {
+        if known.is_none() {
+            let flow = Flow::taken_over(key, class, now);
+            self.flows.insert(packet.flow, flow, &mut self.directory);
+        }
+        if known.is_none() || answered.is_some() {
             self.flows.change(&packet.flow, &mut self.directory, |flow| flow.target = key);
             if let Some(target) = self.directory.get_mut(key) {
                 target.health.answered();
@@ -248,17 +249,23 @@
                 self.flows.progress(&packet.flow, progress, &mut self.directory, now);
             }
         }
+        answered
     }
 
-    fn to_target(&self, key: TargetKey) -> Verdict {
+    fn to_target(&self, key: TargetKey, answered: Option<Duration>) -> Verdict {
         let Some(target) = self.directory.get(key) else {
             return Verdict::Discard(DiscardReason::UnknownTarget);
         };
         let (target, cookie) = (&target.spec, target.cookie);
-        Verdict::Forward { target: target.id, address: target.address, cookie }
+        Verdict::Forward { target: target.id, address: target.address, cookie, answered }
     }
 }
 
+/// Whether no answer of a target can come any more.
+fn is_gone(target: &Target, now: Instant) -> bool {
+    target.replaced || target.ended.is_some_and(|ended| now >= ended + END_GRACE)
+}
+
 /// A number that differs between flows and is the same for all copies of one opening.
 fn spread(flow: &FlowKey, seq: u32) -> u64 {
     let mut hasher = SipHasher13::new();
--- a/crates/flow/src/cookie/directory.rs
+++ b/crates/flow/src/cookie/directory.rs
@@ -56,6 +56,8 @@
     pub ambiguous: bool,
     /// When it was known to have ended.
     pub ended: Option<Instant>,
+    /// Whether a later start at its address or under its id shows that its process is gone.
+    pub replaced: bool,
 }
 
 /// All targets.
@@ -96,6 +98,7 @@
             health: Health::default(),
             ambiguous: false,
             ended: None,
+            replaced: false,
         };
         let key = self.targets.insert(target);
         self.starts.insert(start, key);
@@ -105,7 +108,7 @@
             mark_ended(target, now);
         }
         self.resolve_cookie(cookie);
-        self.end_earlier_starts(start, now);
+        self.end_replaced(key, now);
     }
 
     /// Of targets with one mark, the oldest keeps it.
@@ -124,24 +127,25 @@
         }
     }
 
-    /// A new start of a target ends every earlier one.
-    fn end_earlier_starts(&mut self, (id, born_ms): (TargetId, u64), now: Instant) {
-        let starts: Vec<TargetKey> =
-            self.starts.range((id, 0)..(id, u64::MAX)).map(|(_, key)| *key).collect();
-        for key in starts {
-            let Some(target) = self.targets.get_mut(key) else { continue };
-            let newest = target.spec.born_ms >= born_ms;
-            if !newest {
-                target.spec.availability = Availability::Ended;
+    /// Of the starts under one id and of those at one address, only the latest can still run.
+    fn end_replaced(&mut self, new: TargetKey, now: Instant) {
+        let Some(spec) = self.targets.get(new).map(|target| target.spec.clone()) else { return };
+        let start = (spec.born_ms, spec.id);
+        let mut is_replaced = false;
+        for (key, target) in &mut self.targets {
+            let rivals = target.spec.id == spec.id || target.spec.address == spec.address;
+            if key == new || !rivals {
+                continue;
+            }
+            if (target.spec.born_ms, target.spec.id) < start {
+                target.replaced = true;
                 mark_ended(target, now);
+            } else {
+                is_replaced = true;
             }
         }
-        let newest = self.starts.range((id, 0)..=(id, u64::MAX)).next_back().map(|(s, _)| s.1);
-        if newest != Some(born_ms)
-            && let Some(target) =
-                self.starts.get(&(id, born_ms)).and_then(|key| self.targets.get_mut(*key))
-        {
-            target.spec.availability = Availability::Ended;
+        if let Some(target) = self.targets.get_mut(new).filter(|_| is_replaced) {
+            target.replaced = true;
             mark_ended(target, now);
         }
     }
@@ -203,6 +207,9 @@
 }
 
 fn mark_ended(target: &mut Target, now: Instant) {
+    if target.replaced {
+        target.spec.availability = Availability::Ended;
+    }
     if target.spec.availability == Availability::Ended {
         target.ended.get_or_insert(now);
     } else {
--- a/crates/flow/src/cookie/mod.rs
+++ b/crates/flow/src/cookie/mod.rs
@@ -18,6 +18,7 @@
 use siphasher::sip::SipHasher13;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddrV4;
+use std::time::Duration;
 use strum::{Display, IntoStaticStr};
 
 /// Mark of a flow's target in the packets of the flow. 0 means that there is none.
@@ -91,6 +92,8 @@
         address: SocketAddrV4,
         /// The mark to write.
         cookie: Cookie,
+        /// Time since the last opening packet, if this packet shows that the target has answered it.
+        answered: Option<Duration>,
     },
     /// The caller is told that its flow does not exist.
     Reset(ResetReason),
--- a/crates/membership/src/announcements.rs
+++ b/crates/membership/src/announcements.rs
@@ -12,6 +12,7 @@
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
+use strum::IntoStaticStr;
 
 /// Time for which the record of an ended target is kept. Delayed announcements are held up by a partition
 /// for seconds; without the record they would bring the target back.
@@ -26,7 +27,8 @@
 const MAX_RECORDS: usize = 20_000;
 
 /// What an announcement came to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
 pub enum Heard {
     /// Routing depends on what it says.
     Changed,
