--- a/crates/cli/src/cmd/explain.rs
+++ b/crates/cli/src/cmd/explain.rs
@@ -87,8 +87,11 @@
 /// The last lines before `first`, in their order, that tell what its entry believed.
 fn beliefs(lines: &[Line], first: usize, target: Option<String>) -> Vec<usize> {
     let instance = &lines[first].instance;
+    let own: Vec<usize> = (0..first).filter(|at| lines[*at].instance == *instance).collect();
+    // What an earlier start believed is gone.
+    let start = own.iter().rposition(|at| lines[*at].kind == "start").unwrap_or_default();
     let last = |wanted: &dyn Fn(&Line) -> bool| {
-        (0..first).rev().find(|at| lines[*at].instance == *instance && wanted(&lines[*at]))
+        own[start..].iter().copied().rev().find(|at| wanted(&lines[*at]))
     };
     let mut found: Vec<usize> =
         BELIEFS.iter().filter_map(|kind| last(&|line| line.kind == *kind)).collect();
--- a/crates/cli/tests/cli/explain.rs
+++ b/crates/cli/tests/cli/explain.rs
@@ -3,6 +3,8 @@
 use crate::support::{assert_refused, run};
 
 const LOG: &str = r#"
+{"time_ms":50,"instance":"entry-1","kind":"readiness","left_out":0,"ready":true}
+{"time_ms":60,"instance":"entry-1","kind":"start","left_out":0}
    1.2 entry-1 {"time_ms":100,"instance":"entry-1","kind":"declarations","left_out":0,"change":3,"version":7}
 {"time_ms":101,"instance":"entry-1","kind":"target","left_out":0,"target":"g5","availability":"serving"}
 {"time_ms":102,"instance":"entry-1","kind":"target","left_out":0,"target":"g6","availability":"draining"}
@@ -11,8 +13,8 @@
 {"time_ms":310,"instance":"entry-1","kind":"opening","left_out":0,"flow":"1.1.1.1:7>2.2.2.2:2","seq":9,"copy":0,"target":"g6"}
 {"time_ms":320,"instance":"entry-1","ki"#;
 
-/// Guards against lines of other flows, beliefs of other processes and targets, and a cut last line that
-/// hides the rest.
+/// Guards against lines of other flows, beliefs of other processes, targets and earlier starts, and a cut
+/// last line that hides the rest.
 #[test]
 fn a_flow_is_shown_with_what_its_entry_believed() {
     let folder = tempfile::tempdir().unwrap();
@@ -20,6 +22,7 @@
     let flow = "1.1.1.1:1>2.2.2.2:2";
     let ran = run(folder.path(), &["explain", "--flow", flow, "--seq", "9", "all.log"]);
     insta::assert_snapshot!(ran.out, @r#"
+    60 entry-1 before start {"left_out":0}
     100 entry-1 before declarations {"change":3,"left_out":0,"version":7}
     101 entry-1 before target {"availability":"serving","left_out":0,"target":"g5"}
     300 entry-1 opening {"copy":1,"flow":"1.1.1.1:1>2.2.2.2:2","left_out":0,"seq":9,"target":"g5"}
