Sync the name of a voter's file at each start; test its folder under faults

Cause: a first start whose folder could not be synced left a renamed file with an unsynced name; the next start found it and told promises that a loss of power would take back with the name. Ruled out: the same in the middle of a run: a failed rewriting is done again before the next record, since the length stays over its limit (test a_fault_while_the_file_is_written_anew_does_not_damage_it). Change: a start syncs the folder once, some milliseconds.

--- a/crates/consensus/src/register/store.rs
+++ b/crates/consensus/src/register/store.rs
@@ -32,6 +32,8 @@
         let names = store.folder.list().map_err(StoreError::Folder)?;
         if names.iter().any(|name| name == FILE) {
             store.recover()?;
+            // An earlier start may have failed between the file's rename and the sync of its name.
+            store.folder.sync_folder().map_err(StoreError::sync)?;
         }
         // A file without a whole record was created by a start that ended before its first sync.
         if store.acceptor.disk() == DiskId::default() {
@@ -47,6 +49,11 @@
         &self.acceptor
     }
 
+    /// The files, for tests that inject faults.
+    pub fn folder_mut(&mut self) -> &mut F {
+        &mut self.folder
+    }
+
     /// The files, for tests that inspect them.
     #[must_use]
     pub fn into_folder(self) -> F {
--- a/crates/consensus/tests/support/memory.rs
+++ b/crates/consensus/tests/support/memory.rs
@@ -112,3 +112,42 @@
         Ok(())
     }
 }
+
+/// A folder that is only lent to a store, so that it can be looked at after the store has failed.
+impl Folder for &mut MemoryFolder {
+    fn list(&self) -> Result<Vec<String>> {
+        (**self).list()
+    }
+
+    fn read(&self, name: &str) -> Result<Vec<u8>> {
+        (**self).read(name)
+    }
+
+    fn write(&mut self, name: &str, bytes: &[u8]) -> Result<()> {
+        (**self).write(name, bytes)
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> Result<()> {
+        (**self).append(name, bytes)
+    }
+
+    fn truncate(&mut self, name: &str, len: u64) -> Result<()> {
+        (**self).truncate(name, len)
+    }
+
+    fn sync(&mut self, name: &str) -> Result<()> {
+        (**self).sync(name)
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> Result<()> {
+        (**self).rename(from, to)
+    }
+
+    fn remove(&mut self, name: &str) -> Result<()> {
+        (**self).remove(name)
+    }
+
+    fn sync_folder(&mut self) -> Result<()> {
+        (**self).sync_folder()
+    }
+}
