Call the voters that the own disk names; keep stops within half of the stated bound

A control daemon whose seeds are all down called nobody although its disk names the voters; connections to forgotten daemons were kept; the settings' bounds were checked and not used. Ruled out: more seeds (the platform gives three). Change: voters are added to the daemons that get hellos, links of forgotten ones are closed, stops take half of bounds.stop_s at most, the unused bound is removed, one accept loop serves both protocols between processes.

--- a/crates/fleet/src/control/gossip.rs
+++ b/crates/fleet/src/control/gossip.rs
@@ -49,7 +49,13 @@
             tokio::time::sleep(pause).await;
             let now = self.clock.now();
             if let Some(value) = self.register.known() {
-                self.peers.borrow_mut().forget(&value.voters.all(), now);
+                // The seeds may all be down; the voters are known from the own disk too.
+                let voters = value.voters.all();
+                let mut peers = self.peers.borrow_mut();
+                peers.add(voters.iter().map(|voter| voter.address), now);
+                peers.forget(&voters, now);
+                let known = peers.addresses();
+                self.links.retain(|address| known.contains(address));
             }
             let before = self.targets.borrow().revision();
             let fallen = self.targets.borrow_mut().check_silence(now);
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -74,8 +74,6 @@
 pub struct BoundSettings {
     /// Time between the request to stop and the end by force, in seconds.
     pub stop_s: u64,
-    /// Time after which an accepted change must be in force, in milliseconds.
-    pub in_force_ms: u64,
 }
 
 impl FleetSettings {
@@ -102,7 +100,6 @@
         let losses = settings.tolerate.instances;
         ensure!(losses <= MAX_LOSSES, "tolerate.instances: at most {MAX_LOSSES} are supported");
         ensure!(settings.bounds.stop_s > 0, "bounds.stop_s: must be greater than 0");
-        ensure!(settings.bounds.in_force_ms > 0, "bounds.in_force_ms: must be greater than 0");
         Ok(settings)
     }
 
@@ -125,6 +122,13 @@
         Duration::from_millis(self.announce_interval_ms)
     }
 
+    /// Time that a stopping process may take of what it would like to take: half of the stated bound is left
+    /// for a slow machine.
+    #[must_use]
+    pub fn stop_time(&self, wanted: Duration) -> Duration {
+        wanted.min(Duration::from_secs(self.bounds.stop_s) / 2)
+    }
+
     /// The settings as names and values, for the log line at the start.
     #[must_use]
     pub fn summary(&self) -> BTreeMap<&'static str, String> {
--- a/crates/fleet/tests/fleet/settings.rs
+++ b/crates/fleet/tests/fleet/settings.rs
@@ -1,6 +1,7 @@
 //! Checks of the settings file.
 
 use comfreyhold_fleet::settings::FleetSettings;
+use std::time::Duration;
 
 const GOOD: &str = "
 instance: entry-1
@@ -13,7 +14,6 @@
   instances: 1
 bounds:
   stop_s: 6
-  in_force_ms: 3000
 ";
 
 /// Guards against seeds that are called at the port for operators.
@@ -24,6 +24,14 @@
     assert_eq!(seeds, ["10.0.0.2:7700", "10.0.1.2:7700"]);
 }
 
+/// Guards against a process that is ended by force because its orderly stop takes longer than the bound.
+#[test]
+fn a_stop_ends_within_the_stated_bound() {
+    let settings = FleetSettings::parse(GOOD).unwrap();
+    assert_eq!(settings.stop_time(Duration::from_secs(1)), Duration::from_secs(1));
+    assert_eq!(settings.stop_time(Duration::from_secs(60)), Duration::from_secs(3));
+}
+
 /// Guards against a daemon that starts with settings it does not understand.
 #[test]
 fn bad_settings_are_refused_by_field() {
--- a/crates/wire/src/exchange.rs
+++ b/crates/wire/src/exchange.rs
@@ -4,7 +4,7 @@
 use crate::envelope::{MAX_BODY_BYTES, PROTOCOL_VERSION};
 use crate::error::WireError;
 use crate::peer_capnp::exchange;
-use crate::server::{connect_stream, serve_stream};
+use crate::server::{accept_all, connect_stream};
 use comfreyhold_types::prelude::ResultCode;
 use futures_util::future::LocalBoxFuture;
 use std::cell::RefCell;
@@ -149,19 +149,8 @@
     }
 }
 
-/// Pause after a failed accept, such as one for lack of file descriptors.
-const ACCEPT_RETRY: Duration = Duration::from_millis(100);
-
 /// Accepts connections and answers their requests until the task is dropped. Runs on a `LocalSet`.
 pub async fn serve<R: Responder>(listener: TcpListener, responder: Rc<R>) {
     let client: exchange::Client = capnp_rpc::new_client(ExchangeServer(responder));
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => serve_stream(stream, client.clone().client),
-            Err(error) => {
-                log::warn!("accept failed: {error}");
-                tokio::time::sleep(ACCEPT_RETRY).await;
-            }
-        }
-    }
+    accept_all(listener, &client.client).await;
 }
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -82,9 +82,14 @@
     };
     let server = PeerServer { local, inbox, stats };
     let client: peer::Client = capnp_rpc::new_client(server);
+    accept_all(listener, &client.client).await;
+}
+
+/// Accepts connections and serves each with the same capability, until the task is dropped.
+pub async fn accept_all(listener: tokio::net::TcpListener, client: &capnp::capability::Client) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => serve_stream(stream, client.clone().client),
+            Ok((stream, _)) => serve_stream(stream, client.clone()),
             Err(error) => {
                 log::warn!("accept failed: {error}");
                 tokio::time::sleep(ACCEPT_RETRY).await;
@@ -94,7 +99,7 @@
 }
 
 /// Serves one connection until it ends.
-pub fn serve_stream(stream: TcpStream, client: capnp::capability::Client) {
+fn serve_stream(stream: TcpStream, client: capnp::capability::Client) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("TCP_NODELAY: {error}");
     }
