--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -30,8 +30,7 @@
 const WATCHED: usize = 2;
 
 /// Advantage of a target in the own domain, in requests per slot: a flow to another domain is lost when the
-/// domains are cut off from each other, which is worse than a request that waits for a slot in turn. One
-/// costs more than a packet to another domain does.
+/// domains are cut off from each other, which is worse than a request that waits for a slot.
 pub const HOME_ADVANTAGE: f64 = 1.0;
 
 /// Announcement intervals after the return of a failure domain in which its targets count as cold. Each
--- a/crates/fleet/src/entry/packets.rs
+++ b/crates/fleet/src/entry/packets.rs
@@ -49,7 +49,7 @@
     fn reset(&self, packet: &CallerPacket, out: &mut Vec<u8>) -> SocketAddrV4;
 }
 
-/// Counts since the start, beside those that metrics export.
+/// State of the packets that are read now.
 #[derive(Default)]
 pub(super) struct Received {
     /// Whether the packets that are read now have waited for long.
--- /dev/null
+++ b/crates/flow/benches/cookie.rs
@@ -0,0 +1,97 @@
+//! Time that the entry's decision takes for an opening and for a later packet of a flow.
+
+#![allow(missing_docs, reason = "the macros of criterion create undocumented items")]
+
+use comfreyhold_flow::cookie::balancer::Routing;
+use comfreyhold_flow::cookie::directory::TargetSpec;
+use comfreyhold_flow::cookie::{
+    Balancer, BalancerSettings, CallerPacket, Cookie, FlowKey, PacketKind,
+};
+use comfreyhold_types::announcement::Availability;
+use comfreyhold_types::keys::{DomainName, TargetId};
+use comfreyhold_types::routes::{Destination, RequestClass, Route, RouteList, RoutedService};
+use criterion::{Criterion, criterion_group, criterion_main};
+use std::hint::black_box;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const SERVICE: &str = "orders";
+
+fn service_address() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
+}
+
+fn balancer(targets: u32, now: Instant) -> Balancer {
+    let settings = BalancerSettings::builder()
+        .domain(DomainName::from("0"))
+        .home_advantage(1.0)
+        .return_time(Duration::ZERO)
+        .build();
+    let mut balancer = Balancer::new(settings);
+    let route = Route {
+        name: SERVICE.to_owned(),
+        address: service_address(),
+        class: RequestClass::Idempotent,
+        timeout_ms: 2_500,
+        objective_ms: 150,
+        priority: 1,
+        destinations: vec![Destination { service: SERVICE.to_owned(), weight: 1 }],
+    };
+    let service =
+        RoutedService { name: SERVICE.to_owned(), max_flows: 2_000, cold_requests_per_1000_s: 0 };
+    let list = RouteList {
+        version: 1,
+        routes: vec![route],
+        services: vec![service],
+        idle_timeout_ms: 15_000,
+    };
+    let table = list.into_checked().ok().map(Arc::new);
+    balancer.set_routing(Routing { change: 1, table, ..Routing::default() }, now);
+    for target in 0..targets {
+        let spec = TargetSpec {
+            id: TargetId(u64::from(target)),
+            born_ms: 1,
+            service: SERVICE.to_owned(),
+            address: SocketAddrV4::new(Ipv4Addr::from(0x0a00_0000 + target), 80),
+            domain: DomainName::from((target % 4).to_string().as_str()),
+            slots: 2,
+            availability: Availability::Serving,
+            cold_until: now,
+            silent: false,
+        };
+        balancer.set_target(spec, now);
+    }
+    balancer
+}
+
+fn packet(flow: u32, kind: PacketKind, cookie: Cookie) -> CallerPacket {
+    let caller = SocketAddrV4::new(Ipv4Addr::from(flow), 1_025);
+    let flow = FlowKey { caller, service: service_address() };
+    CallerPacket { flow, kind, cookie, seq: 1, ack: 1, data: 0 }
+}
+
+fn decisions(c: &mut Criterion) {
+    let now = Instant::now();
+    for targets in [14, 150, 4_300] {
+        let mut entry = balancer(targets, now);
+        let mut flow = 0;
+        c.bench_function(&format!("opening, {targets} targets"), |b| {
+            b.iter(|| {
+                flow = (flow + 1) % 10_000;
+                let opening = packet(flow, PacketKind::Open { copy: 0 }, Cookie::default());
+                black_box(entry.packet(&opening, false, now))
+            });
+        });
+        let cookie = Cookie::of(TargetId(1), 1);
+        c.bench_function(&format!("packet by cookie, {targets} targets"), |b| {
+            b.iter(|| {
+                flow = (flow + 1) % 10_000;
+                black_box(entry.packet(&packet(flow, PacketKind::Middle, cookie), false, now))
+            });
+        });
+    }
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- a/crates/flow/src/cookie/placement.rs
+++ b/crates/flow/src/cookie/placement.rs
@@ -19,7 +19,7 @@
     pub service: &'a str,
     /// Domain of this entry.
     pub domain: &'a DomainName,
-    /// Domains that take no new flows, and domains whose targets count as cold until a time.
+    /// Domains that take no new flows.
     pub withdrawn: &'a BTreeSet<DomainName>,
     /// Domains that came back, with the end of the time in which their targets may be cold without having
     /// said so.
