Complete a change of voters in a second round

The log shows voter-change from the first daemon at 23.9 s, the loss of the second at 27.9 s, and from then on rounds without majority every 0.6 s. The value chosen at 23.9 s still named the voters before the change, whose majority is needed as long as it does; nothing wrote the next value. Ruled out: deadlines and connections (two of three present voters answered each round); the choice of the new voter (a spare daemon answered). Change: a round that has chosen a change of voters asks for one more round, which drops the former voters; if the proposer goes in between, the check of the voters completes it.

--- a/crates/consensus/src/register/round.rs
+++ b/crates/consensus/src/register/round.rs
@@ -36,13 +36,12 @@
 pub enum Progress {
     /// Send these requests (there may be none) and go on.
     Send(Requests),
-    /// The value is chosen. `proposed` tells whether it includes the proposal; if not, an earlier change of
-    /// voters was completed instead and the proposal needs another round.
+    /// The value is chosen. An earlier change of voters may have been completed in place of the proposal.
     Chosen {
         /// The value.
         value: Arc<Value>,
-        /// Whether it includes the proposal.
-        proposed: bool,
+        /// What has to be proposed in another round, if anything.
+        next: Option<Proposal>,
     },
     /// A higher ballot was met; the round has failed.
     Preempted(Ballot),
@@ -129,7 +128,7 @@
         let chosen = self.is_chosen();
         let (next, proposed) = self.next_value(chosen);
         if chosen && next.state == self.newest.state && next.voters == self.newest.voters {
-            return Progress::Chosen { value: Arc::clone(&self.newest), proposed: true };
+            return Progress::Chosen { value: Arc::clone(&self.newest), next: None };
         }
         let value = Arc::new(Value { ballot: self.ballot, ..next });
         let request = Request::Accept(Arc::clone(&value));
@@ -159,9 +158,15 @@
             return Progress::Send(Vec::new());
         };
         accepted.insert(from);
-        if value.voters.has_quorum(|disk| accepted.contains(&disk)) {
-            return Progress::Chosen { value: Arc::clone(value), proposed: *proposed };
+        if !value.voters.has_quorum(|disk| accepted.contains(&disk)) {
+            return Progress::Send(Vec::new());
         }
-        Progress::Send(Vec::new())
+        // Until the next value no longer names the former voters, a majority of those is needed too.
+        let next = match (*proposed, value.voters.is_changing()) {
+            (false, _) => Some(self.proposal.clone()),
+            (true, true) => Some(Proposal::default()),
+            (true, false) => None,
+        };
+        Progress::Chosen { value: Arc::clone(value), next }
     }
 }
--- a/crates/consensus/tests/register.rs
+++ b/crates/consensus/tests/register.rs
@@ -95,6 +95,23 @@
     }
 }
 
+/// Guards against a change of voters that stays half done: a second daemon that is lost after the first was
+/// replaced then takes the majority of the former voters with it. Found by a hunted day on which two daemons
+/// were replaced in turn.
+#[test]
+fn a_second_daemon_can_be_lost_after_the_first_is_replaced() {
+    for seed in seeds() {
+        let mut fleet = Fleet::new(seed, 5, 3);
+        fleet.publish_and_settle();
+        for lost in 0..2 {
+            fleet.remove(lost);
+            fleet.replace_gone();
+        }
+        fleet.heal_and_settle();
+        fleet.assert_nothing_lost();
+    }
+}
+
 /// Guards against daemons that preempt each other with whole values when all of them look for the newest
 /// one at the same moment, as after a loss of power. Found by a hunted day with 1,200 routes.
 #[test]
--- a/crates/consensus/tests/register_support/mod.rs
+++ b/crates/consensus/tests/register_support/mod.rs
@@ -35,7 +35,7 @@
     acceptor: Acceptor,
     known: Arc<Value>,
     chosen: Option<Arc<Value>>,
-    round: Option<(Round, Option<u64>, Proposal)>,
+    round: Option<(Round, Option<u64>)>,
     seen: Ballot,
     /// Rounds that ended with a chosen value that includes their proposal.
     completed: u64,
@@ -49,6 +49,8 @@
     loss: f64,
     version: u64,
     next_disk: u64,
+    /// Daemons that never answer again.
+    gone: BTreeSet<usize>,
     /// Highest version that an operator was told is in force.
     acknowledged: u64,
     /// Contents that were chosen, by version.
@@ -76,6 +78,7 @@
             loss: LOSS,
             version: 0,
             next_disk: 1_000,
+            gone: BTreeSet::new(),
             acknowledged: 0,
             contents: BTreeMap::new(),
         }
@@ -109,8 +112,8 @@
         let seen = daemon.seen.max(known.ballot).max(daemon.acceptor.promised());
         let ballot = Ballot::above(seen, me.disk, 0);
         daemon.seen = ballot;
-        let (round, requests) = Round::new(ballot, known, proposal.clone());
-        daemon.round = Some((round, version, proposal));
+        let (round, requests) = Round::new(ballot, known, proposal);
+        daemon.round = Some((round, version));
         self.send(at, ballot, requests);
     }
 
@@ -145,7 +148,7 @@
             Message::Request { from, to, round, request } => {
                 let at =
                     self.daemons.iter().position(|d| replica(d.number, 0).address == to.address);
-                let Some(at) = at else { return };
+                let Some(at) = at.filter(|at| !self.gone.contains(at)) else { return };
                 let response = self.answer(at, &Addressed { to: to.disk, request });
                 self.messages.push(Message::Response { to: from, round, from: to.disk, response });
             }
@@ -166,7 +169,7 @@
 
     fn take_response(&mut self, at: usize, ballot: Ballot, from: DiskId, response: Response) {
         let daemon = &mut self.daemons[at];
-        let Some((round, ..)) = &mut daemon.round else { return };
+        let Some((round, _)) = &mut daemon.round else { return };
         if round.ballot() != ballot {
             return;
         }
@@ -176,12 +179,12 @@
                 daemon.seen = daemon.seen.max(higher);
                 daemon.round = None;
             }
-            Progress::Chosen { value, proposed } => self.chosen(at, value, proposed),
+            Progress::Chosen { value, next } => self.chosen(at, value, next),
         }
     }
 
-    fn chosen(&mut self, at: usize, value: Arc<Value>, proposed: bool) {
-        let Some((_, version, proposal)) = self.daemons[at].round.take() else { return };
+    fn chosen(&mut self, at: usize, value: Arc<Value>, next: Option<Proposal>) {
+        let Some((_, version)) = self.daemons[at].round.take() else { return };
         if let Some(publication) = &value.state.publication {
             let contents = self.contents.entry(publication.table.version).or_default();
             contents.insert(publication.document.to_vec());
@@ -190,11 +193,12 @@
         if daemon.chosen.as_ref().is_none_or(|known| known.ballot < value.ballot) {
             daemon.chosen = Some(value);
         }
-        daemon.completed += u64::from(proposed);
-        match (proposed, version) {
-            (true, Some(version)) => self.acknowledged = self.acknowledged.max(version),
-            (true, None) => {}
-            (false, _) => self.propose(at, proposal, version),
+        match next {
+            Some(next) => self.propose(at, next, version),
+            None => {
+                self.daemons[at].completed += 1;
+                self.acknowledged = self.acknowledged.max(version.unwrap_or_default());
+            }
         }
     }
 
@@ -205,7 +209,12 @@
         for daemon in &mut self.daemons {
             daemon.round = None;
         }
-        let at = self.any();
+        let at = loop {
+            let at = self.any();
+            if !self.gone.contains(&at) {
+                break at;
+            }
+        };
         let before = self.daemons[at].completed;
         for _ in 0..50 {
             self.propose(at, Proposal::default(), None);
@@ -313,6 +322,37 @@
         daemon.round = None;
     }
 
+    /// A daemon is gone for good.
+    pub fn remove(&mut self, at: usize) {
+        self.gone.insert(at);
+        self.daemons[at].round = None;
+    }
+
+    /// Some daemon that is left exchanges the voter of one that is gone, and the network delivers all of it.
+    pub fn replace_gone(&mut self) {
+        let at = (0..self.daemons.len()).find(|at| !self.gone.contains(at)).unwrap();
+        let from = self.daemons[at].chosen.as_ref().unwrap().voters.current.clone();
+        let silent = self.gone.iter().map(|at| self.daemons[*at].acceptor.disk()).collect();
+        let to = next_voters(&from, &self.candidates(), &silent, 3).unwrap();
+        let voters = Some(VoterChange { from, to });
+        let proposal = Proposal { changes: Vec::new(), voters };
+        self.loss = 0.0;
+        let before = self.daemons[at].completed;
+        // A ballot that others have passed is told by the first attempt.
+        for _ in 0..2 {
+            if self.daemons[at].completed == before {
+                self.propose(at, proposal.clone(), None);
+            }
+            while !self.messages.is_empty() {
+                self.deliver_one();
+            }
+        }
+        let newest = self.daemons[at].chosen.clone();
+        for daemon in &mut self.daemons {
+            daemon.chosen.clone_from(&newest);
+        }
+    }
+
     /// Exchanges voters until nothing is left to repair.
     pub fn repair(&mut self) {
         self.loss = 0.0;
@@ -334,7 +374,7 @@
     }
 
     fn candidates(&self) -> Vec<Candidate> {
-        let all = 0..self.daemons.len();
+        let all = (0..self.daemons.len()).filter(|at| !self.gone.contains(at));
         all.map(|at| Candidate { replica: self.replica(at), domain: at }).collect()
     }
 
--- a/crates/fleet/src/control/orders.rs
+++ b/crates/fleet/src/control/orders.rs
@@ -29,6 +29,8 @@
 pub(super) enum OrderKind {
     Change(StateChange),
     Voters(VoterChange),
+    /// Completes a change of voters that its proposer has left.
+    Complete,
 }
 
 /// A call from outside.
@@ -156,6 +158,7 @@
                 match &order.what {
                     OrderKind::Change(change) => proposal.changes.push(change.clone()),
                     OrderKind::Voters(change) => proposal.voters = Some(change.clone()),
+                    OrderKind::Complete => {}
                 }
             }
             let before = self.register.chosen_ballot();
--- a/crates/fleet/src/control/register.rs
+++ b/crates/fleet/src/control/register.rs
@@ -67,7 +67,7 @@
 }
 
 enum Attempt {
-    Chosen(Arc<Value>, bool),
+    Chosen(Arc<Value>, Option<Proposal>),
     Preempted,
     NoQuorum,
 }
@@ -174,14 +174,15 @@
     /// # Errors
     /// No majority answers, or the daemon has not found the others yet.
     pub async fn propose(&self, proposal: &Proposal) -> Result<Arc<Value>, RegisterError> {
+        let mut proposal = proposal.clone();
         for attempt in 1..=MAX_ROUNDS {
             match self.round(proposal.clone()).await? {
-                Attempt::Chosen(value, true) => {
-                    self.learn(&value);
-                    return Ok(value);
-                }
-                Attempt::Chosen(value, false) => {
+                Attempt::Chosen(value, next) => {
                     self.learn(&value);
+                    match next {
+                        None => return Ok(value),
+                        Some(next) => proposal = next,
+                    }
                 }
                 Attempt::NoQuorum => return Err(RegisterError::NoQuorum),
                 Attempt::Preempted => {
@@ -207,9 +208,7 @@
             let Some(response) = response else { continue };
             match round.response(from, response) {
                 Progress::Send(requests) => calls.extend(ask(requests)),
-                Progress::Chosen { value, proposed } => {
-                    return Ok(Attempt::Chosen(value, proposed));
-                }
+                Progress::Chosen { value, next } => return Ok(Attempt::Chosen(value, next)),
                 Progress::Preempted(ballot) => {
                     self.seen.set(self.seen.get().max(ballot));
                     return Ok(Attempt::Preempted);
--- a/crates/fleet/src/control/repair.rs
+++ b/crates/fleet/src/control/repair.rs
@@ -87,6 +87,13 @@
     }
 
     async fn check_voters(&self, now: Instant, started: Instant) {
+        if self.register.chosen().is_some_and(|value| value.voters.is_changing()) {
+            // Its proposer completes it within milliseconds, unless it has gone.
+            if let Err(error) = self.order(OrderKind::Complete).await {
+                self.record("voter-change-failed", || json!({"error": error.to_string()}));
+            }
+            return;
+        }
         let Some(change) = self.voter_change(now, started) else { return };
         self.record(
             "voter-change",
