Let one daemon complete a change of voters

Ruled out: none to complete it but the proposer (it may be gone for good). Change: the first daemon of those that answer completes it.

--- a/crates/fleet/src/control/repair.rs
+++ b/crates/fleet/src/control/repair.rs
@@ -88,11 +88,7 @@
 
     async fn check_voters(&self, now: Instant, started: Instant) {
         if self.register.chosen().is_some_and(|value| value.voters.is_changing()) {
-            // Its proposer completes it within milliseconds, unless it has gone.
-            if let Err(error) = self.order(OrderKind::Complete).await {
-                self.record("voter-change-failed", || json!({"error": error.to_string()}));
-            }
-            return;
+            return self.complete_change(now).await;
         }
         let Some(change) = self.voter_change(now, started) else { return };
         self.record(
@@ -104,6 +100,17 @@
         }
     }
 
+    /// Completes a change of voters, which its proposer does within milliseconds unless it has gone. One daemon
+    /// tries, so that rounds do not cross.
+    async fn complete_change(&self, now: Instant) {
+        if !self.majority_answers(now).is_some_and(|(majority, first)| majority && first) {
+            return;
+        }
+        if let Err(error) = self.order(OrderKind::Complete).await {
+            self.record("voter-change-failed", || json!({"error": error.to_string()}));
+        }
+    }
+
     fn voter_change(&self, now: Instant, started: Instant) -> Option<VoterChange> {
         let voters = self.register.chosen()?.voters.current.clone();
         let peers = self.peers.borrow();
