--- a/crates/types/tests/proofs_page.rs
+++ b/crates/types/tests/proofs_page.rs
@@ -4,12 +4,22 @@
 
 use std::path::{Path, PathBuf};
 
-/// Splits `daemon/requests::name` into the test file and the test's name.
-fn locate(reference: &str) -> Option<(PathBuf, &str)> {
+/// Splits `daemon/requests::name` into the text of the test file and the test's name. A file is a test
+/// binary of its own, or a module of the package's one binary.
+fn locate(reference: &str) -> Option<(String, &str)> {
     let (place, name) = reference.split_once("::")?;
     let (package, file) = place.split_once('/')?;
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
-    Some((root.join("crates").join(package).join("tests").join(format!("{file}.rs")), name))
+    let in_crates = root.join("crates").join(package);
+    let folder = if in_crates.exists() { in_crates } else { root.join(package) };
+    let tests = folder.join("tests");
+    let places: [PathBuf; 3] = [
+        tests.join(format!("{file}.rs")),
+        tests.join(package).join(format!("{file}.rs")),
+        tests.join(file).join("main.rs"),
+    ];
+    let text = places.iter().find_map(|path| std::fs::read_to_string(path).ok());
+    Some((text.unwrap_or_default(), name))
 }
 
 /// Guards against a promise that the page calls proved by a test that was renamed or removed.
@@ -19,8 +29,7 @@
     let references = page.split('`').skip(1).step_by(2).filter(|code| code.contains("::"));
     let mut count = 0;
     for reference in references {
-        let (path, name) = locate(reference).unwrap();
-        let text = std::fs::read_to_string(&path).unwrap_or_default();
+        let (text, name) = locate(reference).unwrap();
         assert!(text.contains(&format!("fn {name}(")), "{reference} does not exist");
         count += 1;
     }
