--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins that the daemons are tested against: target, packet fabric, fault-injecting proxy, load
 //! generator and a local deployment. All of them listen on loopback addresses.
 
+pub mod account;
 pub mod binaries;
 pub mod checks;
 pub mod daemon_settings;
