Send less between control daemons, and spread entries over them from the start

Cause: each pair of control daemons said hello twice and gossiped twice in 0.45 s; each hello named all daemons, each answer to an entry's question too (245 KB/s at a seed of 75 daemons); a difference in one target cost the exchange of all of them; a restored target was passed on in full by each daemon; entries that started together all watched the seeds. With more than 64 daemons some were not in touch at all, and ends of targets that daemons forgot at different times could be told round for ever. Change: one side of each pair says hello, repeated announcements travel with it as numbers, digests by 16 groups of targets that leave out ended ones, new targets gathered for 0.1 s, restored ones confirmed by their number, the list of control daemons on request, the second source of an entry after the first. Requests and their bytes are counted by kind, as are log lines left out. Ruled out: hellos and gossip as the cause of what is left at 300 (5 hellos in 2 s at a middle daemon of 25); it comes with changes: each of 74 daemons fetches a publication of 307 KB from its proposer.

--- a/crates/fleet/src/control/feed.rs
+++ b/crates/fleet/src/control/feed.rs
@@ -37,7 +37,6 @@
             all_targets,
             targets: self.targets.changed_since(since, now),
             declarations: self.declarations(watch),
-            controls: Vec::new(),
         }
     }
 
--- a/crates/fleet/src/control/gossip.rs
+++ b/crates/fleet/src/control/gossip.rs
@@ -1,8 +1,13 @@
 //! Hellos between control daemons, and the spread of targets' announcements among them.
+//!
+//! An announcement by which a target takes no more flows is sent to all daemons at once; other changes are
+//! gathered for a moment. Repeated announcements travel with the hellos,
+//! as an id and a number each. One side of each pair of daemons says hello, and the response is the other
+//! side's.
 
-use super::Control;
 use super::orders::SPREAD_DEADLINE;
-use crate::messages::{ControlState, FleetRequest, FleetResponse};
+use super::{Control, PEER_SILENCE};
+use crate::messages::{FleetRequest, FleetResponse, Hello};
 use comfreyhold_consensus::register::Ballot;
 use comfreyhold_membership::announcements::Heard;
 use comfreyhold_types::announcement::{Announcement, Availability};
@@ -12,7 +17,7 @@
 use serde_json::json;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Interval of hellos.
 const HELLO_INTERVAL: Duration = Duration::from_millis(450);
@@ -20,31 +25,32 @@
 /// Time in which a hello must be answered.
 const HELLO_DEADLINE: Duration = Duration::from_millis(800);
 
-/// Interval at which repeated announcements are passed on together.
-const GOSSIP_INTERVAL: Duration = Duration::from_millis(400);
+/// Time after which a daemon says hello to one that should have said so: one of its hellos may be lost.
+const HELLO_OVERDUE: Duration = HELLO_INTERVAL.saturating_mul(2);
 
 /// Time in which another daemon must hand over a value.
 const FETCH_DEADLINE: Duration = Duration::from_millis(1_500);
 
+/// Time for which new targets are gathered before they are passed on. When many processes start together, a
+/// message for each target to each daemon would take longer than that.
+const SPREAD_GATHER: Duration = Duration::from_millis(100);
+
 /// Interval at which changed targets are saved for the next start. It bounds the syncs that they cost.
 const SAVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Interval of hellos until the declarations are known, which nothing can be served without.
+/// Interval of hellos to seeds and voters until the declarations are known, which nothing can be served
+/// without.
 const FIRST_HELLO_INTERVAL: Duration = Duration::from_millis(80);
 
-/// States in a row with other targets after which all announcements are sent. One difference alone is
-/// usually an announcement on its way, and some last until a target is silent everywhere.
-const DIFFERENCES: u32 = 4;
-
 impl Control {
     pub(super) async fn run_hellos(self: Rc<Self>) {
         loop {
-            for address in self.peers.borrow().addresses() {
+            let joined = self.register.chosen().is_some();
+            for address in self.to_greet(joined) {
                 if self.greeting.borrow_mut().insert(address) {
                     tokio::task::spawn_local(Rc::clone(&self).say_hello(address));
                 }
             }
-            let joined = self.register.chosen().is_some();
             let pause = if joined { HELLO_INTERVAL } else { FIRST_HELLO_INTERVAL };
             tokio::time::sleep(pause).await;
             let now = self.clock.now();
@@ -57,6 +63,7 @@
                 let known = peers.addresses();
                 self.links.retain(|address| known.contains(address));
             }
+            self.repeated.borrow_mut().retain(|_, heard| now < *heard + PEER_SILENCE);
             let before = self.targets.borrow().revision();
             let fallen = self.targets.borrow_mut().check_silence(now);
             for id in fallen {
@@ -66,41 +73,85 @@
         }
     }
 
+    /// The daemons to greet now. Until the declarations are known here, those that may know them are greeted
+    /// each time.
+    fn to_greet(&self, joined: bool) -> Vec<SocketAddr> {
+        let now = self.clock.now();
+        let mut peers = self.peers.borrow_mut();
+        let mut due = peers.due(HELLO_INTERVAL, HELLO_OVERDUE, now);
+        if !joined {
+            due.extend(peers.seeds());
+            let known = self.register.known();
+            due.extend(known.iter().flat_map(|value| value.voters.all()).map(|v| v.address));
+            due.remove(&self.me.address);
+        }
+        due.into_iter().collect()
+    }
+
     async fn say_hello(self: Rc<Self>, address: SocketAddr) {
-        let request = FleetRequest::Hello(self.state());
+        let (hello, told_before) = self.hello(address);
+        let request = FleetRequest::Hello(hello);
         let response = self.links.call(address, &request, HELLO_DEADLINE).await;
         self.greeting.borrow_mut().remove(&address);
         match response {
-            Ok(FleetResponse::Hello(state)) => self.heard_hello(state),
+            Ok(FleetResponse::Hello(hello)) => return self.heard_hello(hello),
             Ok(_) => log::warn!("{address} answered a hello with something else"),
             Err(error) => log::debug!("hello to {address}: {error}"),
         }
+        self.peers.borrow_mut().tell(&address, told_before);
+    }
+
+    /// What a daemon is told now, and the time up to which it was told about repeated announcements before.
+    pub(super) fn hello(&self, address: SocketAddr) -> (Hello, Option<Instant>) {
+        let now = self.clock.now();
+        let told = self.peers.borrow_mut().tell(&address, Some(now));
+        let repeated = self.repeated.borrow();
+        let untold = repeated.iter().filter(|(_, heard)| told.is_none_or(|told| **heard > told));
+        let ids: Vec<TargetId> = untold.map(|(id, _)| *id).collect();
+        let hello =
+            Hello { state: self.state(), repeated: self.targets.borrow().stamps(&ids, now) };
+        (hello, told)
     }
 
-    /// Takes in another daemon's state, and makes up for what either side lacks.
-    pub(super) fn heard_hello(self: &Rc<Self>, state: ControlState) {
+    /// Takes in another daemon's hello, and makes up for what either side lacks.
+    pub(super) fn heard_hello(self: &Rc<Self>, hello: Hello) {
         let now = self.clock.now();
+        let Hello { state, repeated } = hello;
         let address = state.replica.address;
         if address == self.me.address {
             return;
         }
+        let before = self.targets.borrow().revision();
+        let lacking = self.targets.borrow_mut().refresh(&repeated, now);
+        self.notify_targets(before);
+        if !lacking.is_empty() {
+            tokio::task::spawn_local(Rc::clone(self).fetch_announcements(address, lacking));
+        }
         let (chosen, domain) = (state.chosen, state.domain.clone());
-        let digest = self.targets.borrow().digest();
-        let anew = self.peers.borrow_mut().hear(state, digest, now);
+        let digests = self.targets.borrow().digests();
+        let anew = self.peers.borrow_mut().hear(state, &digests, now);
         if anew {
             self.record("control-found", || json!({"address": address, "domain": domain}));
         }
         self.heard_chosen(chosen, address);
-        let differing =
-            self.peers.borrow().get(&address).is_some_and(|peer| peer.differing >= DIFFERENCES);
-        if anew || differing {
-            if let Some(peer) = self.peers.borrow_mut().get_mut(&address) {
-                peer.differing = 0;
-            }
-            let all = self.targets.borrow().all(now);
-            if !all.is_empty() {
-                self.send(address, FleetRequest::Announced(all));
-            }
+        let differing = self.peers.borrow_mut().take_differing(&address);
+        let announcements = if anew {
+            let heard: Vec<TargetId> = self.repeated.borrow().keys().copied().collect();
+            self.targets.borrow().for_new_start(&heard, now)
+        } else {
+            self.targets.borrow().in_groups(&differing, now)
+        };
+        if !announcements.is_empty() {
+            self.send(address, FleetRequest::Announced(announcements));
+        }
+    }
+
+    async fn fetch_announcements(self: Rc<Self>, from: SocketAddr, ids: Vec<TargetId>) {
+        let request = FleetRequest::Announcements(ids);
+        match self.links.call(from, &request, SPREAD_DEADLINE).await {
+            Ok(FleetResponse::Announcements(announcements)) => self.hear_all(&announcements),
+            Ok(_) => log::warn!("{from} answered a question for targets with something else"),
+            Err(error) => log::debug!("announcements from {from}: {error}"),
         }
     }
 
@@ -140,22 +191,35 @@
         metrics::counter!("announcements", "heard" => name).increment(1);
         match heard {
             Heard::Changed => {
+                self.repeated.borrow_mut().insert(announcement.id, now);
                 self.changed.notify_waiters();
                 self.record_target(announcement, "target");
-                let spread = self.spread(FleetRequest::Announced(vec![announcement.clone()]));
                 if announcement.availability == Availability::Serving {
-                    tokio::task::spawn_local(spread);
+                    self.unspread.borrow_mut().insert(announcement.id);
+                    self.spread_due.notify_one();
                 } else {
-                    spread.await;
+                    self.spread(FleetRequest::Announced(vec![announcement.clone()])).await;
                 }
             }
             Heard::Refreshed => {
-                self.repeated.borrow_mut().insert(announcement.id);
+                self.repeated.borrow_mut().insert(announcement.id, now);
             }
             Heard::Stale => self.record_target(announcement, "stale-announcement"),
         }
     }
 
+    /// Passes on targets that take flows, several at a time.
+    pub(super) async fn run_spread(self: Rc<Self>) {
+        loop {
+            self.spread_due.notified().await;
+            tokio::time::sleep(SPREAD_GATHER).await;
+            let ids: Vec<TargetId> =
+                std::mem::take(&mut *self.unspread.borrow_mut()).into_iter().collect();
+            let announcements = self.targets.borrow().named(&ids, self.clock.now());
+            tokio::task::spawn_local(self.spread(FleetRequest::Announced(announcements)));
+        }
+    }
+
     /// Takes in that a target ends.
     pub(super) async fn ended(self: &Rc<Self>, id: TargetId) {
         self.hear_end(id);
@@ -229,25 +293,6 @@
         }
     }
 
-    /// Passes repeated announcements on.
-    pub(super) async fn run_gossip(self: Rc<Self>) {
-        loop {
-            tokio::time::sleep(GOSSIP_INTERVAL).await;
-            let ids: Vec<TargetId> =
-                std::mem::take(&mut *self.repeated.borrow_mut()).into_iter().collect();
-            if ids.is_empty() {
-                continue;
-            }
-            let now = self.clock.now();
-            let known = self.targets.borrow().named(&ids, now);
-            let stamps: Vec<_> = known.iter().map(|known| (known.id, known.stamp)).collect();
-            for address in self.live_peers() {
-                let request = FleetRequest::Refreshed(stamps.clone());
-                tokio::task::spawn_local(Rc::clone(&self).pass_on(address, request));
-            }
-        }
-    }
-
     /// Saves changed targets for the next start.
     pub(super) async fn run_saves(self: Rc<Self>) {
         let mut saved = self.targets.borrow().revision();
@@ -260,15 +305,4 @@
             }
         }
     }
-
-    async fn pass_on(self: Rc<Self>, to: SocketAddr, request: FleetRequest) {
-        match self.links.call(to, &request, SPREAD_DEADLINE).await {
-            Ok(FleetResponse::Lacking(ids)) if !ids.is_empty() => {
-                let lacking = self.targets.borrow().named(&ids, self.clock.now());
-                self.send(to, FleetRequest::Announced(lacking));
-            }
-            Ok(_) => {}
-            Err(error) => log::debug!("announcements for {to}: {error}"),
-        }
-    }
 }
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -28,10 +28,11 @@
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use peers::Peers;
+use rand::seq::IteratorRandom;
 use register::Register;
 use serde_json::json;
 use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -56,6 +57,10 @@
 /// itself within one; the second allows for a daemon that did not answer.
 const RESTORED_INTERVALS: u32 = 2;
 
+/// Control daemons named in a hello. With up to this many all of them are named each time; among more, each
+/// one is named by several others within a second.
+const NAMED_PEERS: usize = 8;
+
 /// One control daemon. It runs on one thread.
 pub struct Control {
     settings: FleetSettings,
@@ -69,8 +74,11 @@
     register: Register,
     peers: RefCell<Peers>,
     targets: RefCell<Announcements>,
-    /// Announcements heard here that repeat what is known, until the next gossip.
-    repeated: RefCell<BTreeSet<TargetId>>,
+    /// Targets that have lately repeated their announcements here, and when.
+    repeated: RefCell<BTreeMap<TargetId, Instant>>,
+    /// Targets that others must be told about.
+    unspread: RefCell<BTreeSet<TargetId>>,
+    spread_due: Notify,
     /// Daemons that have not answered the last hello yet.
     greeting: RefCell<BTreeSet<SocketAddr>>,
     orders: mpsc::Sender<orders::Order>,
@@ -118,6 +126,8 @@
             register,
             targets: RefCell::new(targets),
             repeated: RefCell::default(),
+            unspread: RefCell::default(),
+            spread_due: Notify::new(),
             greeting: RefCell::default(),
             orders,
             changed: Notify::new(),
@@ -138,7 +148,7 @@
         tokio::task::spawn_local(Rc::clone(self).run_orders(order_queue));
         tokio::task::spawn_local(Rc::clone(self).run_calls(calls));
         tokio::task::spawn_local(Rc::clone(self).run_hellos());
-        tokio::task::spawn_local(Rc::clone(self).run_gossip());
+        tokio::task::spawn_local(Rc::clone(self).run_spread());
         tokio::task::spawn_local(Rc::clone(self).run_repair());
         tokio::task::spawn_local(Rc::clone(self).run_saves());
         handle
@@ -167,8 +177,8 @@
             domain: self.domain.clone(),
             start: self.start,
             chosen: self.register.chosen_ballot(),
-            targets: self.targets.borrow().digest(),
-            peers: self.live_peers(),
+            targets: self.targets.borrow().digests(),
+            peers: self.live_peers().into_iter().sample(&mut rand::rng(), NAMED_PEERS),
         }
     }
 
@@ -222,9 +232,7 @@
         let _ = held.await;
         let now = self.clock.now();
         let targets = self.targets.borrow();
-        let mut news = self.sources(&targets, &watch).news(&watch, now);
-        news.controls = self.known_controls(now);
-        news
+        self.sources(&targets, &watch).news(&watch, now)
     }
 
     fn known_controls(&self, now: Instant) -> Vec<(SocketAddr, DomainName)> {
@@ -239,9 +247,10 @@
             FleetRequest::Vote(addressed) => {
                 FleetResponse::Vote(self.voter.answer(addressed).await)
             }
-            FleetRequest::Hello(state) => {
-                self.heard_hello(state);
-                FleetResponse::Hello(self.state())
+            FleetRequest::Hello(hello) => {
+                let address = hello.state.replica.address;
+                self.heard_hello(hello);
+                FleetResponse::Hello(self.hello(address).0)
             }
             FleetRequest::Chosen(ballot, holder) => {
                 self.heard_chosen(ballot, holder);
@@ -255,18 +264,18 @@
                 self.hear_all(&announcements);
                 FleetResponse::Done
             }
-            FleetRequest::Refreshed(stamps) => {
-                let now = self.clock.now();
-                let before = self.targets.borrow().revision();
-                let lacking = self.targets.borrow_mut().refresh(&stamps, now);
-                self.notify_targets(before);
-                FleetResponse::Lacking(lacking)
+            FleetRequest::Announcements(ids) => {
+                let known = self.targets.borrow().named(&ids, self.clock.now());
+                FleetResponse::Announcements(known)
             }
             FleetRequest::Ended(id) => {
                 self.hear_end(id);
                 FleetResponse::Done
             }
             FleetRequest::Watch(watch) => FleetResponse::News(Box::new(self.watch(watch).await)),
+            FleetRequest::Controls => {
+                FleetResponse::Controls(self.known_controls(self.clock.now()))
+            }
         }
     }
 }
@@ -281,15 +290,20 @@
             if topic != TOPIC {
                 return Err(ResultCode::BadFrame);
             }
-            let request = decode_body(&body).map_err(|error| {
+            let request: FleetRequest = decode_body(&body).map_err(|error| {
                 log::warn!("refused a request: {error}");
                 error.code()
             })?;
+            let kind: &'static str = (&request).into();
             let response = self.answer(request).await;
-            encode_body(&response).map_err(|error| {
+            let encoded = encode_body(&response).map_err(|error| {
                 log::error!("a response can't be sent: {error}");
                 error.code()
-            })
+            })?;
+            let bytes = (body.len() + encoded.len()) as u64;
+            metrics::counter!("exchange_bytes", "request" => kind).increment(bytes);
+            metrics::counter!("exchanges", "request" => kind).increment(1);
+            Ok(encoded)
         }
         .boxed_local()
     }
--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -2,6 +2,7 @@
 
 use crate::messages::{ControlState, StartId};
 use comfreyhold_consensus::register::Replica;
+use comfreyhold_membership::announcements::{TargetDigests, TargetGroup};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -13,8 +14,13 @@
 /// Time after which an address that only others have named is dropped, if it never answers.
 const FORGET_UNHEARD: Duration = Duration::from_secs(15);
 
-/// Most daemons known, so that wrong addresses can't exhaust the memory. The users allow 7 for control.
-const MAX_PEERS: usize = 64;
+/// Most daemons known, so that wrong addresses can't exhaust the memory. The users allow 7 for control; a
+/// deployment that runs one on each of many machines still has all of them in touch with each other.
+const MAX_PEERS: usize = 256;
+
+/// States in a row with other targets after which a group of targets is sent. One difference alone is
+/// usually an announcement on its way, and some last until a target is silent everywhere.
+const DIFFERENCES: u32 = 4;
 
 /// What is known about another control daemon.
 #[derive(Clone, Debug)]
@@ -24,8 +30,11 @@
     /// When it was last heard.
     pub heard: Option<Instant>,
     since: Instant,
-    /// Number of states in a row whose targets differed from those here.
-    pub differing: u32,
+    /// Groups of targets that differ from those here, with the number of states in a row in which they did.
+    differing: BTreeMap<TargetGroup, u32>,
+    /// Time up to which it was told about repeated announcements.
+    told: Option<Instant>,
+    greeted: Option<Instant>,
 }
 
 /// All of them.
@@ -54,15 +63,14 @@
     pub fn add(&mut self, addresses: impl IntoIterator<Item = SocketAddr>, now: Instant) {
         for address in addresses {
             if address != self.me && self.peers.len() < MAX_PEERS {
-                let peer = Peer { state: None, heard: None, since: now, differing: 0 };
-                self.peers.entry(address).or_insert(peer);
+                self.peers.entry(address).or_insert_with(|| Peer::unheard(now));
             }
         }
     }
 
-    /// Takes in a daemon's state. `targets` is the digest of the targets here. Returns whether it has
+    /// Takes in a daemon's state. `targets` are the digests of the targets here. Returns whether it has
     /// started anew since it was last heard.
-    pub fn hear(&mut self, state: ControlState, targets: u64, now: Instant) -> bool {
+    pub fn hear(&mut self, state: ControlState, targets: &TargetDigests, now: Instant) -> bool {
         let address = state.replica.address;
         if address == self.me {
             return false;
@@ -71,7 +79,11 @@
         self.add(state.peers.iter().copied(), now);
         let Some(peer) = self.peers.get_mut(&address) else { return false };
         let anew = peer.start() != Some(state.start);
-        peer.differing = if state.targets == targets { 0 } else { peer.differing + 1 };
+        let differing = state.targets.differing(targets);
+        peer.differing.retain(|group, _| differing.contains(group));
+        for group in differing {
+            *peer.differing.entry(group).or_default() += 1;
+        }
         peer.state = Some(state);
         peer.heard = Some(now);
         anew
@@ -111,13 +123,51 @@
         self.peers.get(address)
     }
 
-    /// A peer by its address, to change it.
-    pub fn get_mut(&mut self, address: &SocketAddr) -> Option<&mut Peer> {
-        self.peers.get_mut(address)
+    /// The groups of targets in which a daemon has differed for long. They start to count anew.
+    pub fn take_differing(&mut self, address: &SocketAddr) -> BTreeSet<TargetGroup> {
+        let Some(peer) = self.peers.get_mut(address) else { return BTreeSet::new() };
+        let lasting = peer.differing.extract_if(.., |_, times| *times >= DIFFERENCES);
+        lasting.map(|(group, _)| group).collect()
+    }
+
+    /// Time up to which a daemon was told about repeated announcements; from now on it is `until`.
+    pub fn tell(&mut self, address: &SocketAddr, until: Option<Instant>) -> Option<Instant> {
+        let peer = self.peers.get_mut(address)?;
+        std::mem::replace(&mut peer.told, until)
+    }
+
+    /// The daemons to greet: those that were not greeted for `interval`. One side of each pair greets, and the
+    /// other one too if it has heard nothing for `overdue`.
+    pub fn due(
+        &mut self,
+        interval: Duration,
+        overdue: Duration,
+        now: Instant,
+    ) -> BTreeSet<SocketAddr> {
+        let mut due = BTreeSet::new();
+        for (address, peer) in &mut self.peers {
+            let greeted = peer.greeted.is_some_and(|greeted| now < greeted + interval);
+            let silent = peer.heard.is_none_or(|heard| now >= heard + overdue);
+            if !greeted && (self.me < *address || silent) {
+                peer.greeted = Some(now);
+                due.insert(*address);
+            }
+        }
+        due
+    }
+
+    /// The seeds.
+    pub fn seeds(&self) -> impl Iterator<Item = SocketAddr> {
+        self.seeds.iter().copied()
     }
 }
 
 impl Peer {
+    fn unheard(since: Instant) -> Self {
+        let (state, heard, told, greeted) = (None, None, None, None);
+        Self { state, heard, since, differing: BTreeMap::new(), told, greeted }
+    }
+
     fn start(&self) -> Option<StartId> {
         self.state.as_ref().map(|state| state.start)
     }
--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -24,6 +24,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use view::View;
 
 /// Control daemons that an entry watches. With two, the loss of one delays no news.
@@ -69,6 +70,8 @@
     last_tick: Cell<Instant>,
     last_news: Cell<Instant>,
     readiness: Readiness,
+    /// Wakes the sources that wait for the first one.
+    joined: Notify,
 }
 
 impl<C: PacketCodec> Entry<C> {
@@ -107,6 +110,7 @@
             last_tick: Cell::new(now),
             last_news: Cell::new(now),
             readiness: Readiness::default(),
+            joined: Notify::new(),
         });
         entry.record("start", || json!({"settings": settings.summary()}));
         for source in 0..WATCHED {
--- a/crates/fleet/src/logging.rs
+++ b/crates/fleet/src/logging.rs
@@ -7,7 +7,6 @@
 use log::{LevelFilter, Record};
 use serde_json::json;
 use std::io::Write;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::time::Duration;
 
@@ -20,9 +19,6 @@
 /// Time for which the writer gathers lines, so that a busy process pays for few writes.
 const GATHER: Duration = Duration::from_millis(50);
 
-/// Lines left out because the writer was behind.
-static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
-
 /// Installs the process's logger.
 ///
 /// # Errors
@@ -60,14 +56,13 @@
 
 fn queue(tx: &SyncSender<String>, line: String) {
     if tx.try_send(line).is_err() {
-        LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+        count_left_out(1);
     }
 }
 
-/// Lines left out so far because the writer was behind.
-#[must_use]
-pub fn left_out() -> u64 {
-    LEFT_OUT.load(Ordering::Relaxed)
+/// Counts lines that are lost, since nothing can be logged about them.
+fn count_left_out(lines: u64) {
+    metrics::counter!("log_lines_left_out").increment(lines);
 }
 
 fn write_lines(rx: &Receiver<String>) {
@@ -77,9 +72,8 @@
         while let Ok(line) = rx.try_recv() {
             text.push_str(&line);
         }
-        // There is nowhere left to report that standard output is closed; the count says how much is lost.
         if stdout.write_all(text.as_bytes()).and_then(|()| stdout.flush()).is_err() {
-            LEFT_OUT.fetch_add(text.lines().count() as u64, Ordering::Relaxed);
+            count_left_out(text.lines().count() as u64);
         }
     }
 }
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -1,7 +1,7 @@
 //! Messages between control daemons, and between entries and control daemons.
 
 use comfreyhold_consensus::register::{Addressed, Ballot, Replica, Response, Value};
-use comfreyhold_membership::announcements::TargetReport;
+use comfreyhold_membership::announcements::{TargetDigests, TargetReport};
 use comfreyhold_types::announcement::{Announcement, AnnouncementStamp};
 use comfreyhold_types::keys::{DomainName, TargetId};
 use comfreyhold_types::routes::{FormerServices, RouteDifference, RouteTable};
@@ -9,6 +9,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use strum::IntoStaticStr;
 
 /// Number of this protocol among those of the exchange.
 pub const TOPIC: u16 = 10;
@@ -31,31 +32,43 @@
     pub start: StartId,
     /// Ballot of the newest value that it knows to be chosen.
     pub chosen: Ballot,
-    /// Digest of its targets.
-    pub targets: u64,
-    /// Control daemons that it has heard lately.
+    /// Digests of its targets.
+    pub targets: TargetDigests,
+    /// Some of the control daemons that it has heard lately.
     pub peers: Vec<SocketAddr>,
 }
 
+/// What control daemons tell each other regularly.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// The sender's state.
+    pub state: ControlState,
+    /// Targets that have repeated their announcements to the sender since its last hello to the receiver.
+    pub repeated: Vec<(TargetId, AnnouncementStamp)>,
+}
+
 /// A request.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
 pub enum FleetRequest {
     /// For a voter.
     Vote(Addressed),
-    /// The sender's state; the response is the receiver's.
-    Hello(ControlState),
+    /// The sender's news; the response has the receiver's.
+    Hello(Hello),
     /// A value was chosen under this ballot; the daemon at this address holds it.
     Chosen(Ballot, SocketAddr),
     /// Asks for the newest chosen value, unless it is this one.
     Newest(Ballot),
     /// Announcements that changed something, or of targets that the receiver does not know.
     Announced(Vec<Announcement>),
-    /// Announcements that repeat what is known.
-    Refreshed(Vec<(TargetId, AnnouncementStamp)>),
+    /// Asks for the announcements of targets.
+    Announcements(Vec<TargetId>),
     /// A target has said that it ends.
     Ended(TargetId),
     /// An entry asks for what has changed.
     Watch(Watch),
+    /// An entry asks which control daemons there are.
+    Controls,
 }
 
 /// A response.
@@ -64,15 +77,17 @@
     /// To `Vote`.
     Vote(Response),
     /// To `Hello`.
-    Hello(ControlState),
+    Hello(Hello),
     /// To `Newest`: the value, if there is a newer one.
     Newest(Option<Arc<Value>>),
-    /// To `Refreshed`: targets whose announcements the receiver lacks.
-    Lacking(Vec<TargetId>),
+    /// To `Announcements`: those that are known.
+    Announcements(Vec<Announcement>),
     /// To requests that need no answer.
     Done,
     /// To `Watch`.
     News(Box<News>),
+    /// To `Controls`: those that are known to answer, with their failure domains.
+    Controls(Vec<(SocketAddr, DomainName)>),
 }
 
 /// What an entry already knows.
@@ -99,8 +114,6 @@
     pub targets: Vec<TargetReport>,
     /// Declarations, if there are newer ones.
     pub declarations: Option<DeclarationNews>,
-    /// Control daemons that are known to answer, with their failure domains.
-    pub controls: Vec<(SocketAddr, DomainName)>,
 }
 
 /// Newer declarations.
--- a/crates/membership/src/announcements.rs
+++ b/crates/membership/src/announcements.rs
@@ -8,7 +8,8 @@
 use comfreyhold_types::keys::TargetId;
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
-use std::collections::BTreeMap;
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
@@ -18,6 +19,10 @@
 /// for seconds; without the record they would bring the target back.
 const KEEP_ENDED: Duration = Duration::from_secs(300);
 
+/// Time for which other daemons are told that a target has ended. It is shorter than the record is kept, so that
+/// daemons that forget it at different times do not remind each other for ever.
+const TELL_ENDED: Duration = Duration::from_secs(150);
+
 /// A cold period is reported again when it ends later than known by more than this. Smaller differences
 /// come from the delay of announcements.
 const COLD_SLACK: Duration = Duration::from_millis(300);
@@ -26,6 +31,37 @@
 /// system is designed for.
 const MAX_RECORDS: usize = 20_000;
 
+/// Groups of targets that are compared between daemons. A difference costs the exchange of one group only.
+const GROUPS: usize = 16;
+
+/// Digests of what routing depends on, one for each group of targets.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TargetDigests([u32; GROUPS]);
+
+impl TargetDigests {
+    /// The groups in which these digests differ from others.
+    #[must_use]
+    pub fn differing(&self, other: &Self) -> BTreeSet<TargetGroup> {
+        let differs = |group: &usize| self.0[*group] != other.0[*group];
+        (0..GROUPS).filter(differs).map(TargetGroup).collect()
+    }
+}
+
+/// One of the groups that targets are divided into.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TargetGroup(usize);
+
+impl TargetGroup {
+    /// The group of a target.
+    #[must_use]
+    pub fn of(id: TargetId) -> Self {
+        let mut hasher = SipHasher13::new();
+        id.hash(&mut hasher);
+        Self(usize::try_from(hasher.finish() % GROUPS as u64).unwrap_or_default())
+    }
+}
+
 /// What an announcement came to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -73,13 +109,16 @@
     holders: BTreeMap<SocketAddrV4, Holder>,
     silence: Duration,
     revision: u64,
+    /// Digests of the records as they are, once they were asked for.
+    digests: Cell<Option<TargetDigests>>,
 }
 
 impl Announcements {
     /// Creates an empty set. A target unheard for `silence` is reported as silent.
     #[must_use]
     pub fn new(silence: Duration) -> Self {
-        Self { records: BTreeMap::new(), holders: BTreeMap::new(), silence, revision: 0 }
+        let (records, holders, digests) = Default::default();
+        Self { records, holders, silence, revision: 0, digests }
     }
 
     /// Number that grows with every change that entries need to know.
@@ -130,8 +169,10 @@
             announcement.routes_like(&known.announcement)
                 && cold_until <= known.cold_until.max(now) + COLD_SLACK
                 && !known.silent
-                && !known.restored
         });
+        if !refreshed || known.is_some_and(|known| known.restored) {
+            self.digests.set(None);
+        }
         let changed = if refreshed {
             known.map_or(0, |known| known.changed)
         } else {
@@ -171,7 +212,8 @@
                 }
                 continue;
             }
-            if stamp.sequence > known.sequence
+            let newer = stamp.sequence > known.sequence;
+            if (newer || (record.restored && *stamp == known))
                 && record.announcement.availability != Availability::Ended
             {
                 let left = record.cold_until.saturating_duration_since(now);
@@ -204,6 +246,7 @@
 
     /// Records a start that has ended already, since it ends every earlier start of its target.
     fn record_displaced(&mut self, announcement: &Announcement, now: Instant) {
+        self.digests.set(None);
         self.revision += 1;
         let record = Record {
             announcement: Announcement {
@@ -235,6 +278,7 @@
         for record in self.records.values_mut() {
             let there = record.announcement.address == announcement.address;
             if there && !record.displaced && holder.ends(&record.announcement) {
+                self.digests.set(None);
                 record.displaced = true;
                 record.announcement.availability = Availability::Ended;
                 self.revision += 1;
@@ -245,6 +289,7 @@
 
     /// Marks targets that have fallen silent, and forgets ended ones. Returns the newly silent ones.
     pub fn check_silence(&mut self, now: Instant) -> Vec<TargetId> {
+        let before = self.records.len();
         let (silence, revision) = (self.silence, &mut self.revision);
         let mut fallen = Vec::new();
         for (id, record) in &mut self.records {
@@ -261,6 +306,9 @@
             ended && now >= record.heard + KEEP_ENDED
         };
         self.records.retain(|_, record| !gone(record));
+        if !fallen.is_empty() || self.records.len() != before {
+            self.digests.set(None);
+        }
         let records = &self.records;
         self.holders.retain(|_, holder| {
             records.contains_key(&holder.start.1) || now < holder.heard + KEEP_ENDED
@@ -280,30 +328,66 @@
     /// The newest announcements of all targets that are not silent, for another daemon.
     #[must_use]
     pub fn all(&self, now: Instant) -> Vec<Announcement> {
-        let told = self.records.values().filter(|record| !record.silent && !record.restored);
+        let told = self.records.values().filter(|record| record.is_told(now));
         told.map(|record| record.told(now)).collect()
     }
 
-    /// The newest announcements of some targets.
+    /// The newest announcements of some targets, as far as [`Self::all`] has them.
     #[must_use]
     pub fn named(&self, ids: &[TargetId], now: Instant) -> Vec<Announcement> {
-        self.all(now).into_iter().filter(|announcement| ids.contains(&announcement.id)).collect()
+        let known = ids.iter().filter_map(|id| self.records.get(id));
+        known.filter(|record| record.is_told(now)).map(|record| record.told(now)).collect()
     }
 
-    /// Digest of what routing depends on. Daemons with equal digests need not exchange their records.
+    /// What a daemon that has started anew is told at once: the targets that announce themselves here, and those
+    /// that take no more flows. Others tell it the rest, and later digests show what is still missing.
     #[must_use]
-    pub fn digest(&self) -> u64 {
-        let mut digest = 0;
-        for record in self.records.values().filter(|record| !record.silent && !record.restored) {
+    pub fn for_new_start(&self, heard_here: &[TargetId], now: Instant) -> Vec<Announcement> {
+        let mut told = self.named(heard_here, now);
+        let takes_none = |record: &&Record| {
+            record.is_told(now) && record.announcement.availability != Availability::Serving
+        };
+        let known = |id: &TargetId| heard_here.contains(id);
+        let rest = self.records.iter().filter(|(id, record)| takes_none(record) && !known(id));
+        told.extend(rest.map(|(_, record)| record.told(now)));
+        told
+    }
+
+    /// The newest starts and numbers of some targets, as far as [`Self::all`] has them.
+    #[must_use]
+    pub fn stamps(&self, ids: &[TargetId], now: Instant) -> Vec<(TargetId, AnnouncementStamp)> {
+        let known = ids.iter().filter_map(|id| Some((*id, self.records.get(id)?)));
+        let told = known.filter(|(_, record)| record.is_told(now));
+        told.map(|(id, record)| (id, record.announcement.stamp)).collect()
+    }
+
+    /// The newest announcements of the targets of some groups, as far as [`Self::all`] has them.
+    #[must_use]
+    pub fn in_groups(&self, groups: &BTreeSet<TargetGroup>, now: Instant) -> Vec<Announcement> {
+        let there = |id: &TargetId| groups.contains(&TargetGroup::of(*id));
+        let told = self.records.iter().filter(|(id, record)| record.is_told(now) && there(id));
+        told.map(|(_, record)| record.told(now)).collect()
+    }
+
+    /// Digests of what routing depends on. Daemons with equal ones need not exchange their records.
+    #[must_use]
+    pub fn digests(&self) -> TargetDigests {
+        if let Some(digests) = self.digests.get() {
+            return digests;
+        }
+        let mut digests = TargetDigests::default();
+        for (id, record) in self.records.iter().filter(|(_, record)| record.is_compared()) {
             let mut hasher = SipHasher13::new();
             let announcement = &record.announcement;
-            announcement.id.hash(&mut hasher);
+            id.hash(&mut hasher);
             announcement.stamp.born_ms.hash(&mut hasher);
             announcement.availability.hash(&mut hasher);
             announcement.address.hash(&mut hasher);
-            digest ^= hasher.finish();
+            let [a, b, c, d, ..] = hasher.finish().to_le_bytes();
+            digests.0[TargetGroup::of(*id).0] ^= u32::from_le_bytes([a, b, c, d]);
         }
-        digest
+        self.digests.set(Some(digests));
+        digests
     }
 
     /// Number of records that are neither silent nor ended.
@@ -324,6 +408,22 @@
 }
 
 impl Record {
+    fn has_ended(&self) -> bool {
+        self.announcement.availability == Availability::Ended
+    }
+
+    /// Whether other daemons are told about it.
+    fn is_told(&self, now: Instant) -> bool {
+        let forgotten_soon = self.has_ended() && now >= self.heard + TELL_ENDED;
+        !self.silent && !self.restored && !forgotten_soon
+    }
+
+    /// Whether it shows in the digests. The ends of targets do not: they are told at once, and forgotten at
+    /// different times.
+    fn is_compared(&self) -> bool {
+        !self.silent && !self.restored && !self.has_ended()
+    }
+
     /// The announcement with the rest of the cold period.
     fn told(&self, now: Instant) -> Announcement {
         let cold_ms = millis(self.cold_until.saturating_duration_since(now));
