Prefer a live dispatcher's own report to its witness's record

Cause, inferred: when a dispatcher stops as planned, its successor asks all entries for the grants that they hold. A witness that answers before it has the Forget of a grant reports it although it is released; its holder has nothing left to release, so the slot stays in use until the deadline, 10 s later. Ruled out by reading: a release confirmed by an ended dispatcher, a late report of the entry itself, and grants that arrive after the fence. Change: a witness's record has a field of its own in the report, waits while the dispatcher's live entry may still report, and counts only if that one doesn't. Before: the new test of the model left the slot in use with the witness first and last. After: both pass, as do the package's schedules of faults.

--- a/crates/fleet/src/control/gossip.rs
+++ b/crates/fleet/src/control/gossip.rs
@@ -1,9 +1,8 @@
 //! Hellos between control daemons, and the spread of targets' announcements among them.
 //!
 //! An announcement by which a target takes no more flows is sent to all daemons at once; other changes are
-//! gathered for a moment. Repeated announcements travel with the hellos,
-//! as an id and a number each. One side of each pair of daemons says hello, and the response is the other
-//! side's.
+//! gathered for a moment. Repeated announcements travel with the hellos, as an id and a number each. One side
+//! of each pair of daemons says hello, and the response is the other side's.
 
 use super::orders::SPREAD_DEADLINE;
 use super::{Control, PEER_SILENCE};
--- a/crates/fleet/src/entry/watch.rs
+++ b/crates/fleet/src/entry/watch.rs
@@ -42,6 +42,7 @@
     pub(super) async fn run_watch(self: Rc<Self>, source: usize) {
         let mut asked: u32 = 0;
         if source > 0 {
+            // Either the first source has brought the routes, or its turn is over.
             tokio::time::timeout(FIRST_SOURCE_TURN, self.joined.notified()).await.ok();
         }
         loop {
@@ -58,6 +59,7 @@
             };
             if let Err(reason) = outcome {
                 self.lose_control(source, control, &reason);
+                // The next daemon is asked first which others there are.
                 asked = 0;
                 tokio::time::sleep(if joined { RETRY_PAUSE } else { FIRST_RETRY_PAUSE }).await;
             } else {
--- a/crates/request/src/client_reports.rs
+++ b/crates/request/src/client_reports.rs
@@ -17,20 +17,16 @@
         let fence = self.fences.entry(pool).or_insert(epoch);
         *fence = epoch.max(*fence);
         let held = self.requests.values().filter(|request| request.stage.pool() == pool);
-        let mut grants: Vec<_> = held.filter_map(|request| request.held_grant(now)).collect();
-        let mut witness_of = None;
-        if let Some((dispatcher, recorded)) = self.witnessed.report(now, pool, epoch) {
-            witness_of = Some(dispatcher);
-            grants.extend(recorded);
-        }
-        out.push(Action::Send(from, Message::HeldGrants { pool, epoch, grants, witness_of }));
+        let grants = held.filter_map(|request| request.held_grant(now)).collect();
+        let witnessed = self.witnessed.report(now, pool, epoch);
+        out.push(Action::Send(from, Message::HeldGrants { pool, epoch, grants, witnessed }));
     }
 
     /// Tells a dispatcher that a later one has asked for reports, as after a partition. Its grants can't
     /// be used, so it must stop to offer slots.
     pub(crate) fn report_fence(&self, pool: Pool, to: InstanceId, out: &mut Vec<Action>) {
         let Some(epoch) = self.fences.get(&pool).copied() else { return };
-        let held = Message::HeldGrants { pool, epoch, grants: Vec::new(), witness_of: None };
+        let held = Message::HeldGrants { pool, epoch, grants: Vec::new(), witnessed: None };
         out.push(Action::Send(to, held));
     }
 
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -4,7 +4,9 @@
 use crate::answers::{Answer, Answers};
 pub use crate::dispatcher_event::{Action, DispatcherConfig, Event};
 use crate::grants::{Grant, Grants};
-use crate::message::{AttemptId, Brief, GrantId, LoadReport, Message, Pool, SlotOutcome};
+use crate::message::{
+    AttemptId, Brief, GrantId, HeldGrant, LoadReport, Message, Pool, SlotOutcome,
+};
 use crate::queue::{Offer, Queue, Waiting};
 use crate::ramp::Feedback;
 use crate::takeover::Takeover;
@@ -61,6 +63,10 @@
     pub(crate) self_grants: SelfGrants,
     /// End of the count of slots that failed entries may use, and those entries.
     pub(crate) reserved: Option<(Instant, BTreeSet<InstanceId>)>,
+    /// Live entries that have told which grants they hold.
+    pub(crate) reporters: BTreeSet<InstanceId>,
+    /// Records of witnesses, and when they came, while the dispatcher's own entry may still report.
+    pub(crate) records: BTreeMap<InstanceId, (Instant, Vec<HeldGrant>)>,
     pub(crate) mean_service: Option<Duration>,
     pub(crate) peers: BTreeMap<DomainId, (u32, Instant)>,
     pub(crate) heard: BTreeMap<InstanceId, Instant>,
@@ -84,6 +90,8 @@
             answers: Answers::default(),
             self_grants: SelfGrants::new(cfg.pool, cfg.epoch, now),
             reserved: None,
+            reporters: BTreeSet::new(),
+            records: BTreeMap::new(),
             mean_service: None,
             peers: BTreeMap::new(),
             heard: BTreeMap::new(),
@@ -184,8 +192,8 @@
             {
                 self.on_stop(out);
             }
-            Message::HeldGrants { pool, epoch, grants, witness_of } if self.is_own(pool, epoch) => {
-                self.on_held(now, from, &grants, witness_of);
+            Message::HeldGrants { pool, epoch, grants, witnessed } if self.is_own(pool, epoch) => {
+                self.on_held(now, from, &grants, witnessed);
             }
             Message::Witnessed { pool, epoch, grants } if self.is_own(pool, epoch) => {
                 self.on_witnessed(from, &grants, out);
--- a/crates/request/src/dispatcher_takeover.rs
+++ b/crates/request/src/dispatcher_takeover.rs
@@ -2,7 +2,7 @@
 
 use crate::dispatcher::{Action, Dispatcher, GRANT_MARGIN, Phase};
 use crate::grants::Grant;
-use crate::message::{HeldGrant, Message};
+use crate::message::{HeldGrant, Message, WitnessRecord};
 use crate::takeover::Takeover;
 use crate::target_slots::TargetSlots;
 use comfreyhold_types::prelude::*;
@@ -18,6 +18,8 @@
         cold: &BTreeSet<SocketAddr>,
     ) {
         self.phase = Phase::Collecting(takeover);
+        self.reporters.clear();
+        self.records.clear();
         let mut targets = TargetSlots::new(self.cfg.profile.cold.clone());
         let max_slots = self.cfg.profile.max_slots;
         targets.replace(now, &self.known_targets, max_slots, |address| !cold.contains(&address));
@@ -29,8 +31,9 @@
         now: Instant,
         from: InstanceId,
         held: &[HeldGrant],
-        witness_of: Option<InstanceId>,
+        witnessed: Option<WitnessRecord>,
     ) {
+        let awaited = self.awaits(from);
         let fresh = match &mut self.phase {
             Phase::Collecting(takeover) => takeover.report(from),
             Phase::Active => {
@@ -41,11 +44,15 @@
         if !fresh {
             return;
         }
+        if awaited {
+            self.reporters.insert(from);
+            self.records.remove(&from);
+        }
         for grant in held {
             self.adopt(now, grant);
         }
-        if let Some(dispatcher) = witness_of {
-            self.cover(dispatcher);
+        if let Some(record) = witnessed {
+            self.on_record(now, record);
         }
         if self.reserved.as_ref().is_some_and(|(_, missing)| missing.is_empty()) {
             self.reserved = None;
@@ -53,6 +60,37 @@
         }
     }
 
+    fn awaits(&self, entry: InstanceId) -> bool {
+        matches!(&self.phase, Phase::Collecting(takeover) if takeover.awaits(entry))
+    }
+
+    /// A record counts only if the dispatcher's own entry doesn't report: it may name grants that were released
+    /// just before, whose holder has nothing left to release here.
+    fn on_record(&mut self, now: Instant, record: WitnessRecord) {
+        let WitnessRecord { dispatcher, grants } = record;
+        if self.reporters.contains(&dispatcher) {
+            return;
+        }
+        if self.awaits(dispatcher) {
+            self.records.insert(dispatcher, (now, grants));
+            return;
+        }
+        for grant in &grants {
+            self.adopt(now, grant);
+        }
+        self.cover(dispatcher);
+    }
+
+    /// Adopts the records of dispatchers whose entries have not reported in time.
+    fn adopt_records(&mut self) {
+        for (dispatcher, (came, grants)) in std::mem::take(&mut self.records) {
+            for grant in &grants {
+                self.adopt(came, grant);
+            }
+            self.cover(dispatcher);
+        }
+    }
+
     /// The grants of a failed dispatcher to its own instance are known from its witness.
     fn cover(&mut self, dispatcher: InstanceId) {
         match &mut self.phase {
@@ -95,6 +133,8 @@
         if !takeover.is_complete(now) {
             return;
         }
+        self.adopt_records();
+        let Phase::Collecting(takeover) = &self.phase else { return };
         let missing = takeover.missing();
         let until = takeover.lease_ends + self.cfg.profile.deadline() + GRANT_MARGIN;
         self.phase = Phase::Active;
--- a/crates/request/src/message.rs
+++ b/crates/request/src/message.rs
@@ -88,6 +88,16 @@
     pub remaining: Duration,
 }
 
+/// What a witness has recorded: grants of a dispatcher to its own instance, some of which may have been released
+/// since.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WitnessRecord {
+    /// The dispatcher.
+    pub dispatcher: InstanceId,
+    /// Its grants.
+    pub grants: Vec<HeldGrant>,
+}
+
 /// What entries exchange about requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -175,10 +185,10 @@
         pool: Pool,
         /// Epoch of the dispatcher that asked.
         epoch: u64,
-        /// All grants held on these targets, and those recorded as a witness.
+        /// All grants held on these targets.
         grants: Vec<HeldGrant>,
-        /// Earlier dispatcher whose grants to its own instance this entry has recorded.
-        witness_of: Option<InstanceId>,
+        /// What this entry has recorded as the witness of an earlier dispatcher.
+        witnessed: Option<WitnessRecord>,
     },
     /// Dispatcher to its witness: grants to its own instance that the witness must record.
     Witness {
--- a/crates/request/src/takeover.rs
+++ b/crates/request/src/takeover.rs
@@ -47,6 +47,12 @@
         self.awaited.iter().copied().collect()
     }
 
+    /// Whether the report of a live entry is still to come.
+    #[must_use]
+    pub fn awaits(&self, entry: InstanceId) -> bool {
+        self.awaited.contains(&entry)
+    }
+
     /// Records a report. Returns whether it is the first of this entry.
     pub fn report(&mut self, from: InstanceId) -> bool {
         self.awaited.remove(&from) | self.failed.remove(&from)
--- a/crates/request/src/witness.rs
+++ b/crates/request/src/witness.rs
@@ -5,7 +5,7 @@
 //! itself would be lost with it, and its successor would have to count every slot as in use until the
 //! longest deadline (13 s without grants in the comparison). With a witness, all grants are known.
 
-use crate::message::{AttemptId, GrantId, HeldGrant, Message, Pool};
+use crate::message::{AttemptId, GrantId, HeldGrant, Message, Pool, WitnessRecord};
 use crate::queue::Waiting;
 use comfreyhold_types::prelude::*;
 use std::collections::BTreeMap;
@@ -232,18 +232,14 @@
 
     /// The dispatcher before `epoch` that this entry is witness of, and that one's own grants.
     #[must_use]
-    pub fn report(
-        &self,
-        now: Instant,
-        pool: Pool,
-        epoch: u64,
-    ) -> Option<(InstanceId, Vec<HeldGrant>)> {
+    pub fn report(&self, now: Instant, pool: Pool, epoch: u64) -> Option<WitnessRecord> {
         let record = self.by_pool.get(&pool).filter(|record| record.epoch < epoch)?;
         let held = record.grants.iter().map(|(grant, (target, until))| HeldGrant {
             grant: *grant,
             target: *target,
             remaining: until.saturating_duration_since(now),
         });
-        Some((record.dispatcher, held.filter(|held| !held.remaining.is_zero()).collect()))
+        let grants = held.filter(|held| !held.remaining.is_zero()).collect();
+        Some(WitnessRecord { dispatcher: record.dispatcher, grants })
     }
 }
--- a/crates/request/tests/dispatcher.rs
+++ b/crates/request/tests/dispatcher.rs
@@ -4,7 +4,7 @@
 
 use comfreyhold_request::dispatcher::{Action, Dispatcher, ENTRY_QUIET, Event, GRANT_MARGIN};
 use comfreyhold_request::message::{
-    Brief, GrantId, HeldGrant, LoadReport, Message, Pool, SlotOutcome,
+    Brief, GrantId, HeldGrant, LoadReport, Message, Pool, SlotOutcome, WitnessRecord,
 };
 use comfreyhold_request::witness::WITNESS_QUIET;
 use comfreyhold_types::declarations::DomainState;
@@ -206,12 +206,14 @@
 }
 
 fn report(from: u16, grants: Vec<HeldGrant>) -> Event {
-    report_as_witness(from, grants, None)
+    let message = Message::HeldGrants { pool: POOL, epoch: 7, grants, witnessed: None };
+    Event::Message(InstanceId(from), message)
 }
 
-fn report_as_witness(from: u16, grants: Vec<HeldGrant>, witness_of: Option<u16>) -> Event {
-    let witness_of = witness_of.map(InstanceId);
-    let message = Message::HeldGrants { pool: POOL, epoch: 7, grants, witness_of };
+/// A report of an entry that holds nothing, and has recorded grants as the witness of a dispatcher.
+fn report_as_witness(from: u16, dispatcher: u16, grants: Vec<HeldGrant>) -> Event {
+    let witnessed = Some(WitnessRecord { dispatcher: InstanceId(dispatcher), grants });
+    let message = Message::HeldGrants { pool: POOL, epoch: 7, grants: vec![], witnessed };
     Event::Message(InstanceId(from), message)
 }
 
@@ -301,11 +303,50 @@
     for (failed, occupied) in [(vec![3], [1, 0]), (vec![2, 3], [1, 1])] {
         let mut d = dispatcher(warm_profile(8), vec![target(1, 1), target(2, 1)], t);
         d.handle(t, takeover(t, &[1], &failed));
-        d.handle(t, report_as_witness(1, vec![held(1, 1, ms(3_000))], Some(3)));
+        d.handle(t, report_as_witness(1, 3, vec![held(1, 1, ms(3_000))]));
         assert_eq!([1, 2].map(|n| d.occupied(address(n))), occupied, "failed: {failed:?}");
     }
 }
 
+/// Guards against a slot that stays in use until the deadline: a dispatcher that stops as planned has released a
+/// grant to itself, and its witness reports it before it hears of that.
+#[test]
+fn the_report_of_a_live_dispatcher_goes_before_its_witness() {
+    let t = Instant::now();
+    let recorded = || report_as_witness(1, 3, vec![held(1, 1, ms(3_000))]);
+    let still_held = || report(3, vec![held(1, 1, ms(3_000))]);
+    let cases = [
+        ("witness first", [recorded(), report(3, vec![])], 0),
+        ("witness last", [report(3, vec![]), recorded()], 0),
+        ("both hold it", [recorded(), still_held()], 1),
+    ];
+    for (name, reports, occupied) in cases {
+        let mut d = dispatcher(warm_profile(8), vec![target(1, 1)], t);
+        d.handle(t, takeover(t, &[1, 3], &[]));
+        for event in reports {
+            d.handle(t, event);
+        }
+        assert!(d.is_active(), "{name}");
+        assert_eq!(d.occupied(address(1)), occupied, "{name}");
+    }
+}
+
+/// Guards against a slot that is given twice because a dispatcher that was thought alive never reports, although
+/// its witness knows the grant.
+#[test]
+fn the_record_of_a_witness_counts_when_the_dispatcher_does_not_report() {
+    let t = Instant::now();
+    let mut d = dispatcher(warm_profile(8), vec![target(1, 1)], t);
+    d.handle(t, takeover(t, &[1, 3], &[]));
+    d.handle(t, report_as_witness(1, 3, vec![held(1, 1, ms(3_000))]));
+    assert!(!d.is_active());
+    d.handle(t + ms(1_000), Event::Tick);
+    assert!(d.is_active());
+    assert_eq!(d.occupied(address(1)), 1);
+    d.handle(t + ms(3_250), Event::Tick);
+    assert_eq!(d.occupied(address(1)), 0, "it expires by the time that the record came");
+}
+
 /// Guards against using a grant that only the granting instance knows of.
 #[test]
 fn a_grant_to_the_own_instance_waits_for_the_witness() {
@@ -405,7 +446,7 @@
     let (mut d, _) = full(8, t);
     d.handle(t, acquire(2, Priority::High, ms(5_000)));
     let fence = |epoch| {
-        let held = Message::HeldGrants { pool: POOL, epoch, grants: vec![], witness_of: None };
+        let held = Message::HeldGrants { pool: POOL, epoch, grants: vec![], witnessed: None };
         Event::Message(ENTRY, held)
     };
     for epoch in [6, 7] {
--- a/crates/request/tests/messages.rs
+++ b/crates/request/tests/messages.rs
@@ -50,7 +50,7 @@
         ),
         (Message::Release { pool: POOL, grant, outcome: SlotOutcome::Answered { took } }, 32),
         (Message::Load(LoadReport { pool: POOL, epoch, load, cold: vec![address(1); 32] }), 320),
-        (Message::HeldGrants { pool: POOL, epoch, grants: vec![held; 10], witness_of: None }, 320),
+        (Message::HeldGrants { pool: POOL, epoch, grants: vec![held; 10], witnessed: None }, 320),
         (Message::Key(claim), 96),
         (Message::Key(vote), 96),
         (Message::Key(finish), MAX_RESPONSE_BYTES + 96),
