Wait until a process that is told to stand still does

Cause: beside load a test of a stalled leader failed once: the leader accepted a publication that was sent after SIGSTOP (revision 9, in its old term, told by the refusal of the next one). The thread that takes the signal had not had its turn, so the other threads of the process still ran. Ruled out: a publication accepted after the stall; the log shows the successor's revision 10 on top of it, and entries never held another content of 9. Change: the lab's STOP returns once all threads of the process are stopped. The test and its bounds are as they were.

--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -11,6 +11,9 @@
 use tokio::io::{AsyncBufReadExt as _, BufReader};
 use tokio::process::{Child, Command};
 
+/// Longest time until a process that was told to stand still does.
+const STOP_LIMIT: Duration = Duration::from_secs(10);
+
 /// Limit for conditions that hold within a second on an idle machine.
 pub const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
@@ -85,10 +88,11 @@
         &self.log
     }
 
-    /// Sends a signal such as `TERM`, `STOP` or `CONT`.
+    /// Sends a signal such as `TERM`, `STOP` or `CONT`. After `STOP` it returns once all threads stand still: on a
+    /// busy machine the others go on until the one that takes the signal gets its turn.
     ///
     /// # Errors
-    /// The process has ended, or the signal can't be sent.
+    /// The process has ended, the signal can't be sent, or the process does not stop in time.
     pub async fn signal(&self, signal: &str) -> Result<()> {
         let id = self.id().with_context(|| format!("{} has ended", self.name))?;
         let args = [format!("-{signal}"), id.to_string()];
@@ -96,6 +100,10 @@
         if !status.success() {
             bail!("signal {signal} to {} failed: {status}", self.name);
         }
+        if signal == "STOP" {
+            let what = format!("{} stands still", self.name);
+            wait_until(&what, STOP_LIMIT, || is_stopped(id)).await?;
+        }
         Ok(())
     }
 
@@ -186,3 +194,14 @@
 ) -> Result<()> {
     wait_for(what, limit, || std::future::ready(condition().then_some(()))).await
 }
+
+/// Whether all threads of a process are stopped, as their `stat` files tell.
+fn is_stopped(id: u32) -> bool {
+    let Ok(threads) = std::fs::read_dir(format!("/proc/{id}/task")) else { return false };
+    let stopped = |thread: std::io::Result<std::fs::DirEntry>| {
+        let stat = thread.and_then(|thread| std::fs::read_to_string(thread.path().join("stat")));
+        let state = stat.ok().and_then(|stat| Some(stat.rsplit_once(") ")?.1.starts_with('T')));
+        state.unwrap_or(false)
+    };
+    threads.into_iter().all(stopped)
+}
