Let packets wait for an entry's first routes, and late openings behind new ones

Cause: after a loss of power entries start up to 0.4 s before a majority of the control daemons. Packets were dropped meanwhile and came again only after their senders' growing pauses. Change: packets wait until routes and a target are known, as long as their callers have not repeated them and, on open flows, within the latency objective. In the 0.6 s after the first routes, copies past their objective wait: the last one until 0.2 s before its caller gives up. A copy within 0.1 s of its opening goes to the same target. Tests: flow/waiting, flow/openings, flow/cookie, fleet/early_packets; the last two failed first. The fixture of flow/cookie begins after the surge now, which its tests are not about.

--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -11,13 +11,15 @@
 use crate::links::Links;
 use crate::settings::FleetSettings;
 use anyhow::Context;
-use comfreyhold_flow::cookie::{Balancer, BalancerSettings};
+use comfreyhold_flow::cookie::waiting::{Waiting, WaitingPacket};
+use comfreyhold_flow::cookie::{Balancer, BalancerSettings, FlowKey};
 use comfreyhold_types::clock::Clock;
 use comfreyhold_types::keys::DomainName;
 use controls::Controls;
 use packets::Received;
 use serde_json::json;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -38,6 +40,9 @@
 /// target has announced itself by then.
 const RETURN_INTERVALS: u32 = 2;
 
+/// Announcement intervals after the start in which each target has announced itself.
+const START_INTERVALS: u32 = 2;
+
 /// Whether an entry is ready for callers' packets; shared with the task that answers the question.
 #[derive(Clone, Debug, Default)]
 pub struct Readiness(Arc<AtomicBool>);
@@ -66,6 +71,14 @@
     balancer: RefCell<Balancer>,
     watching: RefCell<[Option<SocketAddr>; WATCHED]>,
     received: RefCell<Received>,
+    /// Packets that wait until the entry is ready for the first time.
+    waiting: RefCell<Option<Waiting>>,
+    /// Openings that wait behind others, by when their time comes.
+    deferred: RefCell<BTreeMap<(Instant, FlowKey), WaitingPacket>>,
+    /// Wakes the task that passes them on.
+    deferral: Notify,
+    /// When each target has announced itself since the start, so that there is none if none is known.
+    all_announced: Instant,
     stopping: Cell<bool>,
     last_tick: Cell<Instant>,
     last_news: Cell<Instant>,
@@ -106,6 +119,10 @@
             balancer: RefCell::new(Balancer::new(balancer)),
             watching: RefCell::new([None; WATCHED]),
             received: RefCell::new(Received::default()),
+            waiting: RefCell::new(Some(Waiting::default())),
+            deferred: RefCell::default(),
+            deferral: Notify::new(),
+            all_announced: now + settings.announce_interval() * START_INTERVALS,
             stopping: Cell::new(false),
             last_tick: Cell::new(now),
             last_news: Cell::new(now),
@@ -118,6 +135,7 @@
         }
         tokio::task::spawn_local(Rc::clone(&entry).run_ticks());
         tokio::task::spawn_local(Rc::clone(&entry).run_packets());
+        tokio::task::spawn_local(Rc::clone(&entry).run_deferred());
         Ok(entry)
     }
 
@@ -146,7 +164,11 @@
     }
 
     fn update_readiness(&self) {
-        let ready = !self.stopping.get() && self.balancer.borrow().is_ready();
+        let is_ready = self.balancer.borrow().is_ready();
+        if is_ready {
+            self.pass_waiting();
+        }
+        let ready = is_ready && !self.stopping.get();
         if ready != self.readiness.is_ready() {
             self.readiness.set(ready);
             self.record("readiness", || json!({"ready": ready}));
--- /dev/null
+++ b/crates/fleet/tests/fleet/early_packets.rs
@@ -0,0 +1,95 @@
+//! An entry that gets packets before any control daemon runs.
+
+use crate::feed::{announcement, publication};
+use comfreyhold_fleet::control::Control;
+use comfreyhold_fleet::entry::{Entry, PacketCodec, PacketError};
+use comfreyhold_fleet::settings::FleetSettings;
+use comfreyhold_flow::cookie::{CallerPacket, Cookie, FlowKey, PacketKind};
+use comfreyhold_types::announcement::{Announcement, Availability};
+use comfreyhold_types::clock::{ManualClock, SystemClock};
+use comfreyhold_types::keys::TargetId;
+use comfreyhold_types::routes::StateChange;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::task::LocalSet;
+
+/// Far above what a start takes; only a fault reaches it.
+const LIMIT: Duration = Duration::from_secs(60);
+
+const PACKET_PORT: u16 = 7_900;
+
+/// An address on a loopback network of this process, so that runs side by side do not meet.
+fn ip(host: u8) -> Ipv4Addr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, high, low, host)
+}
+
+/// Datagrams of one byte: the sequence number of an opening, all of flows to one service address.
+struct OneByte;
+
+impl PacketCodec for OneByte {
+    fn decode(&self, datagram: &[u8]) -> Result<CallerPacket, PacketError> {
+        let [number] = datagram else { return Err(PacketError::Length) };
+        let caller = SocketAddrV4::new(ip(9), u16::from(*number) + 1_000);
+        let service = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+        let flow = FlowKey { caller, service };
+        let (kind, cookie) = (PacketKind::Open { copy: 0 }, Cookie::default());
+        Ok(CallerPacket { flow, kind, cookie, seq: u32::from(*number), ack: 0, data: 0 })
+    }
+
+    fn to_target(&self, datagram: &[u8], _: TargetId, _: Cookie, out: &mut Vec<u8>) {
+        out.extend_from_slice(datagram);
+    }
+
+    fn reset(&self, packet: &CallerPacket, _: &mut Vec<u8>) -> SocketAddrV4 {
+        packet.flow.caller
+    }
+}
+
+fn settings(host: u8, more: &str) -> FleetSettings {
+    let text = format!(
+        "instance: one\ndomain: a\nip: {}\nexchange_port: 7901\nseeds: [\"{}:80\"]\n\
+         first_start: true\nannounce_interval_ms: 60000\ntolerate: {{instances: 0}}\n\
+         bounds: {{stop_s: 6}}\n{more}",
+        ip(host),
+        ip(2),
+    );
+    FleetSettings::parse(&text).unwrap()
+}
+
+/// Guards against requests that are late because they were sent while an entry waited for its first routes:
+/// the fabric uses an entry that is not ready where no other one is.
+#[tokio::test]
+async fn packets_before_the_first_routes_are_passed_on_with_them() {
+    LocalSet::new().run_until(play()).await;
+}
+
+async fn play() {
+    let target = UdpSocket::bind((ip(3), 0)).await.unwrap();
+    let SocketAddr::V4(address) = target.local_addr().unwrap() else { unreachable!("IPv4") };
+    let listen = format!("listen: {{packets: \"{}:{PACKET_PORT}\"}}", ip(1));
+    // Its clock stands still, so that no packet has waited for too long however long the start takes.
+    let clock = Arc::new(ManualClock::new());
+    let entry = Entry::start(&settings(1, &listen), OneByte, clock).unwrap();
+    let caller = UdpSocket::bind((ip(9), 0)).await.unwrap();
+    for number in [1, 2] {
+        caller.send_to(&[number], (ip(1), PACKET_PORT)).await.unwrap();
+    }
+    let folder = tempfile::tempdir().unwrap();
+    let data = format!("data_folder: {:?}", folder.path());
+    let control_settings = settings(2, &data);
+    let started = Control::start(control_settings, Arc::new(SystemClock)).await;
+    let (_control, handle) = started.unwrap();
+    assert!(!entry.readiness().is_ready());
+    handle.announce(Announcement { address, ..announcement(1, 1, Availability::Serving) }).await;
+    handle.change(StateChange::Publish(publication(1, &[1]))).await.unwrap();
+    let mut buf = [0; 8];
+    for number in [1, 2] {
+        let received = tokio::time::timeout(LIMIT, target.recv(&mut buf)).await;
+        assert_eq!(received.expect("the packet is passed on").unwrap(), 1);
+        assert_eq!(buf[0], number);
+    }
+    assert!(entry.readiness().is_ready());
+}
--- a/crates/fleet/tests/fleet/feed.rs
+++ b/crates/fleet/tests/fleet/feed.rs
@@ -17,7 +17,7 @@
 
 const SILENCE: Duration = Duration::from_secs(3);
 
-fn announcement(id: u64, sequence: u64, availability: Availability) -> Announcement {
+pub fn announcement(id: u64, sequence: u64, availability: Availability) -> Announcement {
     Announcement {
         id: TargetId(id),
         stamp: AnnouncementStamp { born_ms: 1, sequence },
@@ -30,7 +30,7 @@
     }
 }
 
-fn publication(version: u64, hosts: &[u8]) -> RoutePublication {
+pub fn publication(version: u64, hosts: &[u8]) -> RoutePublication {
     let route = |host: &u8| Route {
         name: format!("r{host}"),
         address: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, *host), 443),
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, clippy::panic)]
 
 mod controls;
+mod early_packets;
 mod feed;
 mod peers;
 mod settings;
--- a/crates/flow/src/cookie/balancer.rs
+++ b/crates/flow/src/cookie/balancer.rs
@@ -2,6 +2,7 @@
 
 use super::directory::{Directory, Target, TargetKey, TargetSpec};
 use super::flows::{Flow, Flows, Stage};
+use super::openings::{Surge, Turn};
 use super::placement::{Circumstances, choose};
 use super::{CallerPacket, Cookie, DiscardReason, FlowKey, PacketKind, ResetReason, Verdict};
 use bon::Builder;
@@ -17,6 +18,10 @@
 /// last answers while it ends.
 const END_GRACE: Duration = Duration::from_secs(2);
 
+/// Time that a target has to answer an opening before a copy of it shows that it did not. Callers send copies
+/// after 200 ms and more, so one that comes sooner was sent before its opening was passed on.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
+
 /// Settings of one entry.
 #[derive(Clone, Debug, Builder)]
 pub struct BalancerSettings {
@@ -49,6 +54,7 @@
     returning: BTreeMap<DomainName, Instant>,
     directory: Directory,
     flows: Flows,
+    surge: Surge,
 }
 
 impl Balancer {
@@ -61,6 +67,7 @@
             returning: BTreeMap::new(),
             directory: Directory::default(),
             flows: Flows::default(),
+            surge: Surge::default(),
         }
     }
 
@@ -97,6 +104,9 @@
         let until = now + self.settings.return_time;
         self.returning.extend(back.map(|domain| (domain.clone(), until)));
         self.returning.retain(|_, until| now < *until);
+        if self.routing.table.is_none() && routing.table.is_some() {
+            self.surge = Surge::from(now);
+        }
         self.routing = routing;
         true
     }
@@ -136,7 +146,15 @@
     }
 
     fn open(&mut self, packet: &CallerPacket, copy: u32, route: &Route, now: Instant) -> Verdict {
+        match self.surge.turn(copy, route.objective(), now) {
+            Turn::Now => {}
+            Turn::After(wait) => return Verdict::Wait(wait),
+            Turn::NextCopy => return Verdict::Discard(DiscardReason::Surge),
+        }
         let known = self.flows.get(&packet.flow).filter(|flow| flow.stage == Stage::Opening);
+        if let Some(flow) = known.filter(|flow| copy > 0 && now < flow.seen + ANSWER_TIME) {
+            return self.to_target(flow.target, None);
+        }
         let mut tried = known.map(|flow| flow.tried.clone()).unwrap_or_default();
         if let Some(target) = known.map(|flow| flow.target).filter(|_| copy > 0) {
             tried.push(target);
--- a/crates/flow/src/cookie/mod.rs
+++ b/crates/flow/src/cookie/mod.rs
@@ -8,10 +8,13 @@
 pub mod directory;
 pub mod flows;
 pub mod health;
+pub mod openings;
 pub mod placement;
+pub mod waiting;
 
 pub use balancer::{Balancer, BalancerSettings};
 pub use directory::{Directory, TargetKey};
+pub use waiting::Waiting;
 
 use comfreyhold_types::keys::TargetId;
 use serde::{Deserialize, Serialize};
@@ -97,6 +100,8 @@
     },
     /// The caller is told that its flow does not exist.
     Reset(ResetReason),
+    /// Nowhere yet: it is to be decided about again after this time.
+    Wait(Duration),
     /// Nowhere; the caller sends it again if it matters.
     Discard(DiscardReason),
 }
@@ -127,6 +132,8 @@
     UnknownTarget,
     /// It names a target of a service that its route never led to.
     ForeignTarget,
+    /// It asks to open a flow whose request is late anyway, while new ones surge. The caller asks again.
+    Surge,
     /// It asks to open a flow and has waited here for so long that the caller has asked again.
     LateOpening,
 }
--- a/crates/flow/tests/cookie.rs
+++ b/crates/flow/tests/cookie.rs
@@ -21,6 +21,9 @@
 
 const RETURN_TIME: Duration = Duration::from_secs(2);
 
+/// Time after the first routes in which copies of openings wait behind others.
+const SURGE_MS: u64 = 600;
+
 fn service_address(number: u8) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, number), 443)
 }
@@ -52,6 +55,23 @@
     RoutePublication { document: Arc::default(), table: Arc::new(list.into_checked().unwrap()) }
 }
 
+fn settings() -> BalancerSettings {
+    BalancerSettings::builder()
+        .domain(DomainName::from("a"))
+        .home_advantage(0.5)
+        .return_time(RETURN_TIME)
+        .build()
+}
+
+fn routing(state: &SharedState) -> Routing {
+    Routing {
+        change: state.change,
+        table: state.publication.as_ref().map(|p| Arc::clone(&p.table)),
+        former: Arc::clone(&state.former),
+        withdrawn: state.withdrawn.clone(),
+    }
+}
+
 /// An entry with its declarations.
 struct Fixture {
     balancer: Balancer,
@@ -61,17 +81,13 @@
 
 impl Fixture {
     fn new(routes: Vec<Route>) -> Self {
-        let settings = BalancerSettings::builder()
-            .domain(DomainName::from("a"))
-            .home_advantage(0.5)
-            .return_time(RETURN_TIME)
-            .build();
         let mut fixture = Self {
-            balancer: Balancer::new(settings),
+            balancer: Balancer::new(settings()),
             state: SharedState::default(),
             now: Instant::now(),
         };
         fixture.publish(1, routes);
+        fixture.wait(SURGE_MS);
         fixture
     }
 
@@ -85,14 +101,7 @@
 
     fn apply(&mut self, change: StateChange) {
         assert!(self.state.apply(&change));
-        let state = &self.state;
-        let routing = Routing {
-            change: state.change,
-            table: state.publication.as_ref().map(|p| Arc::clone(&p.table)),
-            former: Arc::clone(&state.former),
-            withdrawn: state.withdrawn.clone(),
-        };
-        assert!(self.balancer.set_routing(routing, self.now));
+        assert!(self.balancer.set_routing(routing(&self.state), self.now));
     }
 
     fn target(&mut self, spec: TargetSpec) {
@@ -458,3 +467,31 @@
     // 1,000 are expected; five standard deviations are 137.
     assert!((863..=1_137).contains(&to_sheets), "{to_sheets}");
 }
+
+/// Guards against a second target for an opening whose first one has not had the time to answer: the opening
+/// had waited in the entry, and its copy was on its way already.
+#[test]
+fn a_copy_that_comes_right_after_its_opening_goes_to_the_same_target() {
+    let mut fixture = orders_on(&[(1, "a"), (2, "b"), (3, "c")]);
+    let first = fixture.open(1);
+    fixture.wait(10);
+    assert_eq!(target_of(fixture.send(&opening(1, 1))), Some(first.0));
+    fixture.wait(390);
+    assert_ne!(target_of(fixture.send(&opening(1, 2))), Some(first.0));
+}
+
+/// Guards against new requests that are late in the first moment after an outage, and against a late opening
+/// that is forgotten.
+#[test]
+fn late_copies_wait_for_the_end_of_the_surge() {
+    let mut fixture = orders_on(&[(1, "a")]);
+    fixture.balancer = Balancer::new(settings());
+    let (state, now) = (fixture.state.clone(), fixture.now);
+    fixture.balancer.set_routing(routing(&state), now);
+    fixture.target(spec(1, "orders", "a", now));
+    assert_eq!(fixture.send(&opening(1, 1)), Verdict::Discard(DiscardReason::Surge));
+    let Verdict::Wait(wait) = fixture.send(&opening(2, 2)) else { panic!("it does not wait") };
+    assert_eq!(target_of(fixture.send(&opening(3, 0))), Some(1), "a new one goes first");
+    fixture.now += wait;
+    assert_eq!(target_of(fixture.send(&opening(2, 2))), Some(1));
+}
--- /dev/null
+++ b/crates/flow/tests/openings.rs
@@ -0,0 +1,53 @@
+//! Which openings wait behind others after an outage.
+
+use comfreyhold_flow::cookie::openings::{Surge, Turn, patience};
+use std::time::{Duration, Instant};
+
+const OBJECTIVE: Duration = Duration::from_millis(150);
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Guards against new requests that are late after an outage because of requests that are late anyway, and
+/// against late requests that are not served at all.
+#[test]
+fn late_copies_wait_behind_openings_that_can_be_in_time() {
+    let start = Instant::now();
+    let surge = Surge::from(start);
+    let turn = |copy| surge.turn(copy, OBJECTIVE, start + millis(10));
+    assert_eq!(turn(0), Turn::Now);
+    assert_eq!(turn(1), Turn::NextCopy);
+    let Turn::After(wait) = turn(2) else { unreachable!("{:?}", turn(2)) };
+    assert!(wait >= millis(500), "it waits until new requests are served");
+    assert!(wait + millis(200) <= patience(2), "the target has time to answer");
+}
+
+/// Guards against copies that wait although their requests can be in time.
+#[test]
+fn copies_within_their_objective_do_not_wait() {
+    let start = Instant::now();
+    let surge = Surge::from(start);
+    assert_eq!(surge.turn(1, millis(201), start), Turn::Now);
+    assert_eq!(surge.turn(1, millis(200), start), Turn::NextCopy);
+    assert_eq!(surge.turn(2, millis(601), start), Turn::Now);
+}
+
+/// Guards against a copy that shows that a target is dead and waits, since it looks like one of a surge.
+#[test]
+fn copies_of_openings_that_were_sent_after_the_first_routes_do_not_wait() {
+    let start = Instant::now();
+    let surge = Surge::from(start);
+    for copy in [1, 2] {
+        assert_ne!(surge.turn(copy, OBJECTIVE, start + millis(599)), Turn::Now);
+        assert_eq!(surge.turn(copy, OBJECTIVE, start + millis(600)), Turn::Now);
+        assert_eq!(Surge::default().turn(copy, OBJECTIVE, start), Turn::Now);
+    }
+}
+
+/// Guards against an opening that is passed on after its caller has sent the next copy or has given up.
+#[test]
+fn the_patience_of_callers_ends_with_the_next_copy() {
+    let waits = [0, 1, 2, 9].map(patience);
+    assert_eq!(waits, [millis(200), millis(400), millis(800), millis(800)]);
+}
--- a/crates/types/src/routes.rs
+++ b/crates/types/src/routes.rs
@@ -150,6 +150,12 @@
         self.destinations.iter().any(|d| d.weight > 0 && d.service == service)
     }
 
+    /// Time in which requests are to be answered.
+    #[must_use]
+    pub fn objective(&self) -> Duration {
+        Duration::from_millis(self.objective_ms)
+    }
+
     /// The service for a new flow, chosen by weight from a number that is spread evenly.
     #[must_use]
     pub fn choose(&self, spread: u64) -> Option<&str> {
