Choose ports without listening at them

A port was chosen by listening at it; a process that another thread starts at that moment holds a copy of the socket until its program begins, so the address stayed taken after it was closed. Ruled out: a port given twice; the range of outgoing connections. Change: ports are chosen by binding without listening, which keeps nobody from listening; all tests that need a free port take it from there. Bounds and checks as before. Its wait now tells the daemons' states when it ends without result.

--- a/crates/daemon/tests/daemon/operator.rs
+++ b/crates/daemon/tests/daemon/operator.rs
@@ -102,6 +102,15 @@
         history.versions.get("profile/orders").cloned().unwrap_or_default()
     }
 
+    /// What each control daemon that answers says about itself.
+    async fn statuses(&self) -> Vec<StatusReply> {
+        let mut statuses = Vec::new();
+        for control in &self.controls {
+            statuses.extend(http::get_json::<StatusReply>(*control, "/v1/status").await);
+        }
+        statuses
+    }
+
     /// The control daemon that leads, and its term, as that daemon itself sees it.
     pub async fn leader(&self) -> (SocketAddr, StatusReply) {
         wait_for("a control daemon leads", LIMIT, || async {
@@ -159,14 +168,15 @@
     pub async fn wait_confirmed(&self, id: InstanceId, disk: &str) {
         let revision = self.accepted.last().unwrap().1;
         let prefix = format!("{id}:{disk}@");
-        wait_for("the folder is up to date", LIMIT, || async {
+        let confirmed = wait_for("the folder is up to date", LIMIT, || async {
             let (_, status) = self.operator.leader().await;
             let followers = status.details.get("followers")?;
             let confirmed = followers.split(',').find_map(|item| item.strip_prefix(&prefix))?;
             (confirmed.parse::<u64>().ok()? >= revision.0).then_some(())
         })
-        .await
-        .unwrap();
+        .await;
+        let statuses = if confirmed.is_ok() { Vec::new() } else { self.operator.statuses().await };
+        assert!(confirmed.is_ok(), "{confirmed:?}: {prefix} lacks {revision}; {statuses:?}");
     }
 
     /// Every accepted version is held at its revision.
--- a/crates/daemon/tests/daemon/relay.rs
+++ b/crates/daemon/tests/daemon/relay.rs
@@ -3,12 +3,13 @@
 use comfreyhold_daemon::context::Context;
 use comfreyhold_daemon::process::start_transport;
 use comfreyhold_daemon::settings::{LogSettings, Member, Role, Settings};
+use comfreyhold_lab::ports::Ports;
 use comfreyhold_types::clock::SystemClock;
 use comfreyhold_types::prelude::*;
 use comfreyhold_wire::envelope::{Envelope, Topic, decode_body, encode_body};
 use comfreyhold_wire::transport::{Inbox, Transport};
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -32,7 +33,7 @@
 }
 
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.81.7.3:0").unwrap().local_addr().unwrap()
+    Ports::anywhere().give().unwrap()
 }
 
 fn member(id: u16, peer: SocketAddr) -> Member {
--- a/crates/daemon/tests/daemon/second_start.rs
+++ b/crates/daemon/tests/daemon/second_start.rs
@@ -4,13 +4,14 @@
 use crate::support::{Cluster, LIMIT, post, result_code, settings};
 use crate::traffic;
 use crate::traffic::{Rounds, kind, load_settings, tally};
+use comfreyhold_lab::ports::Ports;
 use comfreyhold_lab::scenario::{Process, wait_for};
 use comfreyhold_lab::up::DaemonPlan;
 use comfreyhold_lab::{daemon_settings, http};
 use comfreyhold_types::api::TimelineReply;
 use comfreyhold_types::prelude::*;
 use std::fs;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::Mutex;
 
@@ -25,16 +26,14 @@
 
 /// A daemon with the number of another one and addresses of its own. Writes its settings file.
 fn second(cluster: &Cluster, first: &DaemonPlan) -> DaemonPlan {
-    let ip = first.peer.ip();
-    let listeners: Vec<_> = (0..3).map(|_| TcpListener::bind((ip, 0)).unwrap()).collect();
-    let socket = UdpSocket::bind((ip, 0)).unwrap();
-    let tcp = |n: usize| listeners[n].local_addr().unwrap();
+    let mut ports = Ports::anywhere();
+    let mut port = || ports.give().unwrap();
     let second = DaemonPlan {
         name: format!("{}-second", first.name),
-        peer: tcp(0),
-        http: tcp(1),
-        callers: tcp(2),
-        packets: socket.local_addr().unwrap(),
+        peer: port(),
+        http: port(),
+        callers: port(),
+        packets: port(),
         ..first.clone()
     };
     let mut plan = cluster.deployment.plan.clone();
--- a/crates/daemon/tests/daemon/streams.rs
+++ b/crates/daemon/tests/daemon/streams.rs
@@ -4,6 +4,7 @@
 use comfreyhold_daemon::settings::StreamListener;
 use comfreyhold_lab::daemon_settings;
 use comfreyhold_lab::http;
+use comfreyhold_lab::ports::Ports;
 use comfreyhold_lab::scenario::wait_for;
 use comfreyhold_lab::up::{DaemonKind, DaemonPlan, Deployment, Plan};
 use comfreyhold_types::prelude::*;
@@ -66,8 +67,7 @@
 /// that loses bytes.
 #[tokio::test]
 async fn half_closed_stream_gets_its_whole_answer() {
-    LISTEN
-        .get_or_init(|| std::net::TcpListener::bind("127.82.9.4:0").unwrap().local_addr().unwrap());
+    LISTEN.get_or_init(|| Ports::anywhere().give().unwrap());
     let folder = Scratch::new();
     let mut plan = settings();
     plan.services.clear();
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod load;
 pub mod packet;
 pub mod plot;
+pub mod ports;
 pub mod proxy;
 pub mod proxy_control;
 pub mod report;
--- a/crates/lab/src/up.rs
+++ b/crates/lab/src/up.rs
@@ -2,18 +2,15 @@
 
 use crate::fabric::{Fabric, FabricSettings, PathSettings};
 use crate::links::{Delays, LinkPlan, Links};
+use crate::ports::Ports;
 use crate::scenario::Process;
 use crate::service_time::ServiceTime;
 use crate::target::{Target, TargetSettings};
-use anyhow::{Context as _, Result, anyhow, bail};
+use anyhow::{Context as _, Result, bail};
 use comfreyhold_types::prelude::*;
-use rand::RngExt as _;
-use rand::rngs::StdRng;
 use serde::{Deserialize, Serialize};
 use std::ffi::OsString;
-use std::io;
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, UdpSocket};
-use std::ops::Range;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use strum::Display;
@@ -294,7 +291,7 @@
 fn plan_daemons(settings: &UpSettings, folder: &Path) -> Result<Vec<DaemonPlan>> {
     let controls = (0..settings.controls).map(|i| (DaemonKind::Control, i));
     let entries = (0..settings.entries).map(|i| (DaemonKind::Entry, i));
-    let mut ports = Ports::new();
+    let mut ports = Ports::anywhere();
     let mut daemons = Vec::new();
     for (number, (kind, index)) in (1..).zip(controls.chain(entries)) {
         let name = format!("{kind}-{}", index + 1);
@@ -302,63 +299,13 @@
             kind,
             instance: InstanceId(number),
             domain: domain(settings, index),
-            peer: ports.tcp()?,
-            http: ports.tcp()?,
-            callers: ports.tcp()?,
-            packets: ports.udp()?,
+            peer: ports.give()?,
+            http: ports.give()?,
+            callers: ports.give()?,
+            packets: ports.give()?,
             data: folder.join(&name),
             name,
         });
     }
     Ok(daemons)
 }
-
-/// Ports of a deployment, below the range from which systems take those of outgoing connections: a connection
-/// that leaves from the deployment's address could take a port before its daemon binds it.
-const PORTS: Range<u16> = 10_000..32_000;
-
-/// Tries to find a free port.
-const PORT_TRIES: usize = 100;
-
-/// Free ports on a random address of the loopback network. The sockets stay bound until all ports are chosen, so
-/// that no port is given twice.
-struct Ports {
-    ip: Ipv4Addr,
-    rng: StdRng,
-    tcp: Vec<TcpListener>,
-    udp: Vec<UdpSocket>,
-}
-
-impl Ports {
-    fn new() -> Self {
-        let mut rng = rand::make_rng::<StdRng>();
-        let [a, b, c] = rng.random::<[u8; 3]>();
-        let ip = Ipv4Addr::new(127, a.clamp(1, 254), b, c.clamp(1, 254));
-        Self { ip, rng, tcp: Vec::new(), udp: Vec::new() }
-    }
-
-    fn tcp(&mut self) -> Result<SocketAddr> {
-        let listener = self.bind(TcpListener::bind)?;
-        let address = listener.local_addr()?;
-        self.tcp.push(listener);
-        Ok(address)
-    }
-
-    fn udp(&mut self) -> Result<SocketAddr> {
-        let socket = self.bind(UdpSocket::bind)?;
-        let address = socket.local_addr()?;
-        self.udp.push(socket);
-        Ok(address)
-    }
-
-    fn bind<S>(&mut self, bind: impl Fn(SocketAddr) -> io::Result<S>) -> Result<S> {
-        let mut last = None;
-        for _ in 0..PORT_TRIES {
-            match bind(SocketAddr::from((self.ip, self.rng.random_range(PORTS)))) {
-                Ok(socket) => return Ok(socket),
-                Err(error) => last = Some(error),
-            }
-        }
-        Err(anyhow!("no free port at {}: {last:?}", self.ip))
-    }
-}
--- a/crates/lab/tests/lab/main.rs
+++ b/crates/lab/tests/lab/main.rs
@@ -6,6 +6,7 @@
 mod deployments;
 mod fabric;
 mod load;
+mod ports;
 mod proxy;
 mod target;
 mod up;
