Let the start numbers of control daemons grow although the time of day goes back

Cause: a daemon's start number was the time of day. After a step back of the time, others drop all messages of a restarted daemon as those of its earlier process, as long as it runs. Change: a control daemon keeps its last start number in its folder and takes the next one if the time of day is behind. Entries keep no files and are left as they are (docs/proofs.md). Test: consensus/disk::start_numbers_grow_although_the_time_of_day_goes_back.

--- a/crates/capacity/src/cmd/refresh.rs
+++ b/crates/capacity/src/cmd/refresh.rs
@@ -153,5 +153,5 @@
         bootstrap: false,
         log: LogSettings::default(),
     };
-    Context::new(settings, member(1), Arc::new(SystemClock))
+    Context::new(settings, member(1), Incarnation(1), Arc::new(SystemClock))
 }
--- a/crates/consensus/src/disk/store.rs
+++ b/crates/consensus/src/disk/store.rs
@@ -10,7 +10,7 @@
 use crate::durable::{Batch, Durable, HardState, Snapshot};
 use crate::message::{LogEntry, Marks, Position};
 use comfreyhold_types::codes::ResultCode;
-use comfreyhold_types::keys::Revision;
+use comfreyhold_types::keys::{Incarnation, Revision};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use std::io;
@@ -20,6 +20,7 @@
 const SEGMENT_BYTES: u64 = 4 * 1024 * 1024;
 
 const DISK_ID_FILE: &str = "disk-id";
+const START_FILE: &str = "start";
 const TEMPORARY: &str = "new";
 const SEGMENT_PREFIX: &str = "log-";
 const SNAPSHOT_PREFIX: &str = "snapshot-";
@@ -110,6 +111,30 @@
         &self.content
     }
 
+    /// Gives the process that has opened the folder its start number: the time of day in milliseconds, or one more
+    /// than the last start had if the time of day has been set back since. Others drop messages of a lower number
+    /// than they have heard. A number that can't be written is used all the same; only a start after a further
+    /// step back of the time could repeat it.
+    ///
+    /// # Errors
+    /// The last start's number can't be read.
+    pub fn next_start(&mut self, wall_millis: u64) -> Result<Incarnation, StoreError> {
+        let last = match self.folder.read(START_FILE) {
+            Ok(bytes) => <[u8; 8]>::try_from(bytes).ok().map(u64::from_le_bytes),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => None,
+            Err(error) => return Err(StoreError::Folder(error)),
+        };
+        let least = last.map_or(0, |last| last.saturating_add(1));
+        if wall_millis < least {
+            log::warn!("the time of day is behind that of the last start");
+        }
+        let start = wall_millis.max(least);
+        if let Err(error) = self.create(START_FILE, &start.to_le_bytes()) {
+            log::warn!("the start number {start} can't be written: {error}");
+        }
+        Ok(Incarnation(start))
+    }
+
     /// Length of the current segment, in bytes.
     #[must_use]
     pub fn segment_bytes(&self) -> u64 {
--- a/crates/consensus/tests/disk.rs
+++ b/crates/consensus/tests/disk.rs
@@ -185,6 +185,24 @@
     assert_eq!((store.disk_id(), store.content()), (id, &content));
 }
 
+/// Guards against a restarted daemon whose messages all others drop as those of its earlier process, since its
+/// time of day was set back meanwhile.
+#[test]
+fn start_numbers_grow_although_the_time_of_day_goes_back() {
+    let mut folder = MemoryFolder::default();
+    for (wall_millis, expected) in [(5_000, 5_000), (4_000, 5_001), (4_000, 5_002), (9_000, 9_000)]
+    {
+        let mut store = open(folder).unwrap();
+        assert_eq!(store.next_start(wall_millis).unwrap(), Incarnation(expected));
+        folder = store.into_folder().crash(0);
+    }
+    for fault in [Fault::FullDisk, Fault::FailedSync] {
+        let mut faulty = folder.clone().crash(0);
+        faulty.fault = Some((0, fault));
+        assert_eq!(open(faulty).unwrap().next_start(4_000).unwrap(), Incarnation(9_001));
+    }
+}
+
 /// Guards against an instance that goes on to accept proposals after its disk has failed.
 #[test]
 fn storage_fault_stops_the_instance() {
--- a/crates/daemon/src/context.rs
+++ b/crates/daemon/src/context.rs
@@ -25,7 +25,7 @@
     pub settings: Settings,
     /// Its own member record.
     pub member: Member,
-    /// Its start number: the wall-clock time of its start in milliseconds, so that it grows.
+    /// Its start number, which grows with each start.
     pub incarnation: Incarnation,
     clock: Arc<dyn Clock>,
     ring: Mutex<EventRing>,
@@ -39,8 +39,12 @@
 impl Context {
     /// Creates the context of a process.
     #[must_use]
-    pub fn new(settings: Settings, member: Member, clock: Arc<dyn Clock>) -> Arc<Self> {
-        let incarnation = Incarnation(clock.wall_millis());
+    pub fn new(
+        settings: Settings,
+        member: Member,
+        incarnation: Incarnation,
+        clock: Arc<dyn Clock>,
+    ) -> Arc<Self> {
         let ring = EventRing::new(member.instance, member.domain);
         Arc::new(Self {
             settings,
--- a/crates/daemon/src/entry_run.rs
+++ b/crates/daemon/src/entry_run.rs
@@ -10,7 +10,7 @@
 use crate::settings::{Role, Settings};
 use crate::{admin, logging};
 use anyhow::Context as _;
-use comfreyhold_types::clock::SystemClock;
+use comfreyhold_types::clock::{Clock, SystemClock};
 use comfreyhold_types::prelude::*;
 use comfreyhold_wire::transport::Inbox;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -44,7 +44,8 @@
     anyhow::ensure!(member.role == Role::Entry, "{} is no entry", member.name);
     logging::install(&settings.log, &member.name)?;
     let metrics = admin::install_metrics()?;
-    let cx = Context::new(settings, member, Arc::new(SystemClock));
+    let start = Incarnation(SystemClock.wall_millis());
+    let cx = Context::new(settings, member, start, Arc::new(SystemClock));
     let entry = Entry::new(Arc::clone(&cx));
     let transport = process::start_transport(&cx, Arc::clone(&entry) as Arc<dyn Inbox>)?;
     let (ticking, exporting) = (Arc::clone(&entry), Arc::clone(&entry));
