Emulate an outage of all entries, and test what late openings cost after it

Change: the emulator's pattern `outage` stops all entries for 1.5 s. Callers send copies of openings, repeat requests on open flows, and open others beside those that wait. The scheme `least-work-at-once` is the daemons' code without the order. Copies that wait or are dropped are told apart from refusals. Plots have their labels beside the axis, which they covered. Test: lab/emulator::late_openings_after_an_outage_cost_new_requests_nothing.

--- a/crates/lab/src/cmd/emulate.rs
+++ b/crates/lab/src/cmd/emulate.rs
@@ -23,7 +23,7 @@
     /// Share of the slots that the steady load uses
     #[bpaf(argument("SHARE"), fallback(0.43))]
     utilisation: f64,
-    /// What happens beside the load: steady, burst, moved, dead or slow
+    /// What happens beside the load: steady, burst, moved, dead, slow or outage
     #[bpaf(argument("PATTERN"), fallback(Pattern::Steady))]
     pattern: Pattern,
     /// Seed of all random choices
@@ -44,11 +44,13 @@
         .pattern(args.pattern)
         .build();
     let mut rows: Vec<(SchemeName, Outcomes)> = Vec::new();
-    println!("scheme        asked in-time   late refused unanswered copies remote busiest  p99 ms");
+    println!(
+        "scheme              asked in-time   late refused unanswered copies remote busiest  p99 ms"
+    );
     for scheme in SchemeName::iter() {
         let o = emulator::run(&settings, scheme)?;
         println!(
-            "{:<12} {:>6}  {:.4} {:>6} {:>7} {:>10} {:>6}  {:.3}    {:.2} {:>7.1}",
+            "{:<19} {:>5}  {:.4} {:>6} {:>7} {:>10} {:>6}  {:.3}    {:.2} {:>7.1}",
             scheme.to_string(),
             o.asked,
             o.in_time_share(),
--- a/crates/lab/src/emulator/load.rs
+++ b/crates/lab/src/emulator/load.rs
@@ -3,9 +3,13 @@
 use crate::service_time::ServiceTime;
 use bon::Builder;
 use serde::Serialize;
+use std::ops::Range;
 use std::time::Duration;
 use strum::{Display, EnumIter, EnumString};
 
+/// Times at which the entries stop and start anew in the pattern `Outage`.
+pub const OUTAGE: Range<Duration> = Duration::from_millis(10_000)..Duration::from_millis(11_500);
+
 /// What happens beside the steady load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Display, EnumString, EnumIter)]
 #[serde(rename_all = "kebab-case")]
@@ -21,6 +25,8 @@
     Dead,
     /// A tenth of the targets take four times as long.
     Slow,
+    /// All entries stand still for a moment and start anew.
+    Outage,
 }
 
 /// Settings of a run.
@@ -75,6 +81,12 @@
         slots * self.utilisation / mean_s
     }
 
+    /// Whether no entry runs at a time.
+    #[must_use]
+    pub fn is_out(&self, at: Duration) -> bool {
+        self.pattern == Pattern::Outage && OUTAGE.contains(&at)
+    }
+
     /// Factor of the load at a time.
     #[must_use]
     pub fn factor(&self, at: Duration) -> f64 {
--- a/crates/lab/src/emulator/placement.rs
+++ b/crates/lab/src/emulator/placement.rs
@@ -39,6 +39,21 @@
     Split,
     /// The entry's own decision code.
     LeastWork,
+    /// As `LeastWork`, but late openings go at once after a start.
+    LeastWorkAtOnce,
+}
+
+/// Where an opening goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Placed {
+    /// To a target.
+    At(usize),
+    /// It is decided about again after this time.
+    Later(Duration),
+    /// Nowhere, as long as its caller sends no other copy.
+    Nowhere,
+    /// Nowhere; its caller is told.
+    Refused,
 }
 
 /// What an entry knows about a flow.
@@ -66,7 +81,8 @@
 }
 
 impl EntryPlacement {
-    /// Creates an entry that knows all targets, given by their domains.
+    /// Creates an entry that knows all targets, given by their domains. It starts at a time of the run, or has
+    /// run long before.
     #[must_use]
     pub fn new(
         scheme: SchemeName,
@@ -74,18 +90,24 @@
         entries: usize,
         domains: &[usize],
         own: usize,
+        starts: Option<Duration>,
     ) -> Self {
         let targets = domains.len();
-        let start = Instant::now();
+        let epoch = Instant::now();
+        let start = epoch + SETTLED;
+        let knows = match (scheme, starts) {
+            (SchemeName::LeastWork, Some(at)) => start + at,
+            _ => epoch,
+        };
         let settings = BalancerSettings::builder()
             .domain(domain_name(own))
             .home_advantage(HOME_ADVANTAGE)
             .return_time(Duration::ZERO)
             .build();
         let mut balancer = Balancer::new(settings);
-        balancer.set_routing(routing(), start);
+        balancer.set_routing(routing(), knows);
         for (target, domain) in domains.iter().enumerate() {
-            balancer.set_target(spec(target, *domain, start), start);
+            balancer.set_target(spec(target, *domain, epoch), epoch);
         }
         Self {
             scheme,
@@ -107,7 +129,7 @@
         tried: &[usize],
         now: Duration,
         rng: &mut StdRng,
-    ) -> Option<usize> {
+    ) -> Placed {
         let all: Vec<usize> = (0..self.targets).filter(|t| !tried.contains(t)).collect();
         let fewest = |among: &[usize], open: &[u32]| {
             among.iter().copied().min_by_key(|t| (open[*t], rank(facts.flow, *t)))
@@ -129,18 +151,25 @@
                     self.part.iter().copied().filter(|t| !tried.contains(t)).collect();
                 fewest(if own.is_empty() { &all } else { &own }, &self.open)
             }
-            SchemeName::LeastWork => self.decide(facts, now),
-        }?;
+            SchemeName::LeastWork | SchemeName::LeastWorkAtOnce => {
+                return self.decide(facts, now);
+            }
+        };
+        let Some(target) = target else { return Placed::Refused };
         self.open[target] += 1;
-        Some(target)
+        Placed::At(target)
     }
 
-    fn decide(&mut self, facts: &FlowFacts, now: Duration) -> Option<usize> {
+    fn decide(&mut self, facts: &FlowFacts, now: Duration) -> Placed {
         let kind = PacketKind::Open { copy: facts.copy };
         let packet = packet(facts, kind, Cookie::default(), (1, 0, 0));
         match self.balancer.packet(&packet, false, self.start + now) {
-            Verdict::Forward { target, .. } => usize::try_from(target.0).ok(),
-            _ => None,
+            Verdict::Forward { target, .. } => {
+                usize::try_from(target.0).map_or(Placed::Refused, Placed::At)
+            }
+            Verdict::Wait(wait) => Placed::Later(wait),
+            Verdict::Discard(_) => Placed::Nowhere,
+            Verdict::Reset(_) => Placed::Refused,
         }
     }
 
@@ -175,7 +204,7 @@
         progress: (u32, u32, u16),
         now: Duration,
     ) {
-        if self.scheme != SchemeName::LeastWork {
+        if !matches!(self.scheme, SchemeName::LeastWork | SchemeName::LeastWorkAtOnce) {
             return;
         }
         let cookie = Cookie::of(target_id(target), BORN_MS);
@@ -185,6 +214,9 @@
     }
 }
 
+/// Time that an entry has run before a run if it does not start in it: longer than a surge.
+const SETTLED: Duration = Duration::from_secs(1);
+
 const SERVICE: &str = "service";
 const BORN_MS: u64 = 1;
 
--- a/crates/lab/src/emulator/report.rs
+++ b/crates/lab/src/emulator/report.rs
@@ -10,6 +10,9 @@
 
 const SIZE_PX: (u32, u32) = (960, 480);
 
+/// Height of a label with the space around it, as a share of the height of the plot.
+const LINE_HEIGHT: f64 = 0.05;
+
 /// Counts and times of one run.
 #[derive(Clone, Debug, Serialize)]
 pub struct Outcomes {
@@ -112,9 +115,14 @@
         let (left, right) = (index as f64 + 0.15, index as f64 + 0.85);
         let bar = [(left, floor), (right, outcomes.in_time_share())];
         chart.draw_series(std::iter::once(Rectangle::new(bar, RGBColor(0, 110, 180).filled())))?;
-        let text = format!("{scheme} {:.4}", outcomes.in_time_share());
-        let style = ("sans-serif", 13);
-        chart.draw_series(std::iter::once(Text::new(text, (left, floor + 0.001), style)))?;
+        let share = outcomes.in_time_share();
+        let line = (1.0 - floor) * LINE_HEIGHT;
+        let name = ("sans-serif", 11).into_font().color(&WHITE);
+        let labels = [
+            Text::new(scheme.to_string(), (left + 0.02, floor + line), name),
+            Text::new(format!("{share:.4}"), (left, share + line), ("sans-serif", 13).into_font()),
+        ];
+        chart.draw_series(labels)?;
     }
     area.present()?;
     Ok(())
--- a/crates/lab/src/emulator/run.rs
+++ b/crates/lab/src/emulator/run.rs
@@ -1,7 +1,7 @@
 //! One run in virtual time.
 
-use super::load::{Pattern, Settings};
-use super::placement::{EntryPlacement, FlowFacts, SchemeName};
+use super::load::{OUTAGE, Pattern, Settings};
+use super::placement::{EntryPlacement, FlowFacts, Placed, SchemeName};
 use super::queue::{Target, Work};
 use super::report::Outcomes;
 use anyhow::Result;
@@ -16,6 +16,17 @@
     [Duration::ZERO, Duration::from_millis(200), Duration::from_millis(600)];
 const OPEN_LIMIT: Duration = Duration::from_millis(1_400);
 
+/// Times at which a caller repeats a request on an open flow.
+const REPETITIONS: [Duration; 4] = [
+    Duration::from_millis(200),
+    Duration::from_millis(600),
+    Duration::from_millis(1_400),
+    Duration::from_millis(3_000),
+];
+
+/// Time after which a caller gives a request up.
+const REQUEST_LIMIT: Duration = Duration::from_millis(2_500);
+
 /// Attempts of a request, the first included.
 const ATTEMPTS: u32 = 3;
 
@@ -30,8 +41,12 @@
     Open(Opening),
     /// The next request on a long flow.
     Next(u64),
+    /// A request on an open flow is sent again.
+    Repeat { flow: u64, asked: Duration },
     /// A request ends at a target.
     End { target: usize, work: Work },
+    /// All entries start anew.
+    Start,
 }
 
 #[derive(Clone)]
@@ -39,6 +54,8 @@
     facts: FlowFacts,
     domain: usize,
     asked: Duration,
+    /// When its first copy was sent.
+    opened: Duration,
     attempt: u32,
     tried: Vec<usize>,
 }
@@ -49,10 +66,13 @@
     target: usize,
     domain: usize,
     attempt: u32,
+    /// Whether a request on it waits for the end of an outage.
+    blocked: bool,
 }
 
 struct Run<'a> {
     settings: &'a Settings,
+    scheme: SchemeName,
     rng: StdRng,
     now: Duration,
     events: BTreeMap<(Duration, u64), Event>,
@@ -89,23 +109,26 @@
             target.alive = settings.pattern != Pattern::Dead;
             target.slowness = if settings.pattern == Pattern::Slow { SLOWNESS } else { 1.0 };
         }
-        let entry = |entry| {
-            let own = entry % settings.domains;
-            EntryPlacement::new(scheme, entry, settings.entries, &domains, own)
-        };
         Ok(Self {
             settings,
+            scheme,
             rng: StdRng::seed_from_u64(settings.seed),
             now: Duration::ZERO,
             events: BTreeMap::new(),
             numbers: 0,
             targets,
-            entries: (0..settings.entries).map(entry).collect(),
+            entries: entries(settings, scheme, None),
             flows: BTreeMap::new(),
             outcomes: Outcomes::new()?,
         })
     }
 
+    /// All entries have forgotten everything but the targets and routes.
+    fn start_entries(&mut self) {
+        self.entries = entries(self.settings, self.scheme, Some(self.now));
+        self.flows.values_mut().for_each(|flow| flow.blocked = false);
+    }
+
     fn number(&mut self) -> u64 {
         self.numbers += 1;
         self.numbers
@@ -129,6 +152,9 @@
         for domain in 0..settings.domains {
             self.schedule(Duration::ZERO, Event::Ask { domain });
         }
+        if settings.pattern == Pattern::Outage {
+            self.schedule(OUTAGE.end, Event::Start);
+        }
     }
 
     fn caller_domain(&mut self, caller: usize) -> usize {
@@ -142,7 +168,9 @@
             Event::Ask { domain } => self.ask(domain),
             Event::Open(opening) => self.open(opening),
             Event::Next(flow) => self.next_request(flow),
+            Event::Repeat { flow, asked } => self.request(flow, asked),
             Event::End { target, work } => self.end(target, work),
+            Event::Start => self.start_entries(),
         }
     }
 
@@ -166,22 +194,21 @@
             self.outcomes.asked += 1;
         }
         self.outcomes.copies += u64::from(opening.facts.copy > 0);
+        if self.settings.is_out(self.now) {
+            return self.unanswered(opening);
+        }
         let entry = self.entry_for(&opening);
         let now = self.now;
-        let placed = self.entries[entry].place(&opening.facts, &opening.tried, now, &mut self.rng);
-        let Some(target) = placed else { return self.give_up(&opening) };
+        let target =
+            match self.entries[entry].place(&opening.facts, &opening.tried, now, &mut self.rng) {
+                Placed::At(target) => target,
+                Placed::Later(wait) => return self.schedule(now + wait, Event::Open(opening)),
+                Placed::Nowhere => return self.unanswered(opening),
+                Placed::Refused => return self.give_up(&opening),
+            };
         if !self.targets[target].alive {
-            let started = now - COPIES[opening.facts.copy as usize];
             opening.tried.push(target);
-            opening.facts.copy += 1;
-            match COPIES.get(opening.facts.copy as usize) {
-                Some(copy) => self.schedule(started + *copy, Event::Open(opening)),
-                None => {
-                    self.now = started + OPEN_LIMIT;
-                    self.give_up(&opening);
-                }
-            }
-            return;
+            return self.unanswered(opening);
         }
         let flow = OpenFlow {
             facts: opening.facts,
@@ -189,6 +216,7 @@
             target,
             domain: opening.domain,
             attempt: opening.attempt,
+            blocked: false,
         };
         self.outcomes.flows += 1;
         self.outcomes.remote += u64::from(self.targets[target].domain != opening.domain);
@@ -200,6 +228,19 @@
         }
     }
 
+    /// The caller sends the next copy when it is due, or gives the attempt up.
+    fn unanswered(&mut self, mut opening: Opening) {
+        let started = opening.opened;
+        opening.facts.copy += 1;
+        match COPIES.get(opening.facts.copy as usize) {
+            Some(copy) => self.schedule(started + *copy, Event::Open(opening)),
+            None => {
+                self.now = started + OPEN_LIMIT;
+                self.give_up(&opening);
+            }
+        }
+    }
+
     fn give_up(&mut self, opening: &Opening) {
         if opening.attempt + 1 < ATTEMPTS {
             self.retry(opening.facts, opening.domain, opening.asked, opening.attempt + 1);
@@ -211,7 +252,8 @@
     /// The next attempt comes on a new flow.
     fn retry(&mut self, facts: FlowFacts, domain: usize, asked: Duration, attempt: u32) {
         let facts = FlowFacts { flow: self.number(), copy: 0, ..facts };
-        let opening = Opening { attempt, ..Opening::new(facts, domain, asked) };
+        let opened = self.now;
+        let opening = Opening { attempt, opened, ..Opening::new(facts, domain, asked) };
         self.schedule(self.now, Event::Open(opening));
     }
 
@@ -233,11 +275,36 @@
         if self.now + gap < self.settings.length {
             self.schedule(self.now + gap, Event::Next(flow));
         }
-        self.outcomes.asked += 1;
-        self.request(flow, self.now);
+        match self.flows.get(&flow) {
+            // A caller that waits for an answer on its flow opens another one.
+            Some(open) if open.blocked => {
+                let domain = open.domain;
+                let facts = FlowFacts { flow: self.number(), long: false, copy: 0 };
+                self.open(Opening::new(facts, domain, self.now));
+            }
+            _ => {
+                self.outcomes.asked += 1;
+                self.request(flow, self.now);
+            }
+        }
+    }
+
+    /// A request on an open flow gets no answer before an entry runs again.
+    fn repeat(&mut self, flow: u64, asked: Duration) {
+        let due = REPETITIONS.iter().map(|after| asked + *after).find(|at| *at > self.now);
+        match due.filter(|due| *due < asked + REQUEST_LIMIT) {
+            Some(due) => self.schedule(due, Event::Repeat { flow, asked }),
+            None => self.outcomes.unanswered += 1,
+        }
+        if let Some(open) = self.flows.get_mut(&flow) {
+            open.blocked = true;
+        }
     }
 
     fn request(&mut self, flow: u64, asked: Duration) {
+        if self.settings.is_out(self.now) {
+            return self.repeat(flow, asked);
+        }
         let Some(open) = self.flows.get(&flow) else { return };
         let (entry, target, facts) = (open.entry, open.target, open.facts);
         let takes = self.settings.work.sample(&mut self.rng);
@@ -285,8 +352,21 @@
     }
 }
 
+fn entries(
+    settings: &Settings,
+    scheme: SchemeName,
+    starts: Option<Duration>,
+) -> Vec<EntryPlacement> {
+    let domains: Vec<usize> = (0..settings.targets).map(|t| t % settings.domains).collect();
+    let entry = |entry| {
+        let own = entry % settings.domains;
+        EntryPlacement::new(scheme, entry, settings.entries, &domains, own, starts)
+    };
+    (0..settings.entries).map(entry).collect()
+}
+
 impl Opening {
     fn new(facts: FlowFacts, domain: usize, asked: Duration) -> Self {
-        Self { facts, domain, asked, attempt: 0, tried: Vec::new() }
+        Self { facts, domain, asked, opened: asked, attempt: 0, tried: Vec::new() }
     }
 }
--- a/crates/lab/tests/lab/main.rs
+++ b/crates/lab/tests/lab/main.rs
@@ -4,6 +4,7 @@
 
 mod common;
 mod deployments;
+mod emulator;
 mod fabric;
 mod load;
 mod ports;
