--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -3,6 +3,7 @@
 pub mod controls;
 mod packets;
 pub mod view;
+mod waiting;
 mod watch;
 
 pub use packets::{PacketCodec, PacketError};
--- a/crates/fleet/src/entry/packets.rs
+++ b/crates/fleet/src/entry/packets.rs
@@ -1,7 +1,6 @@
 //! Takes packets from the fabric and passes them on, in batches.
 
 use super::{Entry, LATE_TICK, TICK};
-use comfreyhold_flow::cookie::waiting::{MAX_WAITING, WaitingPacket};
 use comfreyhold_flow::cookie::{
     CallerPacket, Cookie, DiscardReason, FlowKey, PacketKind, ResetReason, Verdict,
 };
@@ -11,12 +10,12 @@
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use thiserror::Error;
 use tokio::net::UdpSocket;
 
 /// Largest datagram that is read, in bytes.
-const MAX_DATAGRAM: usize = 2_048;
+pub(super) const MAX_DATAGRAM: usize = 2_048;
 
 /// Packets handled before other tasks get their turn.
 const BATCH: usize = 64;
@@ -51,19 +50,13 @@
 }
 
 /// A packet that is to be decided about.
-struct Arrival<'a> {
-    packet: &'a CallerPacket,
-    datagram: &'a [u8],
-    since: Instant,
+pub(super) struct Arrival<'a> {
+    pub(super) packet: &'a CallerPacket,
+    pub(super) datagram: &'a [u8],
+    /// When it came.
+    pub(super) since: Instant,
     /// Whether it has waited unread for long.
-    late: bool,
-}
-
-impl<'a> Arrival<'a> {
-    fn waited(waited: &'a WaitingPacket) -> Self {
-        let WaitingPacket { packet, datagram, since } = waited;
-        Self { packet, datagram, since: *since, late: false }
-    }
+    pub(super) late: bool,
 }
 
 /// State of the packets that are read now.
@@ -147,90 +140,17 @@
                 return self.record("malformed", || json!({"error": error.to_string()}));
             }
         };
-        let knows_routes = self.balancer.borrow().routing().table.is_some();
-        if knows_routes && now >= self.all_announced {
-            self.pass_waiting();
-        }
-        if let Some(waiting) = self.waiting.borrow_mut().as_mut() {
-            for packet in waiting.push(packet, datagram, now) {
-                self.note_discard(&packet, DiscardReason::NotReady);
-            }
-            return;
-        }
         let late = self.received.borrow().late;
-        self.pass(&Arrival { packet: &packet, datagram, since: now, late }, out, now);
-    }
-
-    /// Passes on the packets that have waited for the first routes, once.
-    pub(super) fn pass_waiting(&self) {
-        let Some(waiting) = self.waiting.borrow_mut().take() else { return };
-        let now = self.clock.now();
-        let table = self.balancer.borrow().routing().table.clone();
-        let objective = |flow: &FlowKey| {
-            let route = table.as_ref().and_then(|table| table.routes.get(&flow.service));
-            route.map(|route| route.objective()).unwrap_or_default()
-        };
-        let (released, given_up) = waiting.finish(objective, now);
-        if released.is_empty() && given_up.is_empty() {
-            return;
+        let arrival = Arrival { packet: &packet, datagram, since: now, late };
+        if self.waits_for_routes(now) {
+            self.hold(&arrival);
+        } else {
+            self.pass(&arrival, out, now);
         }
-        self.record("waited", || json!({"passed_on": released.len(), "given_up": given_up.len()}));
-        for packet in &given_up {
-            self.note_discard(packet, DiscardReason::NotReady);
-        }
-        let mut out = Vec::with_capacity(MAX_DATAGRAM);
-        for waited in &released {
-            self.pass(&Arrival::waited(waited), &mut out, now);
-        }
-    }
-
-    /// Passes on the openings that wait behind others once their time has come.
-    pub(super) async fn run_deferred(self: Rc<Self>) {
-        let mut out = Vec::with_capacity(MAX_DATAGRAM);
-        loop {
-            let next = self.deferred.borrow().first_key_value().map(|((due, _), _)| *due);
-            let Some(due) = next else {
-                self.deferral.notified().await;
-                continue;
-            };
-            let wait = due.saturating_duration_since(self.clock.now());
-            tokio::select! {
-                () = tokio::time::sleep(wait) => {}
-                () = self.deferral.notified() => continue,
-            }
-            let Some((_, waited)) = self.deferred.borrow_mut().pop_first() else { continue };
-            let now = self.clock.now();
-            if now > due + LATE_TICK {
-                self.note_discard(&waited.packet, DiscardReason::LateOpening);
-            } else {
-                self.pass(&Arrival::waited(&waited), &mut out, now);
-            }
-        }
-    }
-
-    /// Lets an opening wait behind others, as long as its caller waits for the answer.
-    fn defer(&self, arrival: &Arrival<'_>, wait: Duration, now: Instant) {
-        let (packet, since) = (*arrival.packet, arrival.since);
-        let due = since + wait;
-        let mut deferred = self.deferred.borrow_mut();
-        if due <= now || deferred.len() >= MAX_WAITING {
-            return self.note_discard(&packet, DiscardReason::Surge);
-        }
-        metrics::counter!("openings_deferred").increment(1);
-        self.record("deferred", || {
-            json!({
-                "flow": flow(&packet.flow),
-                "seq": packet.seq,
-                "wait_ms": (due - now).as_millis(),
-                "waiting": deferred.len(),
-            })
-        });
-        let datagram = arrival.datagram.to_vec();
-        deferred.insert((due, packet.flow), WaitingPacket { packet, datagram, since });
-        self.deferral.notify_one();
     }
 
-    fn pass(&self, arrival: &Arrival<'_>, out: &mut Vec<u8>, now: Instant) {
+    /// Decides about a packet and passes it on.
+    pub(super) fn pass(&self, arrival: &Arrival<'_>, out: &mut Vec<u8>, now: Instant) {
         let Arrival { packet, datagram, late, .. } = *arrival;
         let verdict = self.balancer.borrow_mut().packet(packet, late, now);
         out.clear();
@@ -303,7 +223,7 @@
         });
     }
 
-    fn note_discard(&self, packet: &CallerPacket, reason: DiscardReason) {
+    pub(super) fn note_discard(&self, packet: &CallerPacket, reason: DiscardReason) {
         let name: &'static str = reason.into();
         metrics::counter!("packets_discarded", "reason" => name).increment(1);
         self.record("discard", || {
@@ -318,6 +238,6 @@
     }
 }
 
-fn flow(flow: &FlowKey) -> String {
+pub(super) fn flow(flow: &FlowKey) -> String {
     format!("{}>{}", flow.caller, flow.service)
 }
