--- a/crates/lab/src/emulator/run.rs
+++ b/crates/lab/src/emulator/run.rs
@@ -193,7 +193,6 @@
         if opening.facts.copy == 0 && opening.attempt == 0 && !opening.facts.long {
             self.outcomes.asked += 1;
         }
-        self.outcomes.copies += u64::from(opening.facts.copy > 0);
         if self.settings.is_out(self.now) {
             return self.unanswered(opening);
         }
@@ -233,7 +232,10 @@
         let started = opening.opened;
         opening.facts.copy += 1;
         match COPIES.get(opening.facts.copy as usize) {
-            Some(copy) => self.schedule(started + *copy, Event::Open(opening)),
+            Some(copy) => {
+                self.outcomes.copies += 1;
+                self.schedule(started + *copy, Event::Open(opening));
+            }
             None => {
                 self.now = started + OPEN_LIMIT;
                 self.give_up(&opening);
