Let late openings wait only while many of the openings are copies

Change: copies wait as long as a quarter of the openings or more are copies. With a fifth of the targets dead one of six is one. Test: flow/openings::few_copies_among_new_openings_are_no_surge.

--- a/crates/flow/src/cookie/openings.rs
+++ b/crates/flow/src/cookie/openings.rs
@@ -46,25 +46,35 @@
     usize::try_from(copy).map_or(true, |copy| copy + 1 >= COPY_AGES.len())
 }
 
+/// Openings, copies included, among which one copy shows a surge. With a fifth of the targets dead, which is none,
+/// one of six is a copy.
+const OPENINGS_PER_COPY: u32 = 4;
+
 /// The time after an entry's first routes in which copies come of openings that were sent before.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Surge {
     until: Option<Instant>,
+    openings: u32,
+    copies: u32,
 }
 
 impl Surge {
-    /// A surge that begins with the first routes.
+    /// A surge that may begin with the first routes.
     #[must_use]
     pub fn from(start: Instant) -> Self {
-        Self { until: COPY_AGES.last().map(|last| start + *last) }
+        Self { until: COPY_AGES.last().map(|last| start + *last), ..Self::default() }
     }
 
-    /// What becomes of a copy of an opening for requests with a latency objective. Openings whose requests
-    /// can still be in time come first.
-    #[must_use]
-    pub fn turn(&self, copy: u32, objective: Duration, now: Instant) -> Turn {
-        let over = self.until.is_none_or(|until| now >= until);
-        if over || age(copy) < objective {
+    /// What becomes of an opening for requests with a latency objective. Openings whose requests can still be in
+    /// time come first.
+    pub fn turn(&mut self, copy: u32, objective: Duration, now: Instant) -> Turn {
+        if self.until.is_none_or(|until| now >= until) {
+            return Turn::Now;
+        }
+        self.openings = self.openings.saturating_add(1);
+        self.copies = self.copies.saturating_add(u32::from(copy > 0));
+        let is_surge = self.copies.saturating_mul(OPENINGS_PER_COPY) >= self.openings;
+        if !is_surge || age(copy) < objective {
             Turn::Now
         } else if is_last(copy) {
             Turn::After(patience(copy).saturating_sub(ANSWER_ALLOWANCE))
--- a/crates/flow/tests/openings.rs
+++ b/crates/flow/tests/openings.rs
@@ -14,11 +14,11 @@
 #[test]
 fn late_copies_wait_behind_openings_that_can_be_in_time() {
     let start = Instant::now();
-    let surge = Surge::from(start);
-    let turn = |copy| surge.turn(copy, OBJECTIVE, start + millis(10));
+    let mut surge = Surge::from(start);
+    let mut turn = |copy| surge.turn(copy, OBJECTIVE, start + millis(10));
     assert_eq!(turn(0), Turn::Now);
     assert_eq!(turn(1), Turn::NextCopy);
-    let Turn::After(wait) = turn(2) else { unreachable!("{:?}", turn(2)) };
+    let Turn::After(wait) = turn(2) else { unreachable!("the last copy waits") };
     assert!(wait >= millis(500), "it waits until new requests are served");
     assert!(wait + millis(200) <= patience(2), "the target has time to answer");
 }
@@ -27,7 +27,7 @@
 #[test]
 fn copies_within_their_objective_do_not_wait() {
     let start = Instant::now();
-    let surge = Surge::from(start);
+    let mut surge = Surge::from(start);
     assert_eq!(surge.turn(1, millis(201), start), Turn::Now);
     assert_eq!(surge.turn(1, millis(200), start), Turn::NextCopy);
     assert_eq!(surge.turn(2, millis(601), start), Turn::Now);
@@ -37,7 +37,7 @@
 #[test]
 fn copies_of_openings_that_were_sent_after_the_first_routes_do_not_wait() {
     let start = Instant::now();
-    let surge = Surge::from(start);
+    let mut surge = Surge::from(start);
     for copy in [1, 2] {
         assert_ne!(surge.turn(copy, OBJECTIVE, start + millis(599)), Turn::Now);
         assert_eq!(surge.turn(copy, OBJECTIVE, start + millis(600)), Turn::Now);
@@ -45,6 +45,19 @@
     }
 }
 
+/// Guards against copies that wait at an entry which has started anew while others run: most openings are new
+/// there, and a copy shows that a target or another entry is dead.
+#[test]
+fn few_copies_among_new_openings_are_no_surge() {
+    let start = Instant::now();
+    let mut surge = Surge::from(start);
+    for _ in 0..4 {
+        assert_eq!(surge.turn(0, OBJECTIVE, start), Turn::Now);
+    }
+    assert_eq!(surge.turn(2, OBJECTIVE, start), Turn::Now);
+    assert_ne!(surge.turn(2, OBJECTIVE, start), Turn::Now, "two among six are a surge");
+}
+
 /// Guards against an opening that is passed on after its caller has sent the next copy or has given up.
 #[test]
 fn the_patience_of_callers_ends_with_the_next_copy() {
