Pass a late opening on when its wait is over, also if it began before the first routes

Cause, found in the last read of the change: a last copy that came before the first routes has less time left than the surge lasts. At the end of its wait it was told to wait again, and then dropped. Change: the time that a packet has waited is part of the decision. Test: flow/openings::an_opening_that_waited_for_routes_waits_so_much_less (by the former rule the second decision was another wait).

--- a/crates/fleet/src/entry/packets.rs
+++ b/crates/fleet/src/entry/packets.rs
@@ -151,8 +151,9 @@
 
     /// Decides about a packet and passes it on.
     pub(super) fn pass(&self, arrival: &Arrival<'_>, out: &mut Vec<u8>, now: Instant) {
-        let Arrival { packet, datagram, late, .. } = *arrival;
-        let verdict = self.balancer.borrow_mut().packet(packet, late, now);
+        let Arrival { packet, datagram, since, late } = *arrival;
+        let waited = now.saturating_duration_since(since);
+        let verdict = self.balancer.borrow_mut().packet(packet, late, waited, now);
         out.clear();
         let to = match verdict {
             Verdict::Forward { target, address, cookie, answered } => {
--- a/crates/fleet/src/entry/waiting.rs
+++ b/crates/fleet/src/entry/waiting.rs
@@ -92,9 +92,9 @@
     /// Lets an opening wait behind others, as long as its caller waits for the answer.
     pub(super) fn defer(&self, arrival: &Arrival<'_>, wait: Duration, now: Instant) {
         let (packet, since) = (*arrival.packet, arrival.since);
-        let due = since + wait;
+        let due = now + wait;
         let mut deferred = self.deferred.borrow_mut();
-        if due <= now || deferred.len() >= MAX_WAITING {
+        if deferred.len() >= MAX_WAITING {
             return self.note_discard(&packet, DiscardReason::Surge);
         }
         metrics::counter!("openings_deferred").increment(1);
@@ -102,7 +102,7 @@
             json!({
                 "flow": flow(&packet.flow),
                 "seq": packet.seq,
-                "wait_ms": (due - now).as_millis(),
+                "wait_ms": wait.as_millis(),
                 "waiting": deferred.len(),
             })
         });
--- a/crates/flow/benches/cookie.rs
+++ b/crates/flow/benches/cookie.rs
@@ -80,14 +80,19 @@
             b.iter(|| {
                 flow = (flow + 1) % 10_000;
                 let opening = packet(flow, PacketKind::Open { copy: 0 }, Cookie::default());
-                black_box(entry.packet(&opening, false, now))
+                black_box(entry.packet(&opening, false, Duration::ZERO, now))
             });
         });
         let cookie = Cookie::of(TargetId(1), 1);
         c.bench_function(&format!("packet by cookie, {targets} targets"), |b| {
             b.iter(|| {
                 flow = (flow + 1) % 10_000;
-                black_box(entry.packet(&packet(flow, PacketKind::Middle, cookie), false, now))
+                black_box(entry.packet(
+                    &packet(flow, PacketKind::Middle, cookie),
+                    false,
+                    Duration::ZERO,
+                    now,
+                ))
             });
         });
     }
--- a/crates/flow/src/cookie/balancer.rs
+++ b/crates/flow/src/cookie/balancer.rs
@@ -123,8 +123,15 @@
         self.directory.forget_ended(now);
     }
 
-    /// Decides about a packet. `late` tells that packets have waited here for long.
-    pub fn packet(&mut self, packet: &CallerPacket, late: bool, now: Instant) -> Verdict {
+    /// Decides about a packet. `late` tells that packets have waited unread for long, and `waited` for how long
+    /// this one has waited for routes or behind others.
+    pub fn packet(
+        &mut self,
+        packet: &CallerPacket,
+        late: bool,
+        waited: Duration,
+        now: Instant,
+    ) -> Verdict {
         let Some(table) = self.routing.table.clone() else {
             return Verdict::Discard(DiscardReason::NotReady);
         };
@@ -134,7 +141,13 @@
             (PacketKind::Open { .. }, Some(_)) if late => {
                 Verdict::Discard(DiscardReason::LateOpening)
             }
-            (PacketKind::Open { copy }, Some(route)) => self.open(packet, copy, route, now),
+            (PacketKind::Open { copy }, Some(route)) => {
+                match self.surge.turn(copy, route.objective(), waited, now) {
+                    Turn::Now => self.open(packet, copy, route, now),
+                    Turn::After(wait) => Verdict::Wait(wait),
+                    Turn::NextCopy => Verdict::Discard(DiscardReason::Surge),
+                }
+            }
             (_, Some(route)) => self.forward(packet, route, now),
             (_, None) if self.routing.former.contains_key(&packet.flow.service) => {
                 self.flows.remove(&packet.flow, &mut self.directory);
@@ -146,11 +159,6 @@
     }
 
     fn open(&mut self, packet: &CallerPacket, copy: u32, route: &Route, now: Instant) -> Verdict {
-        match self.surge.turn(copy, route.objective(), now) {
-            Turn::Now => {}
-            Turn::After(wait) => return Verdict::Wait(wait),
-            Turn::NextCopy => return Verdict::Discard(DiscardReason::Surge),
-        }
         let known = self.flows.get(&packet.flow).filter(|flow| flow.stage == Stage::Opening);
         if let Some(flow) = known.filter(|flow| copy > 0 && now < flow.seen + ANSWER_TIME) {
             return self.to_target(flow.target, None);
--- a/crates/flow/src/cookie/openings.rs
+++ b/crates/flow/src/cookie/openings.rs
@@ -65,10 +65,11 @@
         Self { until: COPY_AGES.last().map(|last| start + *last), ..Self::default() }
     }
 
-    /// What becomes of an opening for requests with a latency objective. Openings whose requests can still be in
-    /// time come first.
-    pub fn turn(&mut self, copy: u32, objective: Duration, now: Instant) -> Turn {
-        if self.until.is_none_or(|until| now >= until) {
+    /// What becomes of an opening that has waited here for some time, for requests with a latency objective.
+    /// Openings whose requests can still be in time come first.
+    pub fn turn(&mut self, copy: u32, objective: Duration, waited: Duration, now: Instant) -> Turn {
+        let wait = patience(copy).saturating_sub(ANSWER_ALLOWANCE).saturating_sub(waited);
+        if self.until.is_none_or(|until| now >= until) || (is_last(copy) && wait.is_zero()) {
             return Turn::Now;
         }
         self.openings = self.openings.saturating_add(1);
@@ -77,7 +78,7 @@
         if !is_surge || age(copy) < objective {
             Turn::Now
         } else if is_last(copy) {
-            Turn::After(patience(copy).saturating_sub(ANSWER_ALLOWANCE))
+            Turn::After(wait)
         } else {
             Turn::NextCopy
         }
--- a/crates/flow/tests/cookie.rs
+++ b/crates/flow/tests/cookie.rs
@@ -109,7 +109,7 @@
     }
 
     fn send(&mut self, packet: &CallerPacket) -> Verdict {
-        self.balancer.packet(packet, false, self.now)
+        self.balancer.packet(packet, false, Duration::ZERO, self.now)
     }
 
     /// Opens a flow and returns its target.
@@ -323,10 +323,13 @@
 #[test]
 fn openings_that_have_waited_are_dropped() {
     let mut fixture = orders_on(&[(1, "a")]);
-    let verdict = fixture.balancer.packet(&opening(1, 0), true, fixture.now);
+    let verdict = fixture.balancer.packet(&opening(1, 0), true, Duration::ZERO, fixture.now);
     assert_eq!(verdict, Verdict::Discard(DiscardReason::LateOpening));
     let open = packet(1, PacketKind::Middle, cookie(1));
-    assert_eq!(target_of(fixture.balancer.packet(&open, true, fixture.now)), Some(1));
+    assert_eq!(
+        target_of(fixture.balancer.packet(&open, true, Duration::ZERO, fixture.now)),
+        Some(1)
+    );
 }
 
 /// Guards against callers that wait for their deadline although no target can serve them.
--- a/crates/flow/tests/openings.rs
+++ b/crates/flow/tests/openings.rs
@@ -15,7 +15,7 @@
 fn late_copies_wait_behind_openings_that_can_be_in_time() {
     let start = Instant::now();
     let mut surge = Surge::from(start);
-    let mut turn = |copy| surge.turn(copy, OBJECTIVE, start + millis(10));
+    let mut turn = |copy| surge.turn(copy, OBJECTIVE, Duration::ZERO, start + millis(10));
     assert_eq!(turn(0), Turn::Now);
     assert_eq!(turn(1), Turn::NextCopy);
     let Turn::After(wait) = turn(2) else { unreachable!("the last copy waits") };
@@ -28,9 +28,9 @@
 fn copies_within_their_objective_do_not_wait() {
     let start = Instant::now();
     let mut surge = Surge::from(start);
-    assert_eq!(surge.turn(1, millis(201), start), Turn::Now);
-    assert_eq!(surge.turn(1, millis(200), start), Turn::NextCopy);
-    assert_eq!(surge.turn(2, millis(601), start), Turn::Now);
+    assert_eq!(surge.turn(1, millis(201), Duration::ZERO, start), Turn::Now);
+    assert_eq!(surge.turn(1, millis(200), Duration::ZERO, start), Turn::NextCopy);
+    assert_eq!(surge.turn(2, millis(601), Duration::ZERO, start), Turn::Now);
 }
 
 /// Guards against a copy that shows that a target is dead and waits, since it looks like one of a surge.
@@ -39,12 +39,24 @@
     let start = Instant::now();
     let mut surge = Surge::from(start);
     for copy in [1, 2] {
-        assert_ne!(surge.turn(copy, OBJECTIVE, start + millis(599)), Turn::Now);
-        assert_eq!(surge.turn(copy, OBJECTIVE, start + millis(600)), Turn::Now);
-        assert_eq!(Surge::default().turn(copy, OBJECTIVE, start), Turn::Now);
+        assert_ne!(surge.turn(copy, OBJECTIVE, Duration::ZERO, start + millis(599)), Turn::Now);
+        assert_eq!(surge.turn(copy, OBJECTIVE, Duration::ZERO, start + millis(600)), Turn::Now);
+        assert_eq!(Surge::default().turn(copy, OBJECTIVE, Duration::ZERO, start), Turn::Now);
     }
 }
 
+/// Guards against a late opening that is dropped at the end of its wait, or waits again: it had come before the
+/// entry knew its routes, so its time is over before the surge is.
+#[test]
+fn an_opening_that_waited_for_routes_waits_so_much_less() {
+    let start = Instant::now();
+    let mut surge = Surge::from(start);
+    let mut turn = |waited, at| surge.turn(2, OBJECTIVE, millis(waited), start + millis(at));
+    assert_eq!(turn(250, 0), Turn::After(millis(350)));
+    assert_eq!(turn(600, 350), Turn::Now);
+    assert_eq!(turn(700, 0), Turn::Now);
+}
+
 /// Guards against copies that wait at an entry which has started anew while others run: most openings are new
 /// there, and a copy shows that a target or another entry is dead.
 #[test]
@@ -52,10 +64,14 @@
     let start = Instant::now();
     let mut surge = Surge::from(start);
     for _ in 0..4 {
-        assert_eq!(surge.turn(0, OBJECTIVE, start), Turn::Now);
+        assert_eq!(surge.turn(0, OBJECTIVE, Duration::ZERO, start), Turn::Now);
     }
-    assert_eq!(surge.turn(2, OBJECTIVE, start), Turn::Now);
-    assert_ne!(surge.turn(2, OBJECTIVE, start), Turn::Now, "two among six are a surge");
+    assert_eq!(surge.turn(2, OBJECTIVE, Duration::ZERO, start), Turn::Now);
+    assert_ne!(
+        surge.turn(2, OBJECTIVE, Duration::ZERO, start),
+        Turn::Now,
+        "two among six are a surge"
+    );
 }
 
 /// Guards against an opening that is passed on after its caller has sent the next copy or has given up.
--- a/crates/lab/src/emulator/placement.rs
+++ b/crates/lab/src/emulator/placement.rs
@@ -163,7 +163,7 @@
     fn decide(&mut self, facts: &FlowFacts, now: Duration) -> Placed {
         let kind = PacketKind::Open { copy: facts.copy };
         let packet = packet(facts, kind, Cookie::default(), (1, 0, 0));
-        match self.balancer.packet(&packet, false, self.start + now) {
+        match self.balancer.packet(&packet, false, Duration::ZERO, self.start + now) {
             Verdict::Forward { target, .. } => {
                 usize::try_from(target.0).map_or(Placed::Refused, Placed::At)
             }
@@ -209,7 +209,7 @@
         }
         let cookie = Cookie::of(target_id(target), BORN_MS);
         let packet = packet(facts, kind, cookie, progress);
-        self.balancer.packet(&packet, false, self.start + now);
+        self.balancer.packet(&packet, false, Duration::ZERO, self.start + now);
         self.balancer.sweep(self.start + now);
     }
 }
