Let a resend wait for the outcome that its claim has overtaken

Cause: an entry answers the caller and sends the outcome to the key's replicas at the same time. Ruled out: a second run (the key was held all the time), and a lost outcome (it is resent every 200 ms). Change: such a claim asks on, as it does while replicas are silent, for 1 s. If the key is freed because the first attempt provably did not run, the resend may win it; an acceptance therefore replaces 'held' among the votes of one incarnation.

--- a/crates/request/src/key_client.rs
+++ b/crates/request/src/key_client.rs
@@ -17,6 +17,11 @@
 /// then are restarting or isolated.
 pub const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest time for which a claim of a key in use waits for the outcome of the attempt that holds it. The
+/// outcome goes to the replicas while the response goes to the caller, whose resend can overtake it; the
+/// wait covers the loss of four sends of the outcome.
+pub const KEY_IN_USE_WAIT: Duration = Duration::from_secs(1);
+
 /// Interval between resends of an outcome.
 pub const FINISH_RESEND_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -60,6 +65,8 @@
     digest: ContentDigest,
     deadline: Instant,
     decide_by: Instant,
+    /// From this time on, a key that another attempt holds is reported as in use.
+    in_use_from: Instant,
     resend_at: Instant,
     retention: Duration,
     votes: BTreeMap<InstanceId, ReceivedVote>,
@@ -109,9 +116,16 @@
         retention: Duration,
     ) -> Vec<KeyAction> {
         let decide_by = deadline.min(now + CLAIM_TIMEOUT);
-        let votes = BTreeMap::new();
-        let claim =
-            PendingClaim { key, digest, deadline, decide_by, resend_at: now, retention, votes };
+        let claim = PendingClaim {
+            key,
+            digest,
+            deadline,
+            decide_by,
+            in_use_from: decide_by.min(now + KEY_IN_USE_WAIT),
+            resend_at: now,
+            retention,
+            votes: BTreeMap::new(),
+        };
         if claim.key.key.len() > MAX_KEY_BYTES {
             let code = ResultCode::KeyRecordLost;
             return vec![KeyAction::Decided(attempt, KeyDecision::NotWon(code))];
@@ -172,14 +186,12 @@
     /// Resends claims and outcomes that are due, and ends claims that have timed out.
     pub fn tick(&mut self, now: Instant) -> Vec<KeyAction> {
         let mut out = Vec::new();
-        let expired: Vec<_> =
-            self.claims.iter().filter(|(_, claim)| claim.decide_by <= now).collect();
-        let expired: Vec<_> = expired.into_iter().map(|(attempt, _)| *attempt).collect();
-        for attempt in expired {
-            self.claims.remove(&attempt);
-            let decision = KeyDecision::NotWon(ResultCode::KeyRecordLost);
-            out.push(KeyAction::Decided(attempt, decision));
-        }
+        let shards = &self.shards;
+        self.claims.retain(|attempt, claim| {
+            let Some(code) = claim.timeout_code(now, shards) else { return true };
+            out.push(KeyAction::Decided(*attempt, KeyDecision::NotWon(code)));
+            false
+        });
         for (attempt, claim) in &mut self.claims {
             claim.resend_if_due(now, *attempt, &self.shards, &mut out);
         }
@@ -193,7 +205,7 @@
     /// Time at which [`Self::tick`] is due next; `None` when no claim or outcome is pending.
     #[must_use]
     pub fn next_wake(&self) -> Option<Instant> {
-        let claims = self.claims.values().map(|claim| claim.resend_at.min(claim.decide_by));
+        let claims = self.claims.values().map(|claim| claim.next_wake(&self.shards));
         claims.chain(self.finishes.values().map(|finish| finish.resend_at)).min()
     }
 
@@ -212,7 +224,7 @@
         }
         claim.record_vote(from, vote);
         let quorum = self.shards.quorum(key.shard());
-        let Some(decision) = claim.decide(replicas, quorum) else { return Vec::new() };
+        let Some(decision) = claim.decide(now, replicas, quorum) else { return Vec::new() };
         if let Some(claim) = self.claims.remove(&attempt)
             && decision == KeyDecision::Won
         {
@@ -233,8 +245,9 @@
 
 impl PendingClaim {
     /// Keeps the vote of a replica's latest incarnation. Delayed votes of an earlier one are
-    /// dropped. Within an incarnation, a verdict is replaced by one of the same or a higher rank:
-    /// an acceptance replaces "not ready", and an outcome replaces any verdict.
+    /// dropped. Within an incarnation, a verdict is replaced by one of the same or a higher rank: an
+    /// outcome replaces any verdict. An acceptance replaces "held", since a key that was held and not run
+    /// is accepted for another attempt, and an accepted one is held for no other while the claim is open.
     fn record_vote(&mut self, from: InstanceId, vote: ReceivedVote) {
         match self.votes.get_mut(&from) {
             Some(known) if vote.incarnation < known.incarnation => {}
@@ -257,14 +270,39 @@
         !seen.any(|(peer, incarnation)| *peer == voter && *incarnation > vote.incarnation)
     }
 
-    fn decide(&self, replicas: &[InstanceId], quorum: usize) -> Option<KeyDecision> {
-        let held = || {
-            self.votes.values().filter_map(|vote| match &vote.verdict {
-                Verdict::Held { same_content, outcome } => Some((*same_content, outcome.as_ref())),
-                _ => None,
-            })
-        };
-        let finished = held().find_map(|(same, outcome)| outcome.filter(|_| same));
+    /// Records of other attempts that the votes report: whether the content is the same, and the outcome.
+    fn held(&self) -> impl Iterator<Item = (bool, Option<&KeyOutcome>)> {
+        self.votes.values().filter_map(|vote| match &vote.verdict {
+            Verdict::Held { same_content, outcome } => Some((*same_content, outcome.as_ref())),
+            _ => None,
+        })
+    }
+
+    /// Whether other attempts hold so many replicas that this one can't win unless one of them frees the
+    /// key.
+    fn is_in_use(&self, replicas: usize, quorum: usize) -> bool {
+        replicas - self.held().count() < quorum
+    }
+
+    /// Code of a claim whose time is over; `None` while it may wait.
+    fn timeout_code(&self, now: Instant, shards: &ShardMap) -> Option<ResultCode> {
+        let shard = self.key.shard();
+        let in_use = self.is_in_use(shards.replicas(shard).len(), shards.quorum(shard));
+        if in_use && self.in_use_from <= now {
+            return Some(ResultCode::KeyInUse);
+        }
+        (self.decide_by <= now).then_some(ResultCode::KeyRecordLost)
+    }
+
+    fn next_wake(&self, shards: &ShardMap) -> Instant {
+        let shard = self.key.shard();
+        let in_use = self.is_in_use(shards.replicas(shard).len(), shards.quorum(shard));
+        let timeout = if in_use { self.in_use_from } else { self.decide_by };
+        self.resend_at.min(timeout)
+    }
+
+    fn decide(&self, now: Instant, replicas: &[InstanceId], quorum: usize) -> Option<KeyDecision> {
+        let finished = self.held().find_map(|(same, outcome)| outcome.filter(|_| same));
         if let Some(outcome) = finished {
             return Some(decision_for_outcome(outcome));
         }
@@ -274,11 +312,11 @@
         if accepted.count() >= quorum {
             return Some(KeyDecision::Won);
         }
-        if held().any(|(same_content, _)| !same_content) {
+        if self.held().any(|(same_content, _)| !same_content) {
             return Some(KeyDecision::NotWon(ResultCode::KeyContentMismatch));
         }
-        let undecided = replicas.len() - held().count();
-        (undecided < quorum).then_some(KeyDecision::NotWon(ResultCode::KeyInUse))
+        let in_use = self.is_in_use(replicas.len(), quorum) && now >= self.in_use_from;
+        in_use.then_some(KeyDecision::NotWon(ResultCode::KeyInUse))
     }
 
     fn resend_if_due(
@@ -320,8 +358,8 @@
     fn rank(&self) -> u8 {
         match self {
             Self::NotReady | Self::Full => 0,
-            Self::Accepted => 1,
-            Self::Held { outcome: None, .. } => 2,
+            Self::Held { outcome: None, .. } => 1,
+            Self::Accepted => 2,
             Self::Held { outcome: Some(_), .. } => 3,
         }
     }
