Vote again when a full disk has room

Cause: the store of the replicated log kept its first fault until the process was restarted. The register of the users' platform was not affected: its voter tries the disk again with each request (consensus/register_store::voter_resumes_after_its_disk_recovers).

A failed sync still needs a restart: what is on the disk is unknown then.

--- a/crates/consensus/src/disk/error.rs
+++ b/crates/consensus/src/disk/error.rs
@@ -33,6 +33,13 @@
 }
 
 impl StoreError {
+    /// Whether writes may succeed again later without a restart. A disk that is full gets room; after any other
+    /// error, what the folder holds is unknown.
+    #[must_use]
+    pub fn is_temporary(&self) -> bool {
+        matches!(self, Self::DiskFull(_) | Self::Stopped(ResultCode::DiskFull))
+    }
+
     /// Result code for operators.
     #[must_use]
     pub fn code(&self) -> ResultCode {
--- a/crates/consensus/src/disk/store.rs
+++ b/crates/consensus/src/disk/store.rs
@@ -69,6 +69,8 @@
     record_count: u64,
     /// Number of the current snapshot file; `None` before the first snapshot.
     snapshot_number: Option<u64>,
+    /// Whether `content` has a newer snapshot than the snapshot file.
+    is_snapshot_unwritten: bool,
     /// Result of the first write or sync that failed.
     fault: Option<ResultCode>,
 }
@@ -88,6 +90,7 @@
             segment_bytes: 0,
             record_count: 0,
             snapshot_number: None,
+            is_snapshot_unwritten: false,
             fault: None,
         };
         let names = store.folder.list().map_err(StoreError::Folder)?;
@@ -151,6 +154,11 @@
         self.segment_bytes
     }
 
+    /// Folder of the store, for tests that inject faults.
+    pub fn folder_mut(&mut self) -> &mut F {
+        &mut self.folder
+    }
+
     /// Returns the folder, for tests that inspect its files.
     #[must_use]
     pub fn into_folder(self) -> F {
@@ -158,7 +166,8 @@
     }
 
     /// Writes and syncs a batch. After an error the store accepts no further batch: what a failed write or
-    /// sync has left on the disk is unknown until the folder is opened again.
+    /// sync has left on the disk is unknown until the folder is opened again, or until [`Self::resume`] has
+    /// written everything anew.
     ///
     /// # Errors
     /// `DiskFull`, `Sync` and other errors of the file system; `Stopped` after an earlier one.
@@ -173,9 +182,35 @@
         result
     }
 
-    fn write_batch(&mut self, batch: &WriteBatch) -> Result<(), StoreError> {
+    /// Takes in a batch that was issued before the fault was known. [`Self::resume`] writes it.
+    pub fn keep_unwritten(&mut self, batch: &WriteBatch) {
         self.content.apply(batch);
-        if batch.snapshot.is_some() {
+        self.is_snapshot_unwritten |= batch.snapshot.is_some();
+    }
+
+    /// Writes and syncs everything to new files after [`StoreError::DiskFull`], the failed batch and those
+    /// kept since included. The store then accepts batches again. The files written before stay as they are
+    /// until the new ones are complete.
+    ///
+    /// # Errors
+    /// `DiskFull` if there is still no room, and other errors of the file system; `Stopped` after a fault
+    /// other than a full disk. The store stays stopped.
+    pub fn resume(&mut self) -> Result<(), StoreError> {
+        if let Some(code) = self.fault.filter(|code| *code != ResultCode::DiskFull) {
+            return Err(StoreError::Stopped(code));
+        }
+        if self.is_snapshot_unwritten {
+            self.write_snapshot()?;
+        }
+        self.start_segment()?;
+        self.remove_obsolete();
+        self.fault = None;
+        Ok(())
+    }
+
+    fn write_batch(&mut self, batch: &WriteBatch) -> Result<(), StoreError> {
+        self.keep_unwritten(batch);
+        if self.is_snapshot_unwritten {
             self.write_snapshot()?;
         }
         if batch.snapshot.is_some() || self.segment_bytes > MAX_SEGMENT_BYTES {
@@ -203,6 +238,7 @@
         let bytes = encode_record(&self.content.snapshot.bytes);
         self.create_file(&snapshot_name(number), &bytes)?;
         self.snapshot_number = Some(number);
+        self.is_snapshot_unwritten = false;
         Ok(())
     }
 
--- a/crates/consensus/src/replica/api.rs
+++ b/crates/consensus/src/replica/api.rs
@@ -81,8 +81,11 @@
     Message(Message),
     /// The batch with this number, and every earlier one, is synced.
     Persisted(u64),
-    /// The data folder has failed. The replica neither votes nor replicates until its restart.
+    /// The data folder has failed. The replica neither votes nor replicates until its restart, or until the
+    /// folder has recovered.
     StorageFault(ResultCode),
+    /// The data folder accepts writes again, and every batch issued so far is synced.
+    StorageRecovered,
     /// An entry has reported the newest revision that it holds, which is therefore committed.
     EntryReport {
         /// Entry that sent the report.
--- a/crates/consensus/src/replica/mod.rs
+++ b/crates/consensus/src/replica/mod.rs
@@ -167,6 +167,7 @@
             Event::Propose { request, command } => self.handle_proposal(request, command),
             Event::Replace { request, old, new } => self.handle_replacement(request, old, new),
             Event::StorageFault(code) => self.handle_storage_fault(code),
+            Event::StorageRecovered => self.handle_storage_recovery(),
             _ if self.fault.is_some() => {}
             Event::EntryReport { entry, revision } => self.handle_entry_report(entry, revision),
             Event::Tick => self.handle_tick(),
@@ -309,7 +310,7 @@
 
     fn handle_storage_fault(&mut self, code: ResultCode) {
         log::error!(
-            "{}: storage fault {code}; this instance does not vote until it is restarted",
+            "{}: storage fault {code}; this instance does not vote until its folder can be written",
             self.settings.me.instance
         );
         self.step_down();
@@ -323,6 +324,18 @@
         self.deferred_outputs.clear();
     }
 
+    /// Continues as a follower after a fault. Nothing that this replica has issued is lost, so it may vote as
+    /// before. A leader may rely on it not to vote for the length of an election timeout.
+    fn handle_storage_recovery(&mut self) {
+        if self.fault.take().is_none() {
+            return;
+        }
+        log::info!("{}: the folder can be written again", self.settings.me.instance);
+        self.leader_last_seen = self.now;
+        self.next_tick_at = self.now + self.random_election_timeout();
+        self.handle_persisted(self.issued_seq);
+    }
+
     /// Ends the handling of an event: collects its changes in one batch, and holds back output that depends
     /// on unsynced changes.
     fn finish_step(&mut self) -> Vec<Action> {
--- a/crates/consensus/tests/disk.rs
+++ b/crates/consensus/tests/disk.rs
@@ -123,6 +123,47 @@
     }
 }
 
+/// Guards against a store that stays stopped although its disk has room again, and against losing a batch that
+/// was issued while the disk was full. The fault hits each operation in turn; after it, the rest is written.
+#[test]
+fn store_resumes_when_a_full_disk_has_room() {
+    let batches = batches(15);
+    let contents = contents(&batches);
+    let operations = stored_folder(&batches).operations;
+    for at in 1..operations {
+        let mut store = open(MemoryFolder::default()).unwrap();
+        store.folder_mut().fault = Some((at, Fault::FullDisk));
+        let written = batches.iter().take_while(|batch| store.persist(batch).is_ok()).count();
+        for batch in batches.iter().skip(written + 1).take(2) {
+            store.keep_unwritten(batch);
+        }
+        let kept = (written + 3).min(batches.len());
+        if written < batches.len() {
+            assert_eq!(store.resume().unwrap_err().code(), ResultCode::DiskFull, "operation {at}");
+        }
+        store.folder_mut().fault = None;
+        store.resume().unwrap();
+        let reopened = open(store.folder_mut().crash(0)).unwrap();
+        assert_eq!(*reopened.content(), contents[kept], "operation {at}");
+        for batch in &batches[kept..] {
+            store.persist(batch).unwrap();
+        }
+        let reopened = open(store.into_folder().crash(0)).unwrap();
+        assert_eq!(Some(reopened.content()), contents.last(), "operation {at}");
+    }
+}
+
+/// Guards against writing after a fault that leaves the content of the disk unknown.
+#[test]
+fn store_does_not_resume_after_a_failed_sync() {
+    let batches = batches(5);
+    let mut store = open(MemoryFolder::default()).unwrap();
+    store.folder_mut().fault = Some((0, Fault::FailedSync));
+    assert!(store.persist(&batches[0]).is_err());
+    store.folder_mut().fault = None;
+    assert_eq!(store.resume().unwrap_err().code(), ResultCode::SyncFailed);
+}
+
 fn segment_name(folder: &MemoryFolder) -> String {
     use comfreyhold_consensus::disk::Folder;
     folder.list().unwrap().into_iter().find(|name| name.starts_with("log-")).unwrap()
--- a/crates/consensus/tests/schedules.rs
+++ b/crates/consensus/tests/schedules.rs
@@ -76,3 +76,10 @@
 fn isolated_leader_serves_no_stale_read_and_reverts_nothing() {
     run_all(FaultKind::LongIsolation, 12_000);
 }
+
+/// Guards against instances that stay out after a full disk has room again: one disk after another is full for
+/// some seconds, never two at once, and at the end no majority is left that accepts anything.
+#[test]
+fn disks_that_are_full_in_turn_stop_no_majority() {
+    run_all(FaultKind::FullDisks, 12_000);
+}
--- a/crates/consensus/tests/support/mod.rs
+++ b/crates/consensus/tests/support/mod.rs
@@ -27,6 +27,8 @@
     LostDisks,
     /// The leader is isolated for several seconds.
     LongIsolation,
+    /// The disks are full for some seconds each, one instance after another.
+    FullDisks,
 }
 
 struct Member {
@@ -38,6 +40,10 @@
     old_copies: Vec<DurableState>,
     replica: Option<LogReplica>,
     restart_at_ms: u64,
+    /// Time in milliseconds until which the disk accepts no writes.
+    full_until_ms: u64,
+    /// Whether the replica was told of a full disk and not yet of its end.
+    has_storage_fault: bool,
 }
 
 pub struct SimulatedNetwork {
@@ -59,6 +65,8 @@
     /// Voter whose disk is lost, and the learner to replace it with.
     lost_voter: Option<(Voter, Voter)>,
     pending_replacement: Option<RequestId>,
+    /// Number of disks that were full so far.
+    filled_count: u64,
     next_request: u64,
     pub checks: Checks,
 }
@@ -84,6 +92,7 @@
             fault_rate_factor,
             lost_voter: None,
             pending_replacement: None,
+            filled_count: 0,
             next_request: 1,
             checks: Checks::new(seed),
         };
@@ -97,6 +106,8 @@
                 old_copies: Vec::new(),
                 replica: None,
                 restart_at_ms: 0,
+                full_until_ms: 0,
+                has_storage_fault: false,
             };
             network.members.insert(id, member);
         }
@@ -114,6 +125,7 @@
         self.loss_rate = 0.0;
         for member in self.members.values_mut() {
             member.restart_at_ms = member.restart_at_ms.min(self.now_ms);
+            member.full_until_ms = member.full_until_ms.min(self.now_ms);
         }
         self.run_for_ms(recovery_ms);
         let live = self.members.values().filter_map(|member| member.replica.as_ref());
@@ -189,8 +201,17 @@
         for id in self.member_ids() {
             loop {
                 let member = self.members.get_mut(&id).unwrap();
+                if member.has_storage_fault && member.full_until_ms <= self.now_ms {
+                    self.recover_storage(id);
+                    break;
+                }
                 let due = member.unsynced.first().is_some_and(|(at, ..)| *at <= self.now_ms);
-                if !due {
+                if !due || member.has_storage_fault {
+                    break;
+                }
+                if member.full_until_ms > self.now_ms {
+                    member.has_storage_fault = true;
+                    self.handle_event(id, Event::StorageFault(ResultCode::DiskFull));
                     break;
                 }
                 let (_, seq, batch) = member.unsynced.remove(0);
@@ -200,6 +221,16 @@
         }
     }
 
+    /// Writes all batches, the failed one included, and tells the replica.
+    fn recover_storage(&mut self, id: InstanceId) {
+        let member = self.members.get_mut(&id).unwrap();
+        member.has_storage_fault = false;
+        for (_, _, batch) in member.unsynced.drain(..) {
+            member.durable.apply(&batch);
+        }
+        self.handle_event(id, Event::StorageRecovered);
+    }
+
     fn handle_event(&mut self, id: InstanceId, event: Event) {
         let now = self.now();
         let Some(replica) = self.members.get_mut(&id).unwrap().replica.as_mut() else { return };
@@ -287,6 +318,7 @@
             FaultKind::OldCopies => self.save_or_restore_copy(),
             FaultKind::LostDisks => self.lose_disk(),
             FaultKind::LongIsolation if self.rng.random_bool(0.001) => self.isolate_leader(),
+            FaultKind::FullDisks => self.fill_next_disk(),
             _ => {}
         }
     }
@@ -324,6 +356,18 @@
         }
     }
 
+    /// Fills the disk of one instance after the other, never two at once.
+    fn fill_next_disk(&mut self) {
+        if self.members.values().any(|member| member.full_until_ms > self.now_ms) {
+            return;
+        }
+        let count = u64::try_from(self.members.len()).unwrap();
+        let full_ms = self.rng.random_range(500..3_000);
+        let next = InstanceId(u16::try_from(1 + self.filled_count % count).unwrap());
+        self.filled_count += 1;
+        self.members.get_mut(&next).unwrap().full_until_ms = self.now_ms + full_ms;
+    }
+
     fn leader(&self) -> Option<InstanceId> {
         let now = self.now();
         let is_leader = |member: &Member| {
@@ -341,6 +385,7 @@
             member.durable.apply(&batch);
         }
         member.replica = None;
+        member.has_storage_fault = false;
         member.restart_at_ms = self.now_ms + delay;
     }
 
--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -219,6 +219,14 @@
         self.handle_log_event(&mut core, Event::StorageFault(code));
     }
 
+    /// Handles that the data folder accepts writes again and holds all batches: records it, and lets the
+    /// replica vote.
+    pub fn on_storage_recovered(&self) {
+        self.cx.record(EventKind::StorageRecovered, &[]);
+        let mut core = lock(&self.core);
+        self.handle_log_event(&mut core, Event::StorageRecovered);
+    }
+
     /// Announces a graceful stop to the other processes.
     pub fn announce_leave(&self) {
         let mut core = lock(&self.core);
--- a/crates/daemon/src/control_run.rs
+++ b/crates/daemon/src/control_run.rs
@@ -109,20 +109,33 @@
     Ok(LogReplica::new(cfg, store.content().clone(), rng, cx.now())?)
 }
 
-/// Starts the thread that writes batches in order and syncs each before it confirms it. It ends at the first
-/// fault, so that nothing is written after a lost batch.
+/// Interval between attempts to write to a disk that was full.
+const FULL_DISK_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Starts the thread that writes batches in order and syncs each before it confirms it. On a full disk it waits
+/// for room and then writes everything anew. It ends at any other fault, so that nothing is written after a
+/// lost batch.
 fn spawn_storage_thread(
     control: Arc<ControlDaemon>,
     mut store: LogStore<DataFolder>,
     jobs: mpsc::Receiver<PersistJob>,
 ) -> anyhow::Result<()> {
     std::thread::Builder::new().name("storage".to_owned()).spawn(move || {
-        for job in jobs {
+        while let Ok(job) = jobs.recv() {
             match store.persist(&job.batch) {
                 Ok(()) => control.on_persisted(job.seq),
                 Err(error) => {
                     control.on_storage_fault(error.code(), &error.to_string());
-                    return;
+                    if !error.is_temporary() {
+                        return;
+                    }
+                    // The replica issues no batch between the fault and the recovery.
+                    jobs.try_iter().for_each(|job| store.keep_unwritten(&job.batch));
+                    if let Err(error) = wait_for_room(&mut store) {
+                        log::error!("the storage thread ends: {error}");
+                        return;
+                    }
+                    control.on_storage_recovered();
                 }
             }
         }
@@ -130,6 +143,17 @@
     Ok(())
 }
 
+/// Waits until everything is written to a disk that was full.
+fn wait_for_room(store: &mut LogStore<DataFolder>) -> Result<(), StoreError> {
+    loop {
+        std::thread::sleep(FULL_DISK_RETRY_INTERVAL);
+        match store.resume() {
+            Err(error) if error.is_temporary() => log::debug!("{error}"),
+            result => return result,
+        }
+    }
+}
+
 fn spawn_count_writer_thread(counts: Arc<CountStore>) -> anyhow::Result<()> {
     std::thread::Builder::new().name("counts".to_owned()).spawn(move || {
         loop {
--- a/crates/daemon/tests/daemon/storage_faults.rs
+++ b/crates/daemon/tests/daemon/storage_faults.rs
@@ -45,6 +45,40 @@
     check_storage_fault(cluster, &victim, 6_002, |path| fs::remove_file(path).unwrap()).await;
 }
 
+/// Guards against an instance that stays out after its full disk has room again. When the disks are full one after
+/// another, no majority would be left although all processes run.
+#[tokio::test]
+async fn full_disk_with_room_again_votes_without_a_restart() {
+    let _guard = DEPLOYMENT_LOCK.lock().await;
+    let mut cluster = Cluster::start(settings()).await;
+    let leader = Operator::new("ana", &cluster).leader().await.1.name;
+    let victim = cluster.deployment.plan.daemons[cluster.index(&leader)].clone();
+    let temporary = victim.data.join(TEMPORARY_FILE);
+    std::os::unix::fs::symlink("/dev/full", &temporary).unwrap();
+    let watch = RevisionWatch::start(&cluster);
+    let disk = wait_for_status(&cluster, &victim).await.details["disk"].clone();
+    let mut series = PublicationSeries::new(&cluster);
+    publish_until_fault(&cluster, &mut series, &victim).await;
+    series.publish(2).await;
+    fs::remove_file(&temporary).unwrap();
+    wait_for("the fault is over", LIMIT, || async {
+        let status = wait_for_status(&cluster, &victim).await;
+        (!status.details.contains_key("fault")).then_some(())
+    })
+    .await
+    .unwrap();
+    series.wait_confirmed(victim.instance, &disk).await;
+    let healthy = cluster.deployment.plan.of(DaemonKind::Control);
+    let other = healthy.filter(|plan| plan.name != victim.name).map(|plan| plan.name.clone());
+    let other = other.last().unwrap();
+    cluster.kill(&other).await;
+    series.publish(1).await;
+    series.check_revisions().await;
+    cluster.restart(&other).await;
+    watch.finish(&cluster, series.accepted.last().unwrap().1).await;
+    cluster.deployment.stop().await.unwrap();
+}
+
 /// Guards against a follower that confirms what it can't write to its data folder, or continues to vote.
 #[tokio::test]
 async fn follower_with_an_unusable_folder_stops_voting() {
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -70,6 +70,8 @@
     ConnectionSilent,
     /// A storage fault was detected.
     StorageFault,
+    /// A data folder that was full accepts writes again.
+    StorageRecovered,
 }
 
 /// An event of the timeline.
