Refuse odd announcements, and save a drain before it is acknowledged

Cause, odd entries: one writer's announcement with a start of 2^64-1 took the address of a live target, whose announcements were then ignored as stale; 4,294,967,295 slots drew every new flow; port 0, 0 slots and a cold period of 1e300 ms were taken in, and each refusal wrote a line without a limit. Change: each field has a range (types/announcement), checked for announcements of targets, of other daemons and of the file of the last start. No wall clock is used for it. Cause, targets that have left: drains and ends were saved with the changes of a second, and a failed save was not repeated. After a loss of power of all control daemons a target that had left was sent to entries as one to use, and entries that had run on believed it.

--- a/crates/fleet/src/control/gossip.rs
+++ b/crates/fleet/src/control/gossip.rs
@@ -10,10 +10,10 @@
 use crate::messages::{FleetRequest, FleetResponse, Hello};
 use comfreyhold_consensus::register::Ballot;
 use comfreyhold_membership::announcements::AnnouncementOutcome;
-use comfreyhold_types::announcement::{Announcement, Availability};
+use comfreyhold_types::announcement::{Announcement, AnnouncementError, Availability};
 use comfreyhold_types::keys::TargetId;
 use comfreyhold_wire::envelope::encode_body;
-use futures_util::future::join_all;
+use futures_util::future::{join, join_all};
 use serde_json::json;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -36,9 +36,6 @@
 /// processes start together, one message for each target to each daemon would take longer than that.
 const BROADCAST_DELAY: Duration = Duration::from_millis(100);
 
-/// Minimum interval between saves of changed targets for the next start. It bounds the number of disk syncs.
-const SAVE_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Interval of heartbeats to seeds and voters until the declarations are known. It is short, since nothing
 /// can be served without the declarations.
 const JOIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(80);
@@ -199,8 +196,15 @@
     }
 
     /// Handles an announcement that a target sent to this daemon. A change that takes the target out of use
-    /// is sent to the live daemons before this returns.
-    pub(super) async fn handle_announcement(self: &Rc<Self>, announcement: &Announcement) {
+    /// is sent to the live daemons and saved before this returns.
+    pub(super) async fn handle_announcement(
+        self: &Rc<Self>,
+        announcement: &Announcement,
+    ) -> Result<(), AnnouncementError> {
+        if let Err(error) = announcement.check() {
+            self.record_refused(&announcement.id.to_string(), &error.to_string());
+            return Err(error);
+        }
         let now = self.clock.now();
         let outcome = self.targets.borrow_mut().apply(announcement, now);
         let name: &'static str = outcome.into();
@@ -214,7 +218,8 @@
                     self.pending_broadcast.borrow_mut().insert(announcement.id);
                     self.broadcast_due.notify_one();
                 } else {
-                    self.broadcast(FleetRequest::Announced(vec![announcement.clone()])).await;
+                    let told = self.broadcast(FleetRequest::Announced(vec![announcement.clone()]));
+                    join(told, self.save_changed_targets()).await;
                 }
             }
             AnnouncementOutcome::Refreshed => {
@@ -222,6 +227,13 @@
             }
             AnnouncementOutcome::Stale => self.record_target(announcement, "stale-announcement"),
         }
+        Ok(())
+    }
+
+    /// Counts and logs an announcement that is refused.
+    pub(super) fn record_refused(&self, from: &str, reason: &str) {
+        metrics::counter!("announcements", "heard" => "refused").increment(1);
+        self.record("refused-announcement", || json!({"target": from, "reason": reason}));
     }
 
     /// Sends changed targets that take flows to the other daemons, in batches.
@@ -239,7 +251,7 @@
     /// Handles the end of a target that was announced to this daemon.
     pub(super) async fn handle_end(self: &Rc<Self>, id: TargetId) {
         self.apply_end(id);
-        self.broadcast(FleetRequest::Ended(id)).await;
+        join(self.broadcast(FleetRequest::Ended(id)), self.save_changed_targets()).await;
     }
 
     /// Marks a target as ended, with a higher sequence number than its last announcement.
@@ -255,11 +267,16 @@
         self.apply_announcements(&[announcement]);
     }
 
-    /// Applies announcements received from other daemons.
+    /// Applies announcements received from other daemons, except for those that are out of range: a daemon of
+    /// another version may have taken them in.
     pub(super) fn apply_announcements(&self, announcements: &[Announcement]) {
         let now = self.clock.now();
         let previous_revision = self.targets.borrow().revision();
         for announcement in announcements {
+            if let Err(error) = announcement.check() {
+                self.record_refused(&announcement.id.to_string(), &error.to_string());
+                continue;
+            }
             if self.targets.borrow_mut().apply(announcement, now) == AnnouncementOutcome::Changed {
                 self.record_target(announcement, "target");
             }
@@ -309,17 +326,4 @@
             join_all(control.live_peers().into_iter().map(send)).await;
         }
     }
-
-    /// Saves changed targets at intervals, for the next start.
-    pub(super) async fn run_saves(self: Rc<Self>) {
-        let mut saved_revision = self.targets.borrow().revision();
-        loop {
-            tokio::time::sleep(SAVE_INTERVAL).await;
-            let revision = self.targets.borrow().revision();
-            if revision != saved_revision {
-                saved_revision = revision;
-                self.voter.save_targets(self.targets.borrow().announcements_to_save());
-            }
-        }
-    }
 }
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -7,6 +7,7 @@
 pub mod peers;
 mod register;
 mod repair;
+mod saves;
 pub mod voter;
 
 pub use operations::{ControlCall, ControlHandle};
@@ -21,6 +22,7 @@
 use anyhow::Context;
 use comfreyhold_consensus::register::{DiskId, RegisterValue, Replica, Voters};
 use comfreyhold_membership::announcements::Announcements;
+use comfreyhold_types::announcement::Availability;
 use comfreyhold_types::clock::Clock;
 use comfreyhold_types::codes::ResultCode;
 use comfreyhold_types::keys::{DomainName, TargetId};
@@ -32,6 +34,7 @@
 use peers::Peers;
 use rand::seq::IteratorRandom;
 use register::Register;
+use saves::Saves;
 use serde_json::json;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -85,6 +88,7 @@
     /// Daemons that have not responded to the last heartbeat yet.
     heartbeats_in_flight: RefCell<BTreeSet<SocketAddr>>,
     operations: mpsc::Sender<operations::QueuedOperation>,
+    saves: Saves,
     /// Wakes the entries' long polls.
     changed: Notify,
 }
@@ -121,6 +125,7 @@
         let control = Rc::new(Self {
             domain: DomainName::from(settings.domain.as_str()),
             peers: RefCell::new(Peers::new(address, &seeds, clock.now())),
+            saves: Saves::new(targets.revision()),
             settings,
             clock,
             decision_log: DecisionLog::default(),
@@ -269,6 +274,9 @@
             }
             FleetRequest::Announced(announcements) => {
                 self.apply_announcements(&announcements);
+                if announcements.iter().any(|a| a.availability != Availability::Serving) {
+                    self.save_changed_targets().await;
+                }
                 FleetResponse::Done
             }
             FleetRequest::Announcements(ids) => {
@@ -277,6 +285,7 @@
             }
             FleetRequest::Ended(id) => {
                 self.apply_end(id);
+                self.save_changed_targets().await;
                 FleetResponse::Done
             }
             FleetRequest::Watch(cursor) => {
--- a/crates/fleet/src/control/operations.rs
+++ b/crates/fleet/src/control/operations.rs
@@ -6,7 +6,7 @@
 use crate::messages::FleetRequest;
 use comfreyhold_consensus::register::RegisterValue;
 use comfreyhold_consensus::register::round::{Proposal, VoterChange};
-use comfreyhold_types::announcement::Announcement;
+use comfreyhold_types::announcement::{Announcement, AnnouncementError};
 use comfreyhold_types::keys::TargetId;
 use comfreyhold_types::routes::{RoutePublication, StateChange};
 use serde_json::json;
@@ -43,7 +43,9 @@
     /// Reads the newest publication, confirmed by a quorum.
     Read(oneshot::Sender<Result<Option<RoutePublication>, RegisterError>>),
     /// Handles a target's announcement.
-    Announce(Announcement, oneshot::Sender<()>),
+    Announce(Announcement, oneshot::Sender<Result<(), AnnouncementError>>),
+    /// Counts and logs an announcement that can't be read: from whom, and why.
+    Unreadable(String, String),
     /// Handles the end of a target.
     Ended(TargetId, oneshot::Sender<()>),
 }
@@ -83,10 +85,22 @@
         self.call(ControlCall::Read).await.unwrap_or(Err(RegisterError::NoQuorum))
     }
 
-    /// Handles a target's announcement. One that takes the target out of use has reached the live daemons
-    /// when this returns. Returns false if the control daemon has ended.
-    pub async fn announce(&self, announcement: Announcement) -> bool {
-        self.call(|tx| ControlCall::Announce(announcement, tx)).await.is_some()
+    /// Handles a target's announcement. One that takes the target out of use has reached the live daemons,
+    /// and is saved for the next start, when this returns. `None` if the control daemon has ended.
+    ///
+    /// # Errors
+    /// A field of the announcement is out of range; nothing has changed.
+    pub async fn announce(
+        &self,
+        announcement: Announcement,
+    ) -> Option<Result<(), AnnouncementError>> {
+        self.call(|tx| ControlCall::Announce(announcement, tx)).await
+    }
+
+    /// Counts and logs an announcement that can't be read. `from` is the sender as far as it is known.
+    pub async fn record_unreadable(&self, from: &str, reason: &str) {
+        // Without a control daemon there is no log to write to.
+        let _ = self.calls.send(ControlCall::Unreadable(from.to_owned(), reason.to_owned())).await;
     }
 
     /// Handles the end of a target. Returns false if the control daemon has ended.
@@ -115,9 +129,9 @@
                 let _ = reply.send(newest.map(|value| value.state.publication.clone()));
             }
             ControlCall::Announce(announcement, reply) => {
-                self.handle_announcement(&announcement).await;
-                let _ = reply.send(());
+                let _ = reply.send(self.handle_announcement(&announcement).await);
             }
+            ControlCall::Unreadable(from, reason) => self.record_refused(&from, &reason),
             ControlCall::Ended(id, reply) => {
                 self.handle_end(id).await;
                 let _ = reply.send(());
--- a/crates/fleet/src/control/voter.rs
+++ b/crates/fleet/src/control/voter.rs
@@ -24,7 +24,7 @@
 /// Work for the disk thread.
 enum DiskTask {
     HandleRequest { addressed: AddressedRequest, reply: oneshot::Sender<RegisterResponse> },
-    SaveTargets(Vec<Announcement>),
+    SaveTargets { targets: Vec<Announcement>, reply: oneshot::Sender<bool> },
 }
 
 /// File with the targets known last. A restarted daemon uses it until the targets announce themselves again,
@@ -69,10 +69,14 @@
                         // The proposer may have timed out; the synced state stays valid.
                         let _ = reply.send(response);
                     }
-                    DiskTask::SaveTargets(targets) => {
-                        if let Err(error) = save_targets(&path, &targets) {
-                            log::warn!("can't save the targets for the next start: {error:#}");
+                    DiskTask::SaveTargets { targets, reply } => {
+                        let saved = save_targets(&path, &targets);
+                        if let Err(error) = &saved {
+                            metrics::counter!("target_saves_failed").increment(1);
+                            log::debug!("can't save the targets for the next start: {error:#}");
                         }
+                        // The task that waits ends only with the process.
+                        let _ = reply.send(saved.is_ok());
                     }
                 }
             }
@@ -80,11 +84,14 @@
         Ok(Self { disk_tasks: tx, synced })
     }
 
-    /// Queues the targets to be saved for the next start, after earlier disk tasks.
-    pub fn save_targets(&self, targets: Vec<Announcement>) {
-        if self.disk_tasks.send(DiskTask::SaveTargets(targets)).is_err() {
+    /// Saves the targets for the next start, after earlier disk tasks. Returns whether they are synced to disk.
+    pub async fn save_targets(&self, targets: Vec<Announcement>) -> bool {
+        let (reply, saved) = oneshot::channel();
+        if self.disk_tasks.send(DiskTask::SaveTargets { targets, reply }).is_err() {
             log::error!("the disk thread has ended");
+            return false;
         }
+        saved.await.unwrap_or(false)
     }
 
     /// Identity of the data folder.
--- a/crates/fleet/src/entry/view.rs
+++ b/crates/fleet/src/entry/view.rs
@@ -4,11 +4,16 @@
 use comfreyhold_flow::cookie::balancer::Routing;
 use comfreyhold_flow::cookie::directory::TargetSpec;
 use comfreyhold_membership::announcements::TargetReport;
+use comfreyhold_types::announcement::{Announcement, Availability};
 use comfreyhold_types::keys::TargetId;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// Time for which an entry remembers that a target takes no more flows. A restarted control daemon that does
+/// not know it yet learns it from the others, or from the target, within seconds.
+const LEFT_RETENTION: Duration = Duration::from_secs(300);
+
 /// State received from one control daemon.
 #[derive(Clone, Debug, Default)]
 struct SourceState {
@@ -22,6 +27,9 @@
 #[derive(Default)]
 pub struct ControlView {
     sources: Vec<SourceState>,
+    /// Newest announcements by which targets stopped taking flows, and when each was received. They stay in
+    /// effect when all sources have restarted and report an older state.
+    left: BTreeMap<TargetId, (Announcement, Instant)>,
     routing: Routing,
 }
 
@@ -38,7 +46,8 @@
     /// Creates an empty view of a number of sources.
     #[must_use]
     pub fn new(sources: usize) -> Self {
-        Self { sources: vec![SourceState::default(); sources], routing: Routing::default() }
+        let sources = vec![SourceState::default(); sources];
+        Self { sources, left: BTreeMap::new(), routing: Routing::default() }
     }
 
     /// Routing from the newest declarations received.
@@ -76,6 +85,9 @@
         }
         state.incarnation = update.source;
         state.revision = update.revision;
+        for report in &update.targets {
+            record_left(&mut self.left, &report.announcement, now);
+        }
         let reports = update.targets.into_iter();
         state.reports.extend(reports.map(|report| (report.announcement.id, (report, now))));
         let targets = affected.into_iter().filter_map(|id| self.merged_target(id)).collect();
@@ -112,12 +124,14 @@
         true
     }
 
-    /// Merges the reports of all sources about a target: the announcement with the newest stamp counts, and
-    /// the target is silent only if all of the reports say so.
+    /// Merges the reports of all sources about a target: the announcement with the newest stamp counts, also
+    /// one that no source reports any more, and the target is silent only if all of the reports say so.
     fn merged_target(&self, id: TargetId) -> Option<TargetSpec> {
         let reports = || self.sources.iter().filter_map(|source| source.reports.get(&id));
         let (newest, received) = reports().max_by_key(|(report, _)| report.announcement.stamp)?;
-        let announcement = &newest.announcement;
+        let left = self.left.get(&id).filter(|(left, _)| outlasts(left, &newest.announcement));
+        let (announcement, received) =
+            left.map_or((&newest.announcement, received), |(left, received)| (left, received));
         Some(TargetSpec {
             id,
             born_ms: announcement.stamp.born_ms,
@@ -131,3 +145,26 @@
         })
     }
 }
+
+/// Remembers an announcement by which a target stopped taking flows.
+fn record_left(
+    left: &mut BTreeMap<TargetId, (Announcement, Instant)>,
+    announcement: &Announcement,
+    now: Instant,
+) {
+    if announcement.availability == Availability::Serving {
+        return;
+    }
+    if left.get(&announcement.id).is_some_and(|(known, _)| outlasts(known, announcement)) {
+        return;
+    }
+    left.retain(|_, (_, received)| now < *received + LEFT_RETENTION);
+    left.insert(announcement.id, (announcement.clone(), now));
+}
+
+/// Whether an announcement stays in effect against another one of the same target. The end of an incarnation
+/// is final.
+fn outlasts(known: &Announcement, other: &Announcement) -> bool {
+    let is_final = known.availability == Availability::Ended;
+    other.stamp <= known.stamp || (is_final && other.stamp.born_ms <= known.stamp.born_ms)
+}
--- a/crates/fleet/tests/fleet/feed.rs
+++ b/crates/fleet/tests/fleet/feed.rs
@@ -157,6 +157,53 @@
     assert_eq!(changes.targets[0].availability, Availability::Draining);
 }
 
+/// Guards against new flows to a target that has left: all control daemons lose power before they have saved its
+/// drain or end, and send its earlier announcement, or a repetition of it, after their restart.
+#[test]
+fn a_target_that_has_left_stays_out_when_all_daemons_restart() {
+    let now = Instant::now();
+    let cases = [
+        (Availability::Draining, 4, Availability::Draining),
+        (Availability::Draining, 6, Availability::Serving),
+        (Availability::Ended, 4, Availability::Ended),
+        (Availability::Ended, 6, Availability::Ended),
+    ];
+    for (left_as, sequence_after_restart, expected) in cases {
+        let mut view = ControlView::new(2);
+        for (source, incarnation) in [(0, 1), (1, 2)] {
+            let mut daemon = Daemon::new(incarnation);
+            daemon.targets.apply(&announcement(1, 4, Availability::Serving), now);
+            daemon.targets.apply(&announcement(1, 5, left_as), now);
+            daemon.send_update(&mut view, source, now);
+        }
+        for (source, incarnation) in [(0, 3), (1, 4)] {
+            let mut restarted = Daemon::new(incarnation);
+            let saved = announcement(1, sequence_after_restart, Availability::Serving);
+            restarted.targets.restore(vec![saved], SILENT_AFTER, now);
+            let cursor = view.cursor(source);
+            let update = restarted.feed_state(&cursor).update(&cursor, now);
+            let changes = view.apply(source, &cursor, update, now);
+            let found = changes.targets[0].availability;
+            assert_eq!(found, expected, "{left_as}, then number {sequence_after_restart}");
+        }
+    }
+}
+
+/// Guards against a restarted target that stays out because its earlier incarnation has ended.
+#[test]
+fn a_later_incarnation_of_an_ended_target_is_used() {
+    let (mut daemon, mut view, now) = (Daemon::new(1), ControlView::new(1), Instant::now());
+    daemon.targets.apply(&announcement(1, 5, Availability::Ended), now);
+    daemon.send_update(&mut view, 0, now);
+    let mut later = announcement(1, 1, Availability::Serving);
+    later.stamp.born_ms += 1;
+    daemon.targets.apply(&later, now);
+    let cursor = view.cursor(0);
+    let update = daemon.feed_state(&cursor).update(&cursor, now);
+    let changes = view.apply(0, &cursor, update, now);
+    assert_eq!(changes.targets[0].availability, Availability::Serving);
+}
+
 /// Guards against an entry that abandons targets because one daemon, which is isolated, no longer receives
 /// their announcements.
 #[test]
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -7,4 +7,5 @@
 mod early_packets;
 mod feed;
 mod peers;
+mod saves;
 mod settings;
--- /dev/null
+++ b/crates/fleet/tests/fleet/saves.rs
@@ -0,0 +1,133 @@
+//! What a control daemon has saved when it acknowledges that a target takes no more flows, and odd announcements
+//! sent to a running control daemon.
+
+use crate::feed::announcement;
+use comfreyhold_fleet::control::voter::saved_targets;
+use comfreyhold_fleet::control::{Control, ControlHandle};
+use comfreyhold_fleet::settings::FleetSettings;
+use comfreyhold_types::announcement::{
+    Announcement, AnnouncementStamp, Availability, MAX_BORN_MS, MAX_COLD_MS, MAX_SEQUENCE,
+    MAX_SLOTS,
+};
+use comfreyhold_types::clock::SystemClock;
+use comfreyhold_types::keys::TargetId;
+use std::net::Ipv4Addr;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio::task::LocalSet;
+
+/// Far above the duration of a save; only a fault reaches it.
+const SAVE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// File under which the targets are written before it is renamed.
+const TEMPORARY_FILE: &str = "targets.tmp";
+
+/// Starts the only control daemon of a deployment. `host` keeps the tests of this process apart.
+async fn start(host: u8, folder: &Path) -> (Rc<Control>, ControlHandle) {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, high, low, host);
+    let text = format!(
+        "instance: one\ndomain: a\nip: {ip}\nexchange_port: 7902\nseeds: [\"{ip}:80\"]\n\
+         first_start: true\nannounce_interval_ms: 60000\ntolerate: {{instances: 0}}\n\
+         bounds: {{stop_s: 6}}\ndata_folder: {folder:?}\n",
+    );
+    let settings = FleetSettings::parse(&text).unwrap();
+    Control::start(settings, Arc::new(SystemClock)).await.unwrap()
+}
+
+fn saved_availability(folder: &TempDir, id: u64) -> Option<Availability> {
+    let saved = saved_targets(folder.path());
+    saved.into_iter().find(|saved| saved.id == TargetId(id)).map(|saved| saved.availability)
+}
+
+/// Guards against a target that is used again after a loss of power, although its drain or end was
+/// acknowledged: it was only to be saved with the changes of the next second.
+#[tokio::test]
+async fn an_acknowledged_drain_or_end_is_saved() {
+    LocalSet::new().run_until(check_acknowledged_changes()).await;
+}
+
+async fn check_acknowledged_changes() {
+    let folder = tempfile::tempdir().unwrap();
+    let (_control, handle) = start(20, folder.path()).await;
+    for id in [1, 2] {
+        handle.announce(announcement(id, 1, Availability::Serving)).await.unwrap().unwrap();
+    }
+    handle.announce(announcement(1, 2, Availability::Draining)).await.unwrap().unwrap();
+    assert_eq!(saved_availability(&folder, 1), Some(Availability::Draining));
+    assert!(handle.announce_end(TargetId(2)).await);
+    assert_eq!(saved_availability(&folder, 2), Some(Availability::Ended));
+}
+
+/// Guards against a drain that is never acknowledged because the disk is full, and against a save that is not
+/// repeated once the disk has room: the file would list the target as one to use.
+#[tokio::test]
+async fn a_failed_save_is_repeated_and_holds_no_drain_back() {
+    LocalSet::new().run_until(check_failed_saves()).await;
+}
+
+async fn check_failed_saves() {
+    let folder = tempfile::tempdir().unwrap();
+    let (_control, handle) = start(21, folder.path()).await;
+    handle.announce(announcement(1, 1, Availability::Serving)).await.unwrap().unwrap();
+    // A folder of this name makes each save fail, as a full disk does.
+    std::fs::create_dir(folder.path().join(TEMPORARY_FILE)).unwrap();
+    handle.announce(announcement(1, 2, Availability::Draining)).await.unwrap().unwrap();
+    assert_ne!(saved_availability(&folder, 1), Some(Availability::Draining));
+    std::fs::remove_dir(folder.path().join(TEMPORARY_FILE)).unwrap();
+    let saved = async {
+        while saved_availability(&folder, 1) != Some(Availability::Draining) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(SAVE_TIMEOUT, saved).await.expect("the save is repeated");
+}
+
+/// Guards against one odd entry among the announcements that takes another target out, draws all flows to
+/// itself or ends the control daemon. Odd ones name no target to use, and the others stay as they are.
+#[tokio::test]
+async fn odd_announcements_are_refused_and_change_nothing() {
+    LocalSet::new().run_until(check_odd_announcements()).await;
+}
+
+async fn check_odd_announcements() {
+    let folder = tempfile::tempdir().unwrap();
+    let (_control, handle) = start(22, folder.path()).await;
+    let fine = announcement(1, 1, Availability::Serving);
+    handle.announce(fine.clone()).await.unwrap().unwrap();
+    let base = Announcement { id: TargetId(2), ..fine.clone() };
+    let stamp = |born_ms, sequence| AnnouncementStamp { born_ms, sequence };
+    let address = |text: &str| text.parse().unwrap();
+    let odd = [
+        Announcement { id: TargetId(0), ..base.clone() },
+        Announcement { stamp: stamp(u64::MAX, 1), ..base.clone() },
+        Announcement { stamp: stamp(MAX_BORN_MS + 1, 1), ..base.clone() },
+        Announcement { stamp: stamp(5, u64::MAX), ..base.clone() },
+        Announcement { stamp: stamp(5, MAX_SEQUENCE + 1), ..base.clone() },
+        Announcement { slots: u32::MAX, ..base.clone() },
+        Announcement { slots: MAX_SLOTS + 1, ..base.clone() },
+        Announcement { slots: 0, ..base.clone() },
+        Announcement { cold_ms: u64::MAX, ..base.clone() },
+        Announcement { cold_ms: MAX_COLD_MS + 1, ..base.clone() },
+        Announcement { address: address("10.0.0.1:0"), ..base.clone() },
+        Announcement { address: address("0.0.0.0:80"), ..base.clone() },
+        Announcement { address: address("255.255.255.255:80"), ..base.clone() },
+        Announcement { address: address("224.0.0.1:80"), ..base.clone() },
+        Announcement { service: String::new(), ..base.clone() },
+        Announcement { service: "x".repeat(256), ..base.clone() },
+    ];
+    for announcement in odd {
+        let refused = handle.announce(announcement.clone()).await.unwrap();
+        assert!(refused.is_err(), "{announcement:?}");
+    }
+    handle.record_unreadable("i-7", "no JSON").await;
+    handle.announce(Announcement { stamp: stamp(1, 2), ..fine }).await.unwrap().unwrap();
+    // A drain waits until everything before it is saved.
+    handle.announce(announcement(3, 1, Availability::Serving)).await.unwrap().unwrap();
+    handle.announce(announcement(3, 2, Availability::Draining)).await.unwrap().unwrap();
+    assert_eq!(saved_availability(&folder, 1), Some(Availability::Serving));
+    assert_eq!(saved_availability(&folder, 2), None);
+}
--- a/crates/membership/src/announcements.rs
+++ b/crates/membership/src/announcements.rs
@@ -5,7 +5,9 @@
 //! converge to the same records. The records are soft state: targets repeat their announcements, from which
 //! a restarted daemon rebuilds the records.
 
-use comfreyhold_types::announcement::{Announcement, AnnouncementStamp, Availability};
+use comfreyhold_types::announcement::{
+    Announcement, AnnouncementStamp, Availability, MAX_SEQUENCE,
+};
 use comfreyhold_types::keys::TargetId;
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
@@ -135,7 +137,7 @@
     /// target repeats its announcement, and is not sent to other daemons before that repetition.
     pub fn restore(&mut self, saved: Vec<Announcement>, trust: Duration, now: Instant) {
         let Some(last_seen) = (now + trust).checked_sub(self.timeout) else { return };
-        for mut announcement in saved {
+        for mut announcement in saved.into_iter().filter(|saved| saved.check().is_ok()) {
             announcement.cold_ms = 0;
             if self.apply(&announcement, now) == AnnouncementOutcome::Changed
                 && let Some(record) = self.records.get_mut(&announcement.id)
@@ -217,7 +219,7 @@
                 }
                 continue;
             }
-            let is_newer = stamp.sequence > known.sequence;
+            let is_newer = stamp.sequence > known.sequence && stamp.sequence <= MAX_SEQUENCE;
             if (is_newer || (record.is_restored && *stamp == known))
                 && record.announcement.availability != Availability::Ended
             {
--- a/crates/types/src/announcement.rs
+++ b/crates/types/src/announcement.rs
@@ -2,8 +2,53 @@
 
 use crate::keys::{DomainName, TargetId};
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use strum::{Display, EnumString};
+use thiserror::Error;
+
+/// Longest name of a service or failure domain in an announcement, in bytes.
+pub const MAX_NAME_BYTES: usize = 255;
+
+/// Maximum number of slots that a target may announce. More would draw every new flow to it.
+pub const MAX_SLOTS: u32 = 10_000;
+
+/// Longest cold period that a target may announce, in milliseconds: one hour.
+pub const MAX_COLD_MS: u64 = 3_600_000;
+
+/// Latest start that a target may announce, in milliseconds since the Unix epoch: the start of the year 2200.
+/// The target that started last holds an address, so a start without a bound would take the address from
+/// every later target there. The bound is fixed, so that no wall clock that is set wrong refuses targets.
+pub const MAX_BORN_MS: u64 = 7_258_118_400_000;
+
+/// Highest sequence number that a target may announce. A higher one would leave none for the end of the
+/// target and for its later announcements.
+pub const MAX_SEQUENCE: u64 = u64::MAX / 2;
+
+/// Why an announcement is refused. It names no target to use, and all records stay as they are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum AnnouncementError {
+    /// The id is 0, which on the fabric means any target.
+    #[error("the id must not be 0")]
+    NoId,
+    /// The name of the service or failure domain is empty or too long.
+    #[error("the names of service and domain must have 1 to {MAX_NAME_BYTES} bytes")]
+    Name,
+    /// The address can't be that of a target.
+    #[error("{0} is not the address and port of a target")]
+    Address(SocketAddrV4),
+    /// The number of slots is out of range.
+    #[error("{0} slots: 1 to {MAX_SLOTS} are allowed")]
+    Slots(u32),
+    /// The cold period is out of range.
+    #[error("cold for {0} ms: at most {MAX_COLD_MS} ms are allowed")]
+    Cold(u64),
+    /// The start of the target is out of range.
+    #[error("started at {0} ms: at most {MAX_BORN_MS} ms are allowed")]
+    Born(u64),
+    /// The sequence number is out of range.
+    #[error("sequence number {0}: at most {MAX_SEQUENCE} are allowed")]
+    Sequence(u64),
+}
 
 /// Whether a target accepts new flows.
 #[derive(
@@ -64,6 +109,38 @@
 }
 
 impl Announcement {
+    /// Checks that each field is in its range.
+    ///
+    /// # Errors
+    /// The first field that is not.
+    pub fn check(&self) -> Result<(), AnnouncementError> {
+        let is_name = |name: &str| (1..=MAX_NAME_BYTES).contains(&name.len());
+        if self.id == TargetId(0) {
+            return Err(AnnouncementError::NoId);
+        }
+        if !is_name(&self.service) || !is_name(&self.domain.0) {
+            return Err(AnnouncementError::Name);
+        }
+        if !is_unicast(*self.address.ip()) || self.address.port() == 0 {
+            return Err(AnnouncementError::Address(self.address));
+        }
+        if !(1..=MAX_SLOTS).contains(&self.slots) {
+            return Err(AnnouncementError::Slots(self.slots));
+        }
+        if self.cold_ms > MAX_COLD_MS {
+            return Err(AnnouncementError::Cold(self.cold_ms));
+        }
+        if self.stamp.born_ms > MAX_BORN_MS {
+            return Err(AnnouncementError::Born(self.stamp.born_ms));
+        }
+        // The end of a target is the announcement after its last one.
+        let is_end = self.availability == Availability::Ended;
+        if self.stamp.sequence > MAX_SEQUENCE + u64::from(is_end) {
+            return Err(AnnouncementError::Sequence(self.stamp.sequence));
+        }
+        Ok(())
+    }
+
     /// Whether routing treats this announcement like another one of the same target. They may differ in the
     /// sequence number, and in the remaining cold time if it is above 0 in both.
     #[must_use]
@@ -73,3 +150,7 @@
         adjusted == *other && (self.cold_ms == 0) == (other.cold_ms == 0)
     }
 }
+
+fn is_unicast(ip: Ipv4Addr) -> bool {
+    !ip.is_unspecified() && !ip.is_broadcast() && !ip.is_multicast()
+}
