Limit openings under overload, and count long requests of single flows

Cause: an entry admitted each opening. Under more requests than the targets can do in time, their queues fill up (16 requests before 4 slots), every request is late because of requests that were late before it, full targets refuse the rest, and callers come back. Requests that took over 300 ms counted as ended, so the fullest targets looked idle. Change: cookie/admission measures the time from an opening to the answer of its first request. While most answers come late, a limit on openings without an answer halves, once for the openings before it; while they come in time, it grows. Openings beyond it wait in the entry, those that can still be in time and those of the highest priority go first, and what can't be served in an attempt's time is refused at once. Without signs of overload there is no limit. cookie/habits learns which routes have one request a flow: there, a request runs until its flow ends. Openings that wait are decided on together; one a millisecond was too slow. Until its first routes an entry polls without a pause. Dispatcher: a line for the attempts refused with 1003, with cause, queue, limit and slots.

--- a/crates/daemon/tests/daemon/requests.rs
+++ b/crates/daemon/tests/daemon/requests.rs
@@ -5,7 +5,6 @@
 /// Guards against a broken path between a caller and a target, and against a resend through another entry
 /// that runs the request again or gets a different response.
 #[tokio::test]
-#[ignore = "KNOWN-RED.txt"]
 async fn resend_through_another_entry_is_not_run_again() {
     let cluster = Cluster::start(settings()).await;
     let callers = cluster.callers();
--- a/crates/fleet/src/entry/packets.rs
+++ b/crates/fleet/src/entry/packets.rs
@@ -58,6 +58,8 @@
     pub(super) received: Instant,
     /// Whether the packet may have waited in the socket's receive buffer while the process was stalled.
     pub(super) is_late: bool,
+    /// Whether it is an opening that was deferred before.
+    pub(super) was_deferred: bool,
 }
 
 /// State of the task that reads packets.
@@ -148,7 +150,8 @@
             }
         };
         let is_late = self.receive_state.borrow().is_late;
-        let pending = PendingPacket { packet: &packet, datagram, received: now, is_late };
+        let (received, was_deferred) = (now, false);
+        let pending = PendingPacket { packet: &packet, datagram, received, is_late, was_deferred };
         if self.is_buffering_packets(now) {
             self.buffer_packet(&pending);
         } else {
@@ -163,7 +166,7 @@
         out: &mut Vec<u8>,
         now: Instant,
     ) {
-        let PendingPacket { packet, datagram, received, is_late } = *pending;
+        let PendingPacket { packet, datagram, received, is_late, .. } = *pending;
         let waited = now.saturating_duration_since(received);
         let verdict = self.balancer.borrow_mut().route_packet(packet, is_late, waited, now);
         out.clear();
@@ -187,7 +190,7 @@
             );
         }
         match verdict {
-            Verdict::Reset(reason) => self.record_reset(packet, reason),
+            Verdict::Reset(reason) => self.record_reset(packet, reason, now),
             Verdict::Forward { target, cookie, .. } => {
                 self.record_forward(packet, (target, cookie), now);
             }
@@ -222,17 +225,30 @@
         }
     }
 
-    fn record_reset(&self, packet: &CallerPacket, reason: ResetReason) {
+    /// State of the limit that an opening is decided by, for its log line.
+    pub(super) fn limit_fields(&self, packet: &CallerPacket, now: Instant) -> serde_json::Value {
+        let status = self.balancer.borrow().limit_status(packet, now);
+        json!({
+            "limit": status.and_then(|status| status.limit),
+            "unanswered": status.map(|status| status.unanswered),
+            "limit_age_ms": status.map(|status| status.age.as_millis()),
+        })
+    }
+
+    fn record_reset(&self, packet: &CallerPacket, reason: ResetReason, now: Instant) {
         let name: &'static str = reason.into();
         metrics::counter!("resets", "reason" => name).increment(1);
         self.record("reset", || {
-            json!({
-                "flow": flow_label(&packet.flow),
-                "seq": packet.seq,
-                "opening": matches!(packet.kind, PacketKind::Open { .. }),
-                "reason": name,
-                "change": self.balancer.borrow().routing().change,
-            })
+            let mut fields = match reason {
+                ResetReason::Overloaded => self.limit_fields(packet, now),
+                _ => json!({}),
+            };
+            fields["flow"] = json!(flow_label(&packet.flow));
+            fields["seq"] = json!(packet.seq);
+            fields["opening"] = json!(matches!(packet.kind, PacketKind::Open { .. }));
+            fields["reason"] = json!(name);
+            fields["change"] = json!(self.balancer.borrow().routing().change);
+            fields
         });
     }
 
--- a/crates/fleet/src/entry/waiting.rs
+++ b/crates/fleet/src/entry/waiting.rs
@@ -10,9 +10,9 @@
 use std::time::{Duration, Instant};
 
 impl<'a> PendingPacket<'a> {
-    fn from_buffered(buffered: &'a BufferedPacket) -> Self {
+    fn from_buffered(buffered: &'a BufferedPacket, was_deferred: bool) -> Self {
         let BufferedPacket { packet, datagram, since } = buffered;
-        Self { packet, datagram, received: *since, is_late: false }
+        Self { packet, datagram, received: *since, is_late: false, was_deferred }
     }
 }
 
@@ -32,7 +32,7 @@
 
     /// Buffers a packet until the entry has its first routes.
     pub(super) fn buffer_packet(&self, pending: &PendingPacket<'_>) {
-        let PendingPacket { packet, datagram, received, is_late } = *pending;
+        let PendingPacket { packet, datagram, received, is_late, .. } = *pending;
         if is_late && matches!(packet.kind, PacketKind::Open { .. }) {
             return self.record_discard(packet, DiscardReason::LateOpening);
         }
@@ -62,7 +62,7 @@
         }
         let mut out = Vec::with_capacity(MAX_DATAGRAM_BYTES);
         for buffered in &released {
-            self.process_packet(&PendingPacket::from_buffered(buffered), &mut out, now);
+            self.process_packet(&PendingPacket::from_buffered(buffered, false), &mut out, now);
         }
     }
 
@@ -76,16 +76,31 @@
                 continue;
             };
             let wait = due.saturating_duration_since(self.clock.now());
-            tokio::select! {
-                () = tokio::time::sleep(wait) => {}
-                () = self.deferred_added.notified() => continue,
+            if !wait.is_zero() {
+                tokio::select! {
+                    () = tokio::time::sleep(wait) => {}
+                    () = self.deferred_added.notified() => {}
+                }
+                continue;
             }
-            let Some((_, opening)) = self.deferred.borrow_mut().pop_first() else { continue };
-            let now = self.clock.now();
+            self.process_due_openings(&mut out);
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Processes all deferred openings that are due now. Those that are deferred again are due later.
+    fn process_due_openings(&self, out: &mut Vec<u8>) {
+        let now = self.clock.now();
+        let due = self
+            .deferred
+            .borrow_mut()
+            .extract_if(.., |(due, _), _| *due <= now)
+            .collect::<Vec<_>>();
+        for ((due, _), opening) in due {
             if now > due + MAX_TICK_DELAY {
                 self.record_discard(&opening.packet, DiscardReason::LateOpening);
             } else {
-                self.process_packet(&PendingPacket::from_buffered(&opening), &mut out, now);
+                self.process_packet(&PendingPacket::from_buffered(&opening, true), out, now);
             }
         }
     }
@@ -96,17 +111,18 @@
         let due = now + wait;
         let mut deferred = self.deferred.borrow_mut();
         if deferred.len() >= MAX_BUFFERED {
-            return self.record_discard(&packet, DiscardReason::Surge);
+            return self.record_discard(&packet, DiscardReason::Overload);
+        }
+        if !pending.was_deferred {
+            metrics::counter!("openings_deferred").increment(1);
+            self.record("deferred", || {
+                let mut fields = self.limit_fields(&packet, now);
+                fields["flow"] = json!(flow_label(&packet.flow));
+                fields["seq"] = json!(packet.seq);
+                fields["waiting"] = json!(deferred.len());
+                fields
+            });
         }
-        metrics::counter!("openings_deferred").increment(1);
-        self.record("deferred", || {
-            json!({
-                "flow": flow_label(&packet.flow),
-                "seq": packet.seq,
-                "wait_ms": wait.as_millis(),
-                "waiting": deferred.len(),
-            })
-        });
         let datagram = pending.datagram.to_vec();
         deferred.insert((due, packet.flow), BufferedPacket { packet, datagram, since });
         self.deferred_added.notify_one();
--- a/crates/fleet/src/entry/watch.rs
+++ b/crates/fleet/src/entry/watch.rs
@@ -82,7 +82,10 @@
         match self.connections.call(control, &request, CALL_DEADLINE).await {
             Ok(FleetResponse::News(update)) => {
                 self.apply_update(source, control, &cursor, *update);
-                tokio::time::sleep(POLL_INTERVAL).await;
+                // Until the routes are known, each change may bring them.
+                if self.view.borrow().routing().change > 0 {
+                    tokio::time::sleep(POLL_INTERVAL).await;
+                }
                 Ok(())
             }
             Ok(_) => Err(UNEXPECTED_RESPONSE.to_owned()),
--- a/crates/flow/src/cookie/balancer.rs
+++ b/crates/flow/src/cookie/balancer.rs
@@ -1,13 +1,15 @@
 //! Decides on each packet of a caller by the flow cookie, the routes and the load of the targets.
 
+use super::admission::{Admission, AdmissionControl, FirstAnswer, LimitStatus, OpeningAge};
 use super::directory::{Directory, Target, TargetKey, TargetSpec};
 use super::flows::{Flow, FlowStage, Flows};
+use super::habits::Habits;
 use super::openings::{Deferral, Surge};
 use super::placement::{PlacementContext, choose};
 use super::{CallerPacket, Cookie, DiscardReason, FlowKey, PacketKind, ResetReason, Verdict};
 use bon::Builder;
 use comfreyhold_types::keys::DomainName;
-use comfreyhold_types::routes::{FormerServices, RequestClass, Route, RouteTable};
+use comfreyhold_types::routes::{FormerServices, Route, RouteTable};
 use siphasher::sip::SipHasher13;
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
@@ -32,6 +34,9 @@
     /// Time after a failure domain is restored in which its targets count as cold. It allows each of them to
     /// announce whether it is.
     pub restore_period: Duration,
+    /// Whether openings are limited under overload. Without it, the targets alone refuse what they can't queue.
+    #[builder(default = true)]
+    pub limits_openings: bool,
 }
 
 /// The part of the operators' declarations that packet decisions depend on.
@@ -54,6 +59,10 @@
     restored: BTreeMap<DomainName, Instant>,
     directory: Directory,
     flows: Flows,
+    habits: Habits,
+    admission: AdmissionControl,
+    /// Highest priority of the routes to each service; 0 is the highest.
+    top_priorities: BTreeMap<String, u8>,
     surge: Surge,
 }
 
@@ -67,6 +76,9 @@
             restored: BTreeMap::new(),
             directory: Directory::default(),
             flows: Flows::default(),
+            habits: Habits::default(),
+            admission: AdmissionControl::default(),
+            top_priorities: BTreeMap::new(),
             surge: Surge::default(),
         }
     }
@@ -107,6 +119,7 @@
         if self.routing.table.is_none() && routing.table.is_some() {
             self.surge = Surge::starting_at(now);
         }
+        self.top_priorities = routing.table.as_deref().map(top_priorities).unwrap_or_default();
         self.routing = routing;
         true
     }
@@ -143,7 +156,10 @@
             }
             (PacketKind::Open { copy }, Some(route)) => {
                 match self.surge.defer(copy, route.objective(), waited, now) {
-                    Deferral::None => self.route_opening(packet, copy, route, now),
+                    Deferral::None => {
+                        let opening = OpeningAge { flow: packet.flow, copy, waited };
+                        self.route_opening(packet, opening, route, now)
+                    }
                     Deferral::For(delay) => Verdict::Defer(delay),
                     Deferral::UntilRetransmission => Verdict::Discard(DiscardReason::Surge),
                 }
@@ -161,15 +177,17 @@
     fn route_opening(
         &mut self,
         packet: &CallerPacket,
-        copy: u32,
+        opening: OpeningAge,
         route: &Route,
         now: Instant,
     ) -> Verdict {
+        let copy = opening.copy;
         let known = self.flows.get(&packet.flow).filter(|flow| flow.stage == FlowStage::Opening);
         if let Some(flow) = known.filter(|flow| copy > 0 && now < flow.last_seen + ANSWER_TIMEOUT) {
             return self.forward_to(flow.target, None);
         }
         let mut tried = known.map(|flow| flow.tried.clone()).unwrap_or_default();
+        let admitted = known.and_then(|flow| flow.admitted);
         if let Some(target) = known.map(|flow| flow.target).filter(|_| copy > 0) {
             tried.push(target);
             if let Some(target) = self.directory.get_mut(target) {
@@ -180,6 +198,16 @@
         let Some(service) = route.choose_service(flow_hash) else {
             return Verdict::Reset(ResetReason::NoTarget);
         };
+        if known.is_none() && self.settings.limits_openings {
+            let top = self.top_priorities.get(service);
+            let is_top = top.is_none_or(|top| route.priority <= *top);
+            match self.admission.decide(service, route, is_top, opening, now) {
+                Admission::Now => {}
+                Admission::After(delay) => return Verdict::Defer(delay),
+                Admission::AtRetransmission => return Verdict::Discard(DiscardReason::Overload),
+                Admission::Refused => return Verdict::Reset(ResetReason::Overloaded),
+            }
+        }
         let cx = PlacementContext {
             service,
             local_domain: &self.settings.domain,
@@ -199,6 +227,8 @@
         }
         let mut flow = Flow::opening(key, route.class, now);
         flow.tried = tried;
+        flow.is_single = self.habits.is_single(packet.flow.service);
+        flow.admitted = admitted.or_else(|| self.admission.record_forwarded(service, now));
         self.flows.insert(packet.flow, flow, &mut self.directory);
         self.forward_to(key, None)
     }
@@ -208,7 +238,7 @@
             Ok(key) => key,
             Err(reason) => return Verdict::Discard(reason),
         };
-        let answered = self.record_packet(packet, key, route.class, now);
+        let answered = self.record_packet(packet, key, route, now);
         if self.directory.get(key).is_some_and(|target| has_stopped_answering(target, now)) {
             self.flows.remove(&packet.flow, &mut self.directory);
             return Verdict::Reset(ResetReason::TargetEnded);
@@ -254,9 +284,10 @@
         &mut self,
         packet: &CallerPacket,
         key: TargetKey,
-        class: RequestClass,
+        route: &Route,
         now: Instant,
     ) -> Option<Duration> {
+        let class = route.class;
         let known = self.flows.get(&packet.flow).map(|flow| (flow.stage, flow.last_seen));
         let answered = match known {
             Some((FlowStage::Opening, last_seen)) => Some(now.saturating_duration_since(last_seen)),
@@ -272,8 +303,14 @@
                 target.health.record_answer();
             }
         }
+        self.record_first_answer(packet, route, now);
+        let requests = self.flows.get(&packet.flow).map(|flow| flow.requests);
         match packet.kind {
             PacketKind::Finish | PacketKind::Abort => {
+                let was_open = !matches!(known, Some((FlowStage::Finished, _)));
+                if was_open && packet.kind == PacketKind::Finish && requests == Some(1) {
+                    self.habits.record(packet.flow.service, true);
+                }
                 self.flows.update(&packet.flow, &mut self.directory, |flow| {
                     flow.stage = FlowStage::Finished;
                     flow.last_seen = now;
@@ -282,11 +319,43 @@
             _ => {
                 let progress = (packet.seq, packet.ack, packet.data);
                 self.flows.record_packet(&packet.flow, progress, &mut self.directory, now);
+                let after = self.flows.get(&packet.flow).map(|flow| flow.requests);
+                if requests == Some(1) && after == Some(2) {
+                    self.habits.record(packet.flow.service, false);
+                }
             }
         }
         answered
     }
 
+    /// Records the answer to the flow's first request, as soon as the caller has acknowledged a part of it.
+    fn record_first_answer(&mut self, packet: &CallerPacket, route: &Route, now: Instant) {
+        let Some(flow) = self.flows.get(&packet.flow) else { return };
+        let Some(admitted) = flow.admitted else { return };
+        let bytes = flow.bytes_received(packet.ack);
+        let is_answered = flow.requests > 0 && bytes > 0;
+        let has_ended = matches!(packet.kind, PacketKind::Finish | PacketKind::Abort);
+        if !is_answered && !has_ended {
+            return;
+        }
+        if is_answered && packet.kind != PacketKind::Abort {
+            let (address, objective) = (route.address, route.objective());
+            let answer = FirstAnswer { address, objective, bytes };
+            self.admission.record_answer(admitted, answer, now);
+        } else {
+            self.admission.record_ended(admitted);
+        }
+        self.flows.update(&packet.flow, &mut self.directory, |flow| flow.admitted = None);
+    }
+
+    /// State of the limit on openings to the service that a service address leads to, for logs.
+    #[must_use]
+    pub fn limit_status(&self, packet: &CallerPacket, now: Instant) -> Option<LimitStatus> {
+        let route = self.routing.table.as_ref()?.routes.get(&packet.flow.service)?;
+        let service = route.choose_service(hash_opening(&packet.flow, packet.seq))?;
+        self.admission.status(service, now)
+    }
+
     fn forward_to(&self, key: TargetKey, answered: Option<Duration>) -> Verdict {
         let Some(target) = self.directory.get(key) else {
             return Verdict::Discard(DiscardReason::UnknownTarget);
@@ -302,6 +371,18 @@
         || target.ended_at.is_some_and(|ended_at| now >= ended_at + ENDED_TARGET_GRACE)
 }
 
+/// Highest priority of the routes to each service.
+fn top_priorities(table: &RouteTable) -> BTreeMap<String, u8> {
+    let mut top = BTreeMap::new();
+    for route in table.routes.values() {
+        for destination in route.destinations.iter().filter(|d| d.weight > 0) {
+            let highest = top.entry(destination.service.clone()).or_insert(route.priority);
+            *highest = route.priority.min(*highest);
+        }
+    }
+    top
+}
+
 /// Hash of an opening that is the same for all its retransmissions.
 fn hash_opening(flow: &FlowKey, seq: u32) -> u64 {
     let mut hasher = SipHasher13::new();
--- a/crates/flow/src/cookie/flows.rs
+++ b/crates/flow/src/cookie/flows.rs
@@ -2,6 +2,7 @@
 //! at any time, since the cookie alone leads packets to their target.
 
 use super::FlowKey;
+use super::admission::Admitted;
 use super::directory::{Directory, TargetKey};
 use comfreyhold_types::routes::RequestClass;
 use std::collections::{BTreeMap, VecDeque};
@@ -11,10 +12,14 @@
 /// second.
 const IDLE_FLOW_LOAD: f64 = 0.05;
 
-/// Time after which a request no longer counts as running although its caller has acknowledged nothing
-/// since: short answers are acknowledged only by the next request.
+/// Time after which a request on a flow with several requests no longer counts as running although its caller
+/// has acknowledged nothing since: short answers are acknowledged only by the next request.
 const MAX_REQUEST_TIME: Duration = Duration::from_millis(300);
 
+/// Time after which the request of a flow with one request no longer counts as running. The end of the flow
+/// shows the answer; a request without one has been abandoned by then.
+const MAX_SINGLE_REQUEST_TIME: Duration = Duration::from_secs(3);
+
 /// Time for which a finished flow is kept, so that its last packets reach the same target.
 const FINISHED_RETENTION: Duration = Duration::from_secs(3);
 
@@ -47,6 +52,12 @@
     pub tried: Vec<TargetKey>,
     /// Class of the flow's requests.
     pub class: RequestClass,
+    /// Whether the flow is expected to end with the answer to its first request, as others of its route do.
+    pub is_single: bool,
+    /// Requests seen on the flow; 2 stands for more.
+    pub requests: u8,
+    /// Set until the first request is answered, if this entry has forwarded the opening.
+    pub admitted: Option<Admitted>,
     /// Stage of the flow.
     pub stage: FlowStage,
     /// Arrival of the last packet.
@@ -77,6 +88,9 @@
             target,
             tried,
             class,
+            is_single: false,
+            requests: 0,
+            admitted: None,
             stage,
             last_seen: now,
             request_ack,
@@ -85,6 +99,13 @@
         }
     }
 
+    /// Bytes that the caller has received since it sent the running request, up to the acknowledgement number
+    /// `ack`.
+    #[must_use]
+    pub fn bytes_received(&self, ack: u32) -> u32 {
+        ack.wrapping_sub(self.request_ack)
+    }
+
     /// Load of the flow on its target, in requests.
     fn load(&self) -> f64 {
         match (self.stage, self.class) {
@@ -103,6 +124,8 @@
     flows: BTreeMap<FlowKey, Flow>,
     /// Start of each request that may still run, the oldest first.
     running_requests: VecDeque<(Instant, FlowKey)>,
+    /// Those that have run for [`MAX_REQUEST_TIME`] on flows with one request, the oldest first.
+    long_requests: VecDeque<(Instant, FlowKey)>,
     /// Last flow checked by the previous sweep.
     sweep_cursor: Option<FlowKey>,
 }
@@ -179,6 +202,10 @@
             let end = seq.wrapping_add(u32::from(data));
             let is_new = flow.data_end == 0 || end.wrapping_sub(flow.data_end).cast_signed() > 0;
             if data > 0 && is_new {
+                // Packets of one request carry the same acknowledgement.
+                if flow.requests == 0 || ack != flow.request_ack {
+                    flow.requests = flow.requests.saturating_add(1).min(2);
+                }
                 flow.data_end = end;
                 flow.request_ack = ack;
                 flow.request_start = now;
@@ -198,16 +225,7 @@
     /// Ends requests that have run for too long, and removes expired flows. Each call checks a part of
     /// the flows.
     pub fn sweep(&mut self, idle: Duration, directory: &mut Directory, now: Instant) {
-        while let Some((_, key)) =
-            self.running_requests.pop_front_if(|(at, _)| now >= *at + MAX_REQUEST_TIME)
-        {
-            self.update(&key, directory, |flow| {
-                let has_expired = now >= flow.request_start + MAX_REQUEST_TIME;
-                if flow.stage == FlowStage::Running && has_expired {
-                    flow.stage = FlowStage::Idle;
-                }
-            });
-        }
+        self.end_long_requests(directory, now);
         let is_expired = |flow: &Flow| match flow.stage {
             FlowStage::Finished | FlowStage::Opening => now >= flow.last_seen + FINISHED_RETENTION,
             FlowStage::Idle | FlowStage::Running => now >= flow.last_seen + idle,
@@ -224,6 +242,40 @@
     }
 }
 
+impl Flows {
+    /// Ends requests that have run for so long that they have been answered or abandoned.
+    fn end_long_requests(&mut self, directory: &mut Directory, now: Instant) {
+        while let Some((start, key)) =
+            self.running_requests.pop_front_if(|(at, _)| now >= *at + MAX_REQUEST_TIME)
+        {
+            if self.flows.get(&key).is_some_and(|flow| flow.is_single) {
+                self.long_requests.push_back((start, key));
+            } else {
+                self.end_request(&key, MAX_REQUEST_TIME, directory, now);
+            }
+        }
+        while let Some((_, key)) =
+            self.long_requests.pop_front_if(|(at, _)| now >= *at + MAX_SINGLE_REQUEST_TIME)
+        {
+            self.end_request(&key, MAX_SINGLE_REQUEST_TIME, directory, now);
+        }
+    }
+
+    fn end_request(
+        &mut self,
+        key: &FlowKey,
+        after: Duration,
+        directory: &mut Directory,
+        now: Instant,
+    ) {
+        self.update(key, directory, |flow| {
+            if flow.stage == FlowStage::Running && now >= flow.request_start + after {
+                flow.stage = FlowStage::Idle;
+            }
+        });
+    }
+}
+
 fn add_load(directory: &mut Directory, target: TargetKey, load: f64) {
     if let Some(target) = directory.get_mut(target) {
         target.load = (target.load + load).max(0.0);
--- a/crates/flow/src/cookie/mod.rs
+++ b/crates/flow/src/cookie/mod.rs
@@ -4,9 +4,11 @@
 //! and then the caller echo it, so that any entry finds the flow's target without having seen the flow
 //! before and without asking another entry. Fabrics without a cookie use slot tables and arbiters.
 
+pub mod admission;
 pub mod balancer;
 pub mod directory;
 pub mod flows;
+pub mod habits;
 pub mod health;
 pub mod openings;
 pub mod placement;
@@ -118,6 +120,8 @@
     RouteRemoved,
     /// The target of an established flow has ended.
     TargetEnded,
+    /// The targets can't serve the opening before its attempt ends.
+    Overloaded,
 }
 
 /// Why a packet is dropped.
@@ -134,6 +138,8 @@
     ForeignTarget,
     /// Opening during a surge whose request is late in any case. The caller retransmits it.
     Surge,
+    /// Opening that has waited for room until its retransmission, which takes its place.
+    Overload,
     /// Opening that has waited here for so long that the caller has retransmitted it.
     LateOpening,
 }
--- a/crates/flow/src/cookie/openings.rs
+++ b/crates/flow/src/cookie/openings.rs
@@ -42,7 +42,9 @@
     end.saturating_sub(send_time(copy))
 }
 
-fn is_last(copy: u32) -> bool {
+/// Whether the caller sends no further retransmission of the attempt.
+#[must_use]
+pub fn is_last(copy: u32) -> bool {
     usize::try_from(copy).map_or(true, |copy| copy + 1 >= SEND_TIMES.len())
 }
 
--- a/crates/flow/tests/cookie.rs
+++ b/crates/flow/tests/cookie.rs
@@ -499,3 +499,32 @@
     fixture.now += delay;
     assert_eq!(target_of(fixture.send(&opening(2, 2))), Some(1));
 }
+
+/// Guards against targets that look idle under overload: on flows with one request each, a request that takes long
+/// still runs until the end of its flow.
+#[test]
+fn a_long_request_counts_until_its_flow_ends_if_flows_have_one_request() {
+    for single in [true, false] {
+        let mut fixture = fixture_with_targets(&[(1, "a"), (2, "a")]);
+        for port in 0..20 {
+            let target = fixture.open(port);
+            let cookie = cookie(target.0);
+            fixture.send(&data(port, cookie, 0, 9));
+            if !single {
+                fixture.send(&data(port, cookie, 1_000, 2_000));
+            }
+            fixture.send(&packet(port, PacketKind::Finish, cookie));
+        }
+        let slow = fixture.open(100);
+        fixture.send(&data(100, cookie(slow.0), 0, 9));
+        fixture.advance(400);
+        fixture.balancer.sweep(fixture.now);
+        let load = |fixture: &Fixture| {
+            let directory = fixture.balancer.directory();
+            directory.iter().find(|(_, t)| t.spec.id == slow).map(|(_, t)| t.load).unwrap()
+        };
+        assert_eq!(load(&fixture) > 0.9, single, "load {}", load(&fixture));
+        fixture.send(&packet(100, PacketKind::Finish, cookie(slow.0)));
+        assert!(load(&fixture) < 0.1);
+    }
+}
--- /dev/null
+++ b/crates/flow/tests/overload.rs
@@ -0,0 +1,116 @@
+//! Entries under more load than the targets can serve in time, in virtual time: the real decisions of several
+//! entries that know nothing of each other, with modelled callers and targets.
+//!
+//! Each pattern is played twice with the same seed: with the limit on openings, and without it.
+
+#![allow(clippy::unwrap_used)]
+
+mod overload_support;
+
+use overload_support::{Load, Outcomes, Play};
+use std::time::Duration;
+
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+/// Deployments as entries, targets and slots of a target.
+const DEPLOYMENTS: [(usize, usize, u32); 3] = [(5, 14, 4), (30, 120, 2), (78, 234, 2)];
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn play(deployment: (usize, usize, u32), load: Load, seed: u64, limited: bool) -> Outcomes {
+    Play::new(deployment, load, seed, limited).run()
+}
+
+/// Guards against queues in which every request becomes late: all callers send several times as much for some
+/// seconds. With the limit, at least half as many again are served in time, and at most a twentieth more go
+/// without an answer.
+#[test]
+fn a_burst_is_served_in_time_as_far_as_the_slots_allow() {
+    for deployment in DEPLOYMENTS {
+        // Three times what all slots together can do.
+        let load = Load {
+            utilisation: 0.35,
+            burst: Some((seconds(2.0)..seconds(5.0), 3.0 / 0.35)),
+            ..Load::default()
+        };
+        let seeds = if deployment.0 > 30 { &SEEDS[..1] } else { &SEEDS[..] };
+        for seed in seeds {
+            let with = play(deployment, load.clone(), *seed, true);
+            let without = play(deployment, load.clone(), *seed, false);
+            let context =
+                format!("{deployment:?}, seed {seed}: {with:?} without the limit {without:?}");
+            assert!(with.in_time * 2 >= without.in_time * 3, "{context}");
+            assert!(with.unserved * 20 <= without.unserved * 21, "{context}");
+            assert!(with.refused_by_targets < without.refused_by_targets / 2, "{context}");
+        }
+    }
+}
+
+/// Guards against the second outage after a loss of power: all callers come back at once, and the requests of the
+/// outage make those after it late. Requests that begin in the second after the return are served in time at least
+/// half as often again, or nearly all are.
+#[test]
+fn after_a_loss_of_power_new_requests_go_first() {
+    for deployment in [DEPLOYMENTS[0], DEPLOYMENTS[1]] {
+        let outage = seconds(2.0)..seconds(3.6);
+        let load = Load { utilisation: 0.7, outage: Some(outage.clone()), ..Load::default() };
+        let (mut with_total, mut without_total, mut begun_total) = (0, 0, 0);
+        let seeds = if deployment.0 > 5 { &SEEDS[..1] } else { &SEEDS[..] };
+        for seed in seeds.iter().copied() {
+            let after = outage.end + seconds(0.5)..outage.end + seconds(1.5);
+            let with = play(deployment, load.clone(), seed, true);
+            let without = play(deployment, load.clone(), seed, false);
+            with_total += with.in_time_of(&after);
+            without_total += without.in_time_of(&after);
+            begun_total += with.begun_in(&after);
+        }
+        let context =
+            format!("{deployment:?}: {with_total} with, {without_total} without, of {begun_total}");
+        assert!(
+            with_total * 2 >= without_total * 3 || with_total * 10 >= begun_total * 9,
+            "{context}"
+        );
+    }
+}
+
+/// Guards against refusals and waits without overload: at half of the slots, with targets that take four
+/// times as long, with targets that answer nothing, and with entries that start anew one after another.
+#[test]
+fn without_overload_nothing_is_refused_or_held() {
+    for deployment in DEPLOYMENTS {
+        let loads = [
+            Load { utilisation: 0.5, ..Load::default() },
+            Load { utilisation: 0.4, slow_share: 0.15, ..Load::default() },
+            Load { utilisation: 0.4, silent_share: 0.1, ..Load::default() },
+            Load { utilisation: 0.4, restarts_entries: true, ..Load::default() },
+        ];
+        // The largest deployment takes as long as the others together.
+        let loads = if deployment.0 > 30 { &loads[..1] } else { &loads[..] };
+        for load in loads {
+            let outcomes = play(deployment, load.clone(), 5, true);
+            let context = format!("{deployment:?}, {load:?}: {outcomes:?}");
+            assert_eq!(outcomes.refused_by_entries, 0, "{context}");
+            // A restarted entry may hold an opening for a moment until it knows that there is room.
+            assert!(outcomes.held * 200 <= outcomes.begun.len(), "{context}");
+            let without = play(deployment, load.clone(), 5, false);
+            assert!(outcomes.in_time * 100 >= without.in_time * 99, "{context} {without:?}");
+        }
+    }
+}
+
+/// Guards against a refusal of an attempt that a target runs: the caller would send it again.
+#[test]
+fn a_refused_attempt_is_never_run() {
+    let load = Load {
+        utilisation: 0.35,
+        burst: Some((seconds(1.0)..seconds(3.0), 12.0)),
+        ..Load::default()
+    };
+    for seed in SEEDS {
+        let outcomes = play(DEPLOYMENTS[0], load.clone(), seed, true);
+        assert!(outcomes.refused_by_entries > 0, "the load is too low to show anything");
+        assert_eq!(outcomes.run_after_refusal, 0);
+    }
+}
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -18,6 +18,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use strum::IntoStaticStr;
 
 /// Interval between load reports.
 pub const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(200);
@@ -43,6 +44,20 @@
 /// Weight of the newest service time in the exponential moving average.
 const MEAN_WEIGHT: f64 = 0.05;
 
+/// Why attempts are refused with [`ResultCode::Shed`], for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum ShedCause {
+    /// The queue is full.
+    QueueFull,
+    /// An attempt of higher priority took its place in the queue.
+    Displaced,
+    /// No slot may be used: all are reserved for entries that have not reported their grants.
+    NoUsableSlot,
+    /// Another failure domain has free slots.
+    FreeElsewhere,
+}
+
 #[derive(Debug)]
 pub(crate) enum DispatcherPhase {
     Active,
@@ -76,6 +91,8 @@
     pub(crate) next_grant_number: u64,
     pub(crate) next_load_report: Instant,
     pub(crate) watchers: Watchers,
+    /// Attempts refused with [`ResultCode::Shed`] since the last log line about them.
+    pub(crate) sheds: BTreeMap<ShedCause, u32>,
 }
 
 impl Dispatcher {
@@ -102,6 +119,7 @@
             next_grant_number: 1,
             next_load_report: now,
             watchers: Watchers::default(),
+            sheds: BTreeMap::new(),
             cfg,
         }
     }
@@ -240,7 +258,8 @@
             ));
             return;
         }
-        if let Some((code, elsewhere)) = self.refusal_reason(now, &waiting, may_redirect) {
+        if let Some((code, elsewhere, cause)) = self.refusal_reason(now, &waiting, may_redirect) {
+            self.count_shed(cause);
             self.refuse(&waiting, code, elsewhere, out);
             return;
         }
@@ -260,38 +279,75 @@
     ) {
         match offer {
             OfferOutcome::Queued => {}
-            OfferOutcome::Displaced(last) => self.refuse(&last, ResultCode::Shed, true, out),
-            OfferOutcome::Full => self.refuse(&waiting, ResultCode::Shed, true, out),
+            OfferOutcome::Displaced(last) => {
+                self.count_shed(Some(ShedCause::Displaced));
+                self.refuse(&last, ResultCode::Shed, true, out);
+            }
+            OfferOutcome::Full => {
+                self.count_shed(Some(ShedCause::QueueFull));
+                self.refuse(&waiting, ResultCode::Shed, true, out);
+            }
+        }
+    }
+
+    pub(crate) fn count_shed(&mut self, cause: Option<ShedCause>) {
+        if let Some(cause) = cause {
+            *self.sheds.entry(cause).or_default() += 1;
         }
     }
 
-    /// The reason to refuse a new attempt, and whether another domain may accept it.
+    /// Logs the attempts refused since the last call, with the state that they were refused by.
+    fn log_sheds(&mut self) {
+        if self.sheds.is_empty() {
+            return;
+        }
+        let causes = std::mem::take(&mut self.sheds).into_iter().map(|(cause, count)| {
+            let name: &'static str = cause.into();
+            format!("{count} {name}")
+        });
+        let totals = self.targets.totals();
+        log::info!(
+            "{:?} epoch {}: refused as shed: {}; {} queued of {}, {} of {} slots usable, {} free, reserved for {:?}",
+            self.cfg.pool,
+            self.cfg.epoch,
+            causes.collect::<Vec<_>>().join(", "),
+            self.queue.len(),
+            self.queue.limit(),
+            totals.usable,
+            totals.capacity,
+            totals.free,
+            self.reserved.as_ref().map(|(_, entries)| entries),
+        );
+    }
+
+    /// The reason to refuse a new attempt, whether another domain may accept it, and the cause for the log.
     fn refusal_reason(
         &self,
         now: Instant,
         waiting: &WaitingAttempt,
         redirect: bool,
-    ) -> Option<(ResultCode, bool)> {
+    ) -> Option<(ResultCode, bool, Option<ShedCause>)> {
         if matches!(self.phase, DispatcherPhase::Stopped) {
-            return Some((ResultCode::NoDispatcher, true));
+            return Some((ResultCode::NoDispatcher, true, None));
         }
         if self.domain_withdrawn || (self.is_active() && !self.targets.has_serving_target()) {
-            return Some((ResultCode::NoTarget, true));
+            return Some((ResultCode::NoTarget, true, None));
         }
         if self.is_active() && self.targets.totals().usable == 0 {
-            return Some((ResultCode::Shed, true));
+            return Some((ResultCode::Shed, true, Some(ShedCause::NoUsableSlot)));
         }
         if waiting.deadline <= now {
-            return Some((ResultCode::DeadlineBeforeStart, false));
+            return Some((ResultCode::DeadlineBeforeStart, false, None));
         }
         if self.can_grant_now(now, waiting.entry) {
             return None;
         }
         if redirect && self.other_domain_has_free_slots(now) {
-            return Some((ResultCode::Shed, true));
+            return Some((ResultCode::Shed, true, Some(ShedCause::FreeElsewhere)));
         }
         let expected = self.expected_wait(waiting)?;
-        (now + expected > waiting.deadline).then_some((ResultCode::DeadlineBeforeStart, true))
+        let is_late = now + expected > waiting.deadline;
+        is_late.then_some((ResultCode::DeadlineBeforeStart, true, None))
     }
 
     /// Whether a new attempt of the entry would get a slot now. Queued attempts that wait for their
@@ -479,6 +535,7 @@
             self.request_missing_reports(out);
         }
         if now >= self.next_load_report {
+            self.log_sheds();
             self.next_load_report = now + LOAD_REPORT_INTERVAL;
         }
     }
--- a/crates/request/src/dispatcher_takeover.rs
+++ b/crates/request/src/dispatcher_takeover.rs
@@ -1,7 +1,7 @@
 //! Takeover of the role from an earlier dispatcher: collects the grants and witness records that
 //! entries report, and reserves the slots of those that don't.
 
-use crate::dispatcher::{Action, Dispatcher, DispatcherPhase, GRANT_MARGIN};
+use crate::dispatcher::{Action, Dispatcher, DispatcherPhase, GRANT_MARGIN, ShedCause};
 use crate::grants::ActiveGrant;
 use crate::message::{HeldGrant, Message, WitnessRecord};
 use crate::takeover::Takeover;
@@ -151,6 +151,8 @@
         if !self.targets.has_serving_target() {
             self.refuse_all(ResultCode::NoTarget, out);
         } else if self.targets.totals().usable == 0 {
+            let refused = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+            *self.sheds.entry(ShedCause::NoUsableSlot).or_default() += refused;
             self.refuse_all(ResultCode::Shed, out);
         }
     }
--- a/crates/request/src/queue.rs
+++ b/crates/request/src/queue.rs
@@ -61,6 +61,12 @@
         self.ranked.len()
     }
 
+    /// Maximum number of waiting attempts.
+    #[must_use]
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
     /// Whether no attempt waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
