--- a/crates/flow/tests/admission.rs
+++ b/crates/flow/tests/admission.rs
@@ -1,5 +1,7 @@
 //! Decisions of the limit on openings without an answer.
 
+#![allow(clippy::unwrap_used)]
+
 use comfreyhold_flow::cookie::FlowKey;
 use comfreyhold_flow::cookie::admission::{
     Admission, AdmissionControl, Admitted, FirstAnswer, OpeningAge,
--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -80,6 +80,9 @@
     /// Slots reserved for failed entries: end of the reservation, and the entries whose grants are
     /// unknown.
     pub(crate) reserved: Option<(Instant, BTreeSet<InstanceId>)>,
+    /// Live entries among those that slots are reserved for. They are slow to report, so the reservation ends
+    /// soon.
+    pub(crate) slow_entries: BTreeSet<InstanceId>,
     /// Live entries that have reported their grants.
     pub(crate) reported_entries: BTreeSet<InstanceId>,
     /// Records of witnesses by dispatcher, with their time of receipt, kept while the dispatcher's
@@ -111,6 +114,7 @@
             replies: ReplyCache::default(),
             local_grants: LocalGrants::new(cfg.pool, cfg.epoch, now),
             reserved: None,
+            slow_entries: BTreeSet::new(),
             reported_entries: BTreeSet::new(),
             witness_records: BTreeMap::new(),
             mean_service_time: None,
@@ -136,7 +140,7 @@
                 self.on_takeover(now, Takeover::new(lease_ends, live, failed, now), &cold);
             }
             Event::Witness(witness) => self.local_grants.set_witness(now, witness),
-            Event::EntryFailed(entry) => self.on_entry_failed(now, entry),
+            Event::EntryFailed(entry) => self.on_entry_failed(now, entry, &mut out),
             Event::Stop => self.on_stop(&mut out),
             Event::Tick => {}
         }
@@ -333,7 +337,8 @@
         if self.domain_withdrawn || (self.is_active() && !self.targets.has_serving_target()) {
             return Some((ResultCode::NoTarget, true, None));
         }
-        if self.is_active() && self.targets.totals().usable == 0 {
+        let may_wait = !redirect && !self.slow_entries.is_empty();
+        if self.is_active() && self.targets.totals().usable == 0 && !may_wait {
             return Some((ResultCode::Shed, true, Some(ShedCause::NoUsableSlot)));
         }
         if waiting.deadline <= now {
@@ -499,7 +504,7 @@
         self.refuse_all(ResultCode::NoDispatcher, out);
     }
 
-    fn on_entry_failed(&mut self, now: Instant, entry: InstanceId) {
+    fn on_entry_failed(&mut self, now: Instant, entry: InstanceId, out: &mut Vec<Action>) {
         self.local_grants.on_entry_failed(now, entry);
         self.queue.remove_entry(entry);
         self.last_seen.remove(&entry);
@@ -507,6 +512,10 @@
         if let DispatcherPhase::CollectingReports(takeover) = &mut self.phase {
             takeover.mark_failed(entry);
         }
+        let was_slow = self.slow_entries.remove(&entry);
+        if was_slow && self.slow_entries.is_empty() {
+            self.refuse_without_usable_slots(out);
+        }
     }
 
     pub(crate) fn refuse_all(&mut self, code: ResultCode, out: &mut Vec<Action>) {
--- a/crates/request/src/dispatcher_takeover.rs
+++ b/crates/request/src/dispatcher_takeover.rs
@@ -45,6 +45,7 @@
         if !is_first_report {
             return;
         }
+        self.slow_entries.remove(&from);
         if was_awaited {
             self.reported_entries.insert(from);
             self.witness_records.remove(&from);
@@ -142,6 +143,7 @@
         self.adopt_witness_records();
         let DispatcherPhase::CollectingReports(takeover) = &self.phase else { return };
         let missing = takeover.entries_without_report();
+        self.slow_entries = takeover.live_without_report().clone();
         let until = takeover.lease_ends + self.cfg.profile.deadline() + GRANT_MARGIN;
         self.phase = DispatcherPhase::Active;
         if !missing.is_empty() {
@@ -150,10 +152,19 @@
         }
         if !self.targets.has_serving_target() {
             self.refuse_all(ResultCode::NoTarget, out);
-        } else if self.targets.totals().usable == 0 {
-            let refused = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
-            *self.sheds.entry(ShedCause::NoUsableSlot).or_default() += refused;
-            self.refuse_all(ResultCode::Shed, out);
+        } else if self.slow_entries.is_empty() {
+            self.refuse_without_usable_slots(out);
         }
     }
+
+    /// Refuses all waiting attempts if every slot is reserved for entries that have failed. Attempts wait for a
+    /// live entry that is only slow to report: when all processes stand still for a moment, none reports in time.
+    pub(crate) fn refuse_without_usable_slots(&mut self, out: &mut Vec<Action>) {
+        if !self.is_active() || self.targets.totals().usable > 0 {
+            return;
+        }
+        let refused = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        *self.sheds.entry(ShedCause::NoUsableSlot).or_default() += refused;
+        self.refuse_all(ResultCode::Shed, out);
+    }
 }
--- a/crates/request/src/takeover.rs
+++ b/crates/request/src/takeover.rs
@@ -83,6 +83,12 @@
         if self.awaited.is_empty() { self.lease_ends } else { self.next_request }
     }
 
+    /// Live entries whose report is still missing.
+    #[must_use]
+    pub fn live_without_report(&self) -> &BTreeSet<InstanceId> {
+        &self.awaited
+    }
+
     /// Entries that have not reported and whose grants are therefore unknown.
     #[must_use]
     pub fn entries_without_report(&self) -> BTreeSet<InstanceId> {
--- a/crates/request/tests/dispatcher.rs
+++ b/crates/request/tests/dispatcher.rs
@@ -311,6 +311,40 @@
     assert_eq!(d.occupied_slots(address(1)), 1);
 }
 
+/// Guards against refusing requests as if there were too many, while a live entry is only slow to report: for a
+/// moment no process ran. They wait for the report, unless the entry turns out to have failed.
+#[test]
+fn requests_wait_for_a_live_entry_that_is_slow_to_report() {
+    let last_try = |number| {
+        let remaining = ms(9_000);
+        let message = Message::Acquire {
+            attempt: attempt(number),
+            pool: POOL,
+            priority: Priority::High,
+            remaining,
+            may_redirect: false,
+        };
+        Event::Message(ENTRY, message)
+    };
+    for reports in [true, false] {
+        let t = Instant::now();
+        let mut d = dispatcher(warm_profile(8), vec![target(1, 1)], t);
+        d.handle(t, takeover(t, &[1, 2], &[]));
+        d.handle(t, report(1, Vec::new()));
+        d.handle(t + ms(900), last_try(1));
+        let at_timeout = d.handle(t + ms(1_000), Event::Tick);
+        assert!(replies(&at_timeout).is_empty(), "all slots are reserved for entry 2");
+        assert!(replies(&d.handle(t + ms(1_090), last_try(2))).is_empty());
+        if reports {
+            let granted = replies(&d.handle(t + ms(1_100), report(2, Vec::new())));
+            assert!(matches!(granted[..], [(1, Ok(_))]), "{granted:?}");
+        } else {
+            let refused = replies(&d.handle(t + ms(1_100), Event::EntryFailed(InstanceId(2))));
+            assert_eq!(refused, [(1, Err(ResultCode::Shed)), (2, Err(ResultCode::Shed))]);
+        }
+    }
+}
+
 /// Guards against a pool that grants nothing until the longest deadline because the failed
 /// dispatcher held grants itself, and against relying on a witness when another entry has failed
 /// too.
