Add targets that leave to the last save in place of saving all

Cause: a drain was acknowledged after all targets had been written anew, at each control daemon. Change: targets that have left are appended to the file of the last save, one record each; the save within the next second writes the file anew. A record that is cut off at the end is left out at the start.

--- a/crates/fleet/src/control/gossip.rs
+++ b/crates/fleet/src/control/gossip.rs
@@ -219,7 +219,7 @@
                     self.broadcast_due.notify_one();
                 } else {
                     let told = self.broadcast(FleetRequest::Announced(vec![announcement.clone()]));
-                    join(told, self.save_changed_targets()).await;
+                    join(told, self.save_left(std::slice::from_ref(announcement))).await;
                 }
             }
             AnnouncementOutcome::Refreshed => {
@@ -250,21 +250,23 @@
 
     /// Handles the end of a target that was announced to this daemon.
     pub(super) async fn handle_end(self: &Rc<Self>, id: TargetId) {
-        self.apply_end(id);
-        join(self.broadcast(FleetRequest::Ended(id)), self.save_changed_targets()).await;
+        let ended = self.apply_end(id);
+        join(self.broadcast(FleetRequest::Ended(id)), self.save_left(&ended)).await;
     }
 
-    /// Marks a target as ended, with a higher sequence number than its last announcement.
-    pub(super) fn apply_end(&self, id: TargetId) {
+    /// Marks a target as ended, with a higher sequence number than its last announcement. Returns its end, unless
+    /// the target is not known.
+    pub(super) fn apply_end(&self, id: TargetId) -> Vec<Announcement> {
         let now = self.clock.now();
-        let known = self.targets.borrow().by_ids(&[id], now).into_iter().next();
-        let Some(mut announcement) = known else { return };
-        if announcement.availability == Availability::Ended {
-            return;
+        let mut ended = self.targets.borrow().by_ids(&[id], now);
+        for announcement in &mut ended {
+            if announcement.availability != Availability::Ended {
+                announcement.stamp.sequence += 1;
+                announcement.availability = Availability::Ended;
+            }
         }
-        announcement.stamp.sequence += 1;
-        announcement.availability = Availability::Ended;
-        self.apply_announcements(&[announcement]);
+        self.apply_announcements(&ended);
+        ended
     }
 
     /// Applies announcements received from other daemons, except for those that are out of range: a daemon of
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -22,7 +22,6 @@
 use anyhow::Context;
 use comfreyhold_consensus::register::{DiskId, RegisterValue, Replica, Voters};
 use comfreyhold_membership::announcements::Announcements;
-use comfreyhold_types::announcement::Availability;
 use comfreyhold_types::clock::Clock;
 use comfreyhold_types::codes::ResultCode;
 use comfreyhold_types::keys::{DomainName, TargetId};
@@ -274,9 +273,7 @@
             }
             FleetRequest::Announced(announcements) => {
                 self.apply_announcements(&announcements);
-                if announcements.iter().any(|a| a.availability != Availability::Serving) {
-                    self.save_changed_targets().await;
-                }
+                self.save_left(&announcements).await;
                 FleetResponse::Done
             }
             FleetRequest::Announcements(ids) => {
@@ -284,8 +281,8 @@
                 FleetResponse::Announcements(announcements)
             }
             FleetRequest::Ended(id) => {
-                self.apply_end(id);
-                self.save_changed_targets().await;
+                let ended = self.apply_end(id);
+                self.save_left(&ended).await;
                 FleetResponse::Done
             }
             FleetRequest::Watch(cursor) => {
--- a/crates/fleet/src/control/saves.rs
+++ b/crates/fleet/src/control/saves.rs
@@ -1,9 +1,10 @@
 //! Saves the targets for the next start of a control daemon.
 //!
-//! Changes are collected for [`SAVE_INTERVAL`]. A target that stops taking flows is saved before that is
-//! acknowledged: after a loss of power, daemons would otherwise send flows to a target that has left.
+//! Changes are collected for [`SAVE_INTERVAL`]. A target that stops taking flows is added to the last save before
+//! that is acknowledged: after a loss of power, daemons would otherwise send flows to a target that has left.
 
 use super::Control;
+use comfreyhold_types::announcement::{Announcement, Availability};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -58,10 +59,18 @@
         }
     }
 
-    /// Waits until all changes of the targets so far are saved, for [`SAVE_DEADLINE`] at most.
-    pub(super) async fn save_changed_targets(&self) {
+    /// Saves those of the targets that take no more flows, and waits for that for [`SAVE_DEADLINE`] at most.
+    pub(super) async fn save_left(&self, targets: &[Announcement]) {
+        let takes_none = |target: &&Announcement| target.availability != Availability::Serving;
+        let left: Vec<Announcement> = targets.iter().filter(takes_none).cloned().collect();
+        if left.is_empty() {
+            return;
+        }
         let revision = self.targets.borrow().revision();
         let saved = tokio::time::timeout(SAVE_DEADLINE, async {
+            if self.voter.append_targets(left).await {
+                return;
+            }
             loop {
                 let done = self.saves.done.notified();
                 tokio::pin!(done);
--- a/crates/fleet/src/control/voter.rs
+++ b/crates/fleet/src/control/voter.rs
@@ -7,6 +7,7 @@
     AddressedRequest, Ballot, DiskId, RegisterRequest, RegisterResponse, RegisterValue,
 };
 use comfreyhold_types::announcement::Announcement;
+use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::Write;
 use std::path::{Path, PathBuf};
@@ -25,10 +26,11 @@
 enum DiskTask {
     HandleRequest { addressed: AddressedRequest, reply: oneshot::Sender<RegisterResponse> },
     SaveTargets { targets: Vec<Announcement>, reply: oneshot::Sender<bool> },
+    AppendTargets { targets: Vec<Announcement>, reply: oneshot::Sender<bool> },
 }
 
-/// File with the targets known last. A restarted daemon uses it until the targets announce themselves again,
-/// and works without it.
+/// File with the targets known last: a record with all of them, and records with those that have left since. A
+/// restarted daemon uses it until the targets announce themselves again, and works without it.
 const TARGETS_FILE: &str = "targets";
 
 const TEMPORARY_TARGETS_FILE: &str = "targets.tmp";
@@ -61,6 +63,8 @@
         let path = folder.to_owned();
         let shared = Arc::clone(&synced);
         std::thread::Builder::new().name("disk".to_owned()).spawn(move || {
+            // Bytes of a failed or interrupted write may be at the end of the file until it is written anew.
+            let mut may_append = false;
             while let Ok(task) = rx.recv() {
                 match task {
                     DiskTask::HandleRequest { addressed, reply } => {
@@ -70,13 +74,16 @@
                         let _ = reply.send(response);
                     }
                     DiskTask::SaveTargets { targets, reply } => {
-                        let saved = save_targets(&path, &targets);
-                        if let Err(error) = &saved {
-                            metrics::counter!("target_saves_failed").increment(1);
-                            log::debug!("can't save the targets for the next start: {error:#}");
-                        }
+                        let saved = count_failure(save_targets(&path, &targets));
+                        may_append |= saved;
                         // The task that waits ends only with the process.
-                        let _ = reply.send(saved.is_ok());
+                        let _ = reply.send(saved);
+                    }
+                    DiskTask::AppendTargets { targets, reply } => {
+                        let saved = may_append && count_failure(append_targets(&path, &targets));
+                        may_append = saved;
+                        // The task that waits may have timed out; the next save holds the targets too.
+                        let _ = reply.send(saved);
                     }
                 }
             }
@@ -86,8 +93,18 @@
 
     /// Saves the targets for the next start, after earlier disk tasks. Returns whether they are synced to disk.
     pub async fn save_targets(&self, targets: Vec<Announcement>) -> bool {
+        self.run_save(|reply| DiskTask::SaveTargets { targets, reply }).await
+    }
+
+    /// Adds targets that have left to the last save, which takes as long for any number of other targets. Returns
+    /// whether they are synced to disk; without a save by this process they are not.
+    pub async fn append_targets(&self, targets: Vec<Announcement>) -> bool {
+        self.run_save(|reply| DiskTask::AppendTargets { targets, reply }).await
+    }
+
+    async fn run_save(&self, task: impl FnOnce(oneshot::Sender<bool>) -> DiskTask) -> bool {
         let (reply, saved) = oneshot::channel();
-        if self.disk_tasks.send(DiskTask::SaveTargets { targets, reply }).is_err() {
+        if self.disk_tasks.send(task(reply)).is_err() {
             log::error!("the disk thread has ended");
             return false;
         }
@@ -185,17 +202,38 @@
     Ok(())
 }
 
-/// Reads the targets saved by an earlier incarnation. Returns none if the file is missing or incomplete.
+fn append_targets(folder: &Path, targets: &[Announcement]) -> anyhow::Result<()> {
+    let bytes = encode_record(&postcard::to_stdvec(targets)?);
+    let mut file = File::options().append(true).open(folder.join(TARGETS_FILE))?;
+    file.write_all(&bytes)?;
+    Ok(file.sync_data()?)
+}
+
+/// Counts a failed save. Returns whether it succeeded.
+fn count_failure(saved: anyhow::Result<()>) -> bool {
+    if let Err(error) = &saved {
+        metrics::counter!("target_saves_failed").increment(1);
+        log::debug!("can't save the targets for the next start: {error:#}");
+    }
+    saved.is_ok()
+}
+
+/// Reads the targets saved by an earlier incarnation, the newest announcement of each. Returns none if the file is
+/// missing or damaged. The last record may be incomplete: its targets were not acknowledged.
 #[must_use]
 pub fn saved_targets(folder: &Path) -> Vec<Announcement> {
     let Ok(bytes) = std::fs::read(folder.join(TARGETS_FILE)) else { return Vec::new() };
-    match read_records(&bytes) {
-        (records, ReadEnd::Clean) if records.len() == 1 => {
-            postcard::from_bytes(records[0].1).unwrap_or_default()
+    let (records, end) = read_records(&bytes);
+    let lists: Result<Vec<Vec<Announcement>>, _> =
+        records.iter().map(|(_, record)| postcard::from_bytes(record)).collect();
+    match (lists, end) {
+        (Ok(lists), ReadEnd::Clean | ReadEnd::Torn(_)) => {
+            let targets = lists.into_iter().flatten().map(|target| (target.id, target));
+            targets.collect::<BTreeMap<_, _>>().into_values().collect()
         }
         _ => {
             log::warn!(
-                "the file of saved targets is incomplete; waiting for targets to announce themselves"
+                "the file of saved targets is damaged; waiting for targets to announce themselves"
             );
             Vec::new()
         }
--- a/crates/fleet/tests/fleet/saves.rs
+++ b/crates/fleet/tests/fleet/saves.rs
@@ -22,8 +22,8 @@
 /// Far above the duration of a save; only a fault reaches it.
 const SAVE_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// File under which the targets are written before it is renamed.
-const TEMPORARY_FILE: &str = "targets.tmp";
+/// File that holds the saved targets.
+const TARGETS_FILE: &str = "targets";
 
 /// Starts the only control daemon of a deployment. `host` keeps the tests of this process apart.
 async fn start(host: u8, folder: &Path) -> (Rc<Control>, ControlHandle) {
@@ -60,6 +60,16 @@
     assert_eq!(saved_availability(&folder, 1), Some(Availability::Draining));
     assert!(handle.announce_end(TargetId(2)).await);
     assert_eq!(saved_availability(&folder, 2), Some(Availability::Ended));
+    // Targets that leave after the first save are added to it, one record each.
+    for id in 3..9 {
+        handle.announce(announcement(id, 1, Availability::Serving)).await.unwrap().unwrap();
+        handle.announce(announcement(id, 2, Availability::Draining)).await.unwrap().unwrap();
+        assert_eq!(saved_availability(&folder, id), Some(Availability::Draining));
+    }
+    let path = folder.path().join(TARGETS_FILE);
+    let bytes = std::fs::read(&path).unwrap();
+    std::fs::write(&path, &bytes[..bytes.len() - 3]).unwrap();
+    assert!(saved_targets(folder.path()).len() >= 2, "an incomplete last record is left out");
 }
 
 /// Guards against a drain that is never acknowledged because the disk is full, and against a save that is not
@@ -73,11 +83,13 @@
     let folder = tempfile::tempdir().unwrap();
     let (_control, handle) = start(21, folder.path()).await;
     handle.announce(announcement(1, 1, Availability::Serving)).await.unwrap().unwrap();
-    // A folder of this name makes each save fail, as a full disk does.
-    std::fs::create_dir(folder.path().join(TEMPORARY_FILE)).unwrap();
+    // A folder of this name makes each save fail, as a full disk does. The first save may be done or not.
+    let path = folder.path().join(TARGETS_FILE);
+    std::fs::remove_file(&path).ok();
+    std::fs::create_dir(&path).unwrap();
     handle.announce(announcement(1, 2, Availability::Draining)).await.unwrap().unwrap();
     assert_ne!(saved_availability(&folder, 1), Some(Availability::Draining));
-    std::fs::remove_dir(folder.path().join(TEMPORARY_FILE)).unwrap();
+    std::fs::remove_dir(&path).unwrap();
     let saved = async {
         while saved_availability(&folder, 1) != Some(Availability::Draining) {
             tokio::time::sleep(Duration::from_millis(20)).await;
