--- a/crates/request/src/dispatcher_takeover.rs
+++ b/crates/request/src/dispatcher_takeover.rs
@@ -160,7 +160,7 @@
     /// Refuses all waiting attempts if every slot is reserved for entries that have failed. Attempts wait for a
     /// live entry that is only slow to report: when all processes stand still for a moment, none reports in time.
     pub(crate) fn refuse_without_usable_slots(&mut self, out: &mut Vec<Action>) {
-        if !self.is_active() || self.targets.totals().usable > 0 {
+        if !self.is_active() || self.targets.totals().usable > 0 || self.queue.is_empty() {
             return;
         }
         let refused = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
