--- a/crates/request/src/dispatcher.rs
+++ b/crates/request/src/dispatcher.rs
@@ -80,8 +80,8 @@
     /// Slots reserved for failed entries: end of the reservation, and the entries whose grants are
     /// unknown.
     pub(crate) reserved: Option<(Instant, BTreeSet<InstanceId>)>,
-    /// Live entries among those that slots are reserved for. They are slow to report, so the reservation ends
-    /// soon.
+    /// Live entries among those that slots are reserved for, by the view at the takeover or by a message since.
+    /// They are slow to report, so the reservation ends soon.
     pub(crate) slow_entries: BTreeSet<InstanceId>,
     /// Live entries that have reported their grants.
     pub(crate) reported_entries: BTreeSet<InstanceId>,
@@ -198,6 +198,10 @@
 
     fn on_message(&mut self, now: Instant, from: InstanceId, msg: Message, out: &mut Vec<Action>) {
         self.last_seen.insert(from, now);
+        // An entry that was declared failed and sends messages is alive after all, and will report.
+        if self.reserved.as_ref().is_some_and(|(_, missing)| missing.contains(&from)) {
+            self.slow_entries.insert(from);
+        }
         match msg {
             Message::Acquire { attempt, pool, priority, remaining, may_redirect }
                 if pool == self.cfg.pool =>
--- a/crates/request/tests/dispatcher.rs
+++ b/crates/request/tests/dispatcher.rs
@@ -311,21 +311,22 @@
     assert_eq!(d.occupied_slots(address(1)), 1);
 }
 
+/// An acquire of a request that has tried another failure domain.
+fn last_try(number: u64) -> Event {
+    let message = Message::Acquire {
+        attempt: attempt(number),
+        pool: POOL,
+        priority: Priority::High,
+        remaining: ms(9_000),
+        may_redirect: false,
+    };
+    Event::Message(ENTRY, message)
+}
+
 /// Guards against refusing requests as if there were too many, while a live entry is only slow to report: for a
 /// moment no process ran. They wait for the report, unless the entry turns out to have failed.
 #[test]
 fn requests_wait_for_a_live_entry_that_is_slow_to_report() {
-    let last_try = |number| {
-        let remaining = ms(9_000);
-        let message = Message::Acquire {
-            attempt: attempt(number),
-            pool: POOL,
-            priority: Priority::High,
-            remaining,
-            may_redirect: false,
-        };
-        Event::Message(ENTRY, message)
-    };
     for reports in [true, false] {
         let t = Instant::now();
         let mut d = dispatcher(warm_profile(8), vec![target(1, 1)], t);
@@ -345,6 +346,20 @@
     }
 }
 
+/// Guards against refusing requests for the sake of an entry that was declared failed and turns out to be alive.
+#[test]
+fn requests_wait_for_an_entry_that_was_wrongly_declared_failed() {
+    let t = Instant::now();
+    let mut d = dispatcher(warm_profile(8), vec![target(1, 1)], t);
+    d.handle(t, takeover(t, &[], &[2]));
+    let refused = replies(&d.handle(t + ms(10), last_try(1)));
+    assert_eq!(refused, [(1, Err(ResultCode::Shed))], "entry 2 has said nothing");
+    d.handle(t + ms(20), Event::Message(InstanceId(2), Message::Watch { pool: POOL }));
+    assert!(replies(&d.handle(t + ms(30), last_try(2))).is_empty(), "entry 2 is alive");
+    let granted = replies(&d.handle(t + ms(40), report(2, Vec::new())));
+    assert!(matches!(granted[..], [(2, Ok(_))]), "{granted:?}");
+}
+
 /// Guards against a pool that grants nothing until the longest deadline because the failed
 /// dispatcher held grants itself, and against relying on a witness when another entry has failed
 /// too.
