Limit openings only after half a second of late answers, and learn single flows from whole ones

An entry that had just started after the loss of power saw only the last request of long flows, took the route's flows for single ones, and counted idle flows as work for 3 s. The limit also set in on the queues of the surge, which empty themselves faster than an entry finds the right limit. Change: only flows that the entry has opened and that were answered show how many requests a route's flows have; a limit needs half a second of late answers.

--- a/crates/flow/src/cookie/admission.rs
+++ b/crates/flow/src/cookie/admission.rs
@@ -43,6 +43,10 @@
 /// Time after which the limit is adjusted by fewer answers, if all of them agree.
 const MAX_WINDOW: Duration = Duration::from_millis(800);
 
+/// Time for which most answers must have been late before there is a limit. After a loss of power the queues are
+/// full for less, and empty themselves faster than an entry could find the right limit.
+const ONSET: Duration = Duration::from_millis(500);
+
 /// Factor on the limit while most answers are late.
 const DECREASE: f64 = 0.5;
 
@@ -167,6 +171,8 @@
     /// Answers a second: the highest of recent windows.
     answers_per_s: f64,
     window: Window,
+    /// Since when most answers are late, without a limit.
+    late_since: Option<Instant>,
     /// Since when less than half of the limit is used.
     unused_since: Option<Instant>,
 }
@@ -285,6 +291,7 @@
             waiting: BTreeMap::new(),
             answers_per_s: 0.0,
             window: Window::starting_at(now, 0),
+            late_since: None,
             unused_since: None,
         });
         self.by_name.insert(service.to_owned(), key);
@@ -341,12 +348,17 @@
         let peak = peak as f64;
         let are_few = answers < MIN_ANSWERS;
         if (late * 2 > answers && !are_few) || (late == answers && answers * 2 > MIN_ANSWERS) {
+            let late_since = *self.late_since.get_or_insert(start);
+            if self.limit.is_none() && now < late_since + ONSET {
+                return;
+            }
             let used = self.limit.unwrap_or(f64::MAX).min(peak.max(MIN_LIMIT));
             self.limit = Some((used * DECREASE).max(MIN_LIMIT));
             self.last_before_decrease = self.last_number;
             self.unused_since = None;
             return;
         }
+        self.late_since = None;
         let Some(limit) = self.limit else { return };
         let is_in_time = if are_few { late == 0 && answers > 0 } else { late * 4 <= answers };
         if is_in_time && peak >= limit * 0.75 {
--- a/crates/flow/src/cookie/balancer.rs
+++ b/crates/flow/src/cookie/balancer.rs
@@ -304,11 +304,15 @@
             }
         }
         self.record_first_answer(packet, route, now);
-        let requests = self.flows.get(&packet.flow).map(|flow| flow.requests);
+        // Only flows seen from the beginning show how many requests they have.
+        let seen = self.flows.get(&packet.flow).filter(|flow| flow.is_opened_here);
+        let requests = seen.map(|flow| flow.requests);
+        let is_answered = seen.is_some_and(|flow| flow.bytes_received(packet.ack) > 0);
         match packet.kind {
             PacketKind::Finish | PacketKind::Abort => {
                 let was_open = !matches!(known, Some((FlowStage::Finished, _)));
-                if was_open && packet.kind == PacketKind::Finish && requests == Some(1) {
+                let has_ended = was_open && packet.kind == PacketKind::Finish;
+                if has_ended && is_answered && requests == Some(1) {
                     self.habits.record(packet.flow.service, true);
                 }
                 self.flows.update(&packet.flow, &mut self.directory, |flow| {
--- a/crates/flow/src/cookie/flows.rs
+++ b/crates/flow/src/cookie/flows.rs
@@ -56,6 +56,8 @@
     pub is_single: bool,
     /// Requests seen on the flow; 2 stands for more.
     pub requests: u8,
+    /// Whether this entry has forwarded the opening, so that it has seen all requests.
+    pub is_opened_here: bool,
     /// Set until the first request is answered, if this entry has forwarded the opening.
     pub admitted: Option<Admitted>,
     /// Stage of the flow.
@@ -90,6 +92,7 @@
             class,
             is_single: false,
             requests: 0,
+            is_opened_here: stage == FlowStage::Opening,
             admitted: None,
             stage,
             last_seen: now,
