Record the end of a target known only from the file, and save only what has changed

Cause, found in a last reading of the diff: - A control daemon that had just restarted acknowledged the end of a target without recording it, if it knew the target only from its file: ends were looked up among the records that are sent to other daemons. The target stayed in use until it timed out. - News of other daemons about targets that leave was appended to the file as received. A late drain replaced the target's newer state in the file, refused announcements were in it, and repetitions made it grow, as nothing changed and it was not written anew. - Limits and habits of services and routes that are no longer declared were kept. - An entry cloned all reports of a control daemon for each long poll, and swept the targets that had left once for each of them in an update. New: flow/admission::services_that_are_no_longer_declared_are_forgotten.

--- a/crates/daemon/src/control_run.rs
+++ b/crates/daemon/src/control_run.rs
@@ -29,6 +29,9 @@
 /// Number of worker threads of the HTTP runtime.
 const HTTP_THREADS: usize = 2;
 
+/// Interval between attempts to write to a disk that was full.
+const FULL_DISK_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Runs a control daemon until SIGTERM, SIGINT or a newer process with the same instance number stops it.
 ///
 /// # Errors
@@ -109,9 +112,6 @@
     Ok(LogReplica::new(cfg, store.content().clone(), rng, cx.now())?)
 }
 
-/// Interval between attempts to write to a disk that was full.
-const FULL_DISK_RETRY_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Starts the thread that writes batches in order and syncs each before it confirms it. On a full disk it waits
 /// for room and then writes everything anew. It ends at any other fault, so that nothing is written after a
 /// lost batch.
--- a/crates/fleet/src/control/gossip.rs
+++ b/crates/fleet/src/control/gossip.rs
@@ -156,7 +156,7 @@
         let request = FleetRequest::Announcements(ids);
         match self.connections.call(from, &request, BROADCAST_DEADLINE).await {
             Ok(FleetResponse::Announcements(announcements)) => {
-                self.apply_announcements(&announcements)
+                self.apply_announcements(&announcements);
             }
             Ok(_) => {
                 log::warn!("unexpected type of response to a fetch of announcements from {from}")
@@ -254,26 +254,18 @@
         join(self.broadcast(FleetRequest::Ended(id)), self.save_left(&ended)).await;
     }
 
-    /// Marks a target as ended, with a higher sequence number than its last announcement. Returns its end, unless
-    /// the target is not known.
+    /// Marks a target as ended. Returns its end, unless the target is not known or has ended before.
     pub(super) fn apply_end(&self, id: TargetId) -> Vec<Announcement> {
-        let now = self.clock.now();
-        let mut ended = self.targets.borrow().by_ids(&[id], now);
-        for announcement in &mut ended {
-            if announcement.availability != Availability::Ended {
-                announcement.stamp.sequence += 1;
-                announcement.availability = Availability::Ended;
-            }
-        }
-        self.apply_announcements(&ended);
-        ended
+        let end = self.targets.borrow().end_of(id);
+        self.apply_announcements(end.as_slice())
     }
 
     /// Applies announcements received from other daemons, except for those that are out of range: a daemon of
-    /// another version may have taken them in.
-    pub(super) fn apply_announcements(&self, announcements: &[Announcement]) {
+    /// another version may have taken them in. Returns those that have changed a target.
+    pub(super) fn apply_announcements(&self, announcements: &[Announcement]) -> Vec<Announcement> {
         let now = self.clock.now();
         let previous_revision = self.targets.borrow().revision();
+        let mut changed = Vec::new();
         for announcement in announcements {
             if let Err(error) = announcement.check() {
                 self.record_refused(&announcement.id.to_string(), &error.to_string());
@@ -281,9 +273,11 @@
             }
             if self.targets.borrow_mut().apply(announcement, now) == AnnouncementOutcome::Changed {
                 self.record_target(announcement, "target");
+                changed.push(announcement.clone());
             }
         }
         self.notify_targets(previous_revision);
+        changed
     }
 
     /// Wakes the entries' long polls if the targets have changed since a revision.
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -272,8 +272,8 @@
                 FleetResponse::Newest(newer)
             }
             FleetRequest::Announced(announcements) => {
-                self.apply_announcements(&announcements);
-                self.save_left(&announcements).await;
+                let changed = self.apply_announcements(&announcements);
+                self.save_left(&changed).await;
                 FleetResponse::Done
             }
             FleetRequest::Announcements(ids) => {
--- a/crates/fleet/src/control/saves.rs
+++ b/crates/fleet/src/control/saves.rs
@@ -59,7 +59,7 @@
         }
     }
 
-    /// Saves those of the targets that take no more flows, and waits for that for [`SAVE_DEADLINE`] at most.
+    /// Saves those of the changed targets that take no more flows, and waits for that for [`SAVE_DEADLINE`] at most.
     pub(super) async fn save_left(&self, targets: &[Announcement]) {
         let takes_none = |target: &&Announcement| target.availability != Availability::Serving;
         let left: Vec<Announcement> = targets.iter().filter(takes_none).cloned().collect();
--- a/crates/fleet/src/entry/view.rs
+++ b/crates/fleet/src/entry/view.rs
@@ -59,10 +59,10 @@
     /// Cursor for the next long poll of a source.
     #[must_use]
     pub fn cursor(&self, source: usize) -> WatchCursor {
-        let state = self.sources.get(source).cloned().unwrap_or_default();
+        let state = self.sources.get(source);
         WatchCursor {
-            source: state.incarnation,
-            targets: state.revision,
+            source: state.map(|state| state.incarnation).unwrap_or_default(),
+            targets: state.map(|state| state.revision).unwrap_or_default(),
             change: self.routing.change,
         }
     }
@@ -85,6 +85,7 @@
         }
         state.incarnation = update.source;
         state.revision = update.revision;
+        self.left.retain(|_, (_, received)| now < *received + LEFT_RETENTION);
         for report in &update.targets {
             record_left(&mut self.left, &report.announcement, now);
         }
@@ -158,7 +159,6 @@
     if left.get(&announcement.id).is_some_and(|(known, _)| outlasts(known, announcement)) {
         return;
     }
-    left.retain(|_, (_, received)| now < *received + LEFT_RETENTION);
     left.insert(announcement.id, (announcement.clone(), now));
 }
 
--- a/crates/fleet/tests/fleet/saves.rs
+++ b/crates/fleet/tests/fleet/saves.rs
@@ -2,8 +2,10 @@
 //! sent to a running control daemon.
 
 use crate::feed::announcement;
+use comfreyhold_consensus::disk::read_records;
 use comfreyhold_fleet::control::voter::saved_targets;
 use comfreyhold_fleet::control::{Control, ControlHandle};
+use comfreyhold_fleet::messages::{FleetRequest, TOPIC};
 use comfreyhold_fleet::settings::FleetSettings;
 use comfreyhold_types::announcement::{
     Announcement, AnnouncementStamp, Availability, MAX_BORN_MS, MAX_COLD_MS, MAX_SEQUENCE,
@@ -11,6 +13,8 @@
 };
 use comfreyhold_types::clock::SystemClock;
 use comfreyhold_types::keys::TargetId;
+use comfreyhold_wire::envelope::encode_body;
+use comfreyhold_wire::exchange::Responder;
 use std::net::Ipv4Addr;
 use std::path::Path;
 use std::rc::Rc;
@@ -72,6 +76,71 @@
     assert!(saved_targets(folder.path()).len() >= 2, "an incomplete last record is left out");
 }
 
+/// Guards against a target that is used again because it left just after all control daemons had restarted: they
+/// knew it only from their files, and acknowledged its end without recording it.
+#[tokio::test]
+async fn a_target_may_end_before_it_has_repeated_its_announcement() {
+    LocalSet::new().run_until(check_end_after_restart()).await;
+}
+
+async fn check_end_after_restart() {
+    let folder = tempfile::tempdir().unwrap();
+    let (control, handle) = start(23, folder.path()).await;
+    for id in [1, 2, 3] {
+        handle.announce(announcement(id, 1, Availability::Serving)).await.unwrap().unwrap();
+    }
+    // A drain is added to a save that holds the other targets.
+    handle.announce(announcement(3, 2, Availability::Draining)).await.unwrap().unwrap();
+    assert_eq!(saved_availability(&folder, 1), Some(Availability::Serving));
+    let copy = tempfile::tempdir().unwrap();
+    let saved = std::fs::read(folder.path().join(TARGETS_FILE)).unwrap();
+    std::fs::write(copy.path().join(TARGETS_FILE), saved).unwrap();
+    control.stop();
+    let (restarted, handle) = start(24, copy.path()).await;
+    assert!(handle.announce_end(TargetId(1)).await);
+    assert_eq!(saved_availability(&copy, 1), Some(Availability::Ended));
+    tell(&restarted, &FleetRequest::Ended(TargetId(2))).await;
+    assert_eq!(saved_availability(&copy, 2), Some(Availability::Ended));
+}
+
+/// Sends a request to a daemon as another daemon does.
+async fn tell(control: &Rc<Control>, request: &FleetRequest) {
+    Rc::clone(control).respond(TOPIC, encode_body(request).unwrap()).await.unwrap();
+}
+
+/// Guards against late and refused news that replace what is known, in the file from which a daemon restarts, and
+/// against a file that grows with each repetition.
+#[tokio::test]
+async fn only_announcements_that_change_a_target_are_saved() {
+    LocalSet::new().run_until(check_late_news()).await;
+}
+
+async fn check_late_news() {
+    let folder = tempfile::tempdir().unwrap();
+    let (control, handle) = start(25, folder.path()).await;
+    let serving = announcement(1, 3, Availability::Serving);
+    handle.announce(serving.clone()).await.unwrap().unwrap();
+    handle.announce(announcement(2, 1, Availability::Serving)).await.unwrap().unwrap();
+    let draining = announcement(2, 2, Availability::Draining);
+    handle.announce(draining.clone()).await.unwrap().unwrap();
+    assert_eq!(saved_availability(&folder, 1), Some(Availability::Serving));
+    // Once the file is written anew, nothing changes any more.
+    let path = folder.path().join(TARGETS_FILE);
+    let written_anew = async {
+        while read_records(&std::fs::read(&path).unwrap()).0.len() > 1 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(SAVE_TIMEOUT, written_anew).await.expect("the file is written anew");
+    let saved = std::fs::read(&path).unwrap();
+    let odd = Announcement { slots: 0, ..announcement(3, 1, Availability::Draining) };
+    for late in [announcement(1, 2, Availability::Draining), draining, odd] {
+        tell(&control, &FleetRequest::Announced(vec![late])).await;
+    }
+    assert_eq!(saved_availability(&folder, 1), Some(Availability::Serving));
+    assert_eq!(std::fs::read(&path).unwrap(), saved);
+}
+
 /// Guards against a drain that is never acknowledged because the disk is full, and against a save that is not
 /// repeated once the disk has room: the file would list the target as one to use.
 #[tokio::test]
--- a/crates/flow/src/cookie/admission.rs
+++ b/crates/flow/src/cookie/admission.rs
@@ -12,9 +12,9 @@
 
 use super::FlowKey;
 use super::openings::{is_last, retransmission_timeout, send_time};
-use comfreyhold_types::routes::Route;
+use comfreyhold_types::routes::{Route, RouteTable};
 use slotmap::SlotMap;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
@@ -229,6 +229,16 @@
         decision
     }
 
+    /// Forgets services and routes that the declarations no longer name.
+    pub fn forget_removed(&mut self, table: &RouteTable) {
+        let destinations = table.routes.values().flat_map(|route| &route.destinations);
+        let names: BTreeSet<&str> = destinations.map(|d| d.service.as_str()).collect();
+        self.by_name.retain(|name, _| names.contains(name.as_str()));
+        let kept: BTreeSet<ServiceKey> = self.by_name.values().copied().collect();
+        self.services.retain(|key, _| kept.contains(&key));
+        self.usual.retain(|address, _| table.routes.contains_key(address));
+    }
+
     /// Counts an opening that is forwarded.
     pub fn record_forwarded(&mut self, service: &str, now: Instant) -> Option<Admitted> {
         let service = self.service_key(service, now);
--- a/crates/flow/src/cookie/balancer.rs
+++ b/crates/flow/src/cookie/balancer.rs
@@ -119,7 +119,11 @@
         if self.routing.table.is_none() && routing.table.is_some() {
             self.surge = Surge::starting_at(now);
         }
-        self.top_priorities = routing.table.as_deref().map(top_priorities).unwrap_or_default();
+        if let Some(table) = routing.table.as_deref() {
+            self.top_priorities = top_priorities(table);
+            self.admission.forget_removed(table);
+            self.habits.forget_removed(table);
+        }
         self.routing = routing;
         true
     }
--- a/crates/flow/src/cookie/habits.rs
+++ b/crates/flow/src/cookie/habits.rs
@@ -3,6 +3,7 @@
 //! An entry sees only the callers' packets. On a flow with one request, its end shows that the request was
 //! answered; on a flow with several, a short answer shows only with the next request.
 
+use comfreyhold_types::routes::RouteTable;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
@@ -46,6 +47,11 @@
         }
     }
 
+    /// Forgets routes that the declarations no longer name.
+    pub fn forget_removed(&mut self, table: &RouteTable) {
+        self.0.retain(|address, _| table.routes.contains_key(address));
+    }
+
     /// Whether flows to the service address have one request each. False while that is unknown.
     #[must_use]
     pub fn is_single(&self, service: SocketAddrV4) -> bool {
--- a/crates/flow/tests/admission.rs
+++ b/crates/flow/tests/admission.rs
@@ -6,7 +6,7 @@
 use comfreyhold_flow::cookie::admission::{
     Admission, AdmissionControl, Admitted, FirstAnswer, OpeningAge,
 };
-use comfreyhold_types::routes::{Destination, RequestClass, Route};
+use comfreyhold_types::routes::{Destination, RequestClass, Route, RouteList, RoutedService};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
@@ -242,3 +242,30 @@
     fixture.route = route(Duration::ZERO);
     assert_eq!(fixture.decide(0, Duration::ZERO), Admission::Now);
 }
+
+/// Guards against state that grows with each service that was ever declared, and against a limit that a service
+/// finds again when it is declared anew.
+#[test]
+fn services_that_are_no_longer_declared_are_forgotten() {
+    let mut fixture = Fixture::limited();
+    let table = |service: &str| {
+        let destinations = vec![Destination { service: service.to_owned(), weight: 1 }];
+        let route = Route { destinations, ..route(OBJECTIVE) };
+        let routed =
+            RoutedService { name: service.to_owned(), max_flows: 10, cold_requests_per_1000_s: 0 };
+        let list = RouteList {
+            version: 1,
+            routes: vec![route],
+            services: vec![routed],
+            idle_timeout_ms: 15_000,
+        };
+        list.into_checked().unwrap()
+    };
+    let admitted = fixture.control.record_forwarded(SERVICE, fixture.now).unwrap();
+    fixture.control.forget_removed(&table(SERVICE));
+    assert!(fixture.limit().is_some(), "a declared service keeps its limit");
+    fixture.control.forget_removed(&table("sheets"));
+    assert_eq!(fixture.control.status(SERVICE, fixture.now), None);
+    fixture.control.record_ended(admitted);
+    assert_eq!(fixture.control.status(SERVICE, fixture.now), None);
+}
--- a/crates/membership/src/announcements.rs
+++ b/crates/membership/src/announcements.rs
@@ -358,6 +358,18 @@
             .collect()
     }
 
+    /// Returns the end of a target, with a higher sequence number than its last announcement; `None` if it is not
+    /// known or has ended. Targets restored from disk are included: they may end before they repeat their
+    /// announcement.
+    #[must_use]
+    pub fn end_of(&self, id: TargetId) -> Option<Announcement> {
+        let record = self.records.get(&id).filter(|record| !record.has_ended())?;
+        let mut end = record.announcement.clone();
+        end.stamp.sequence += 1;
+        end.availability = Availability::Ended;
+        Some(end)
+    }
+
     /// Returns the announcements to send at once to a daemon that has restarted: those of targets that announce
     /// themselves here, and those of targets that take no more flows. Other daemons send it the rest, and the
     /// comparison of digests reveals what is still missing.
--- a/crates/request/src/dispatcher_takeover.rs
+++ b/crates/request/src/dispatcher_takeover.rs
@@ -1,7 +1,8 @@
 //! Takeover of the role from an earlier dispatcher: collects the grants and witness records that
 //! entries report, and reserves the slots of those that don't.
 
-use crate::dispatcher::{Action, Dispatcher, DispatcherPhase, GRANT_MARGIN, ShedCause};
+use crate::dispatcher::{Action, Dispatcher, DispatcherPhase, GRANT_MARGIN};
+use crate::dispatcher_refusals::ShedCause;
 use crate::grants::ActiveGrant;
 use crate::message::{HeldGrant, Message, WitnessRecord};
 use crate::takeover::Takeover;
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod directory;
 pub mod dispatcher;
 pub mod dispatcher_event;
+mod dispatcher_refusals;
 mod dispatcher_takeover;
 mod dispatcher_witness;
 pub mod grants;
