Let the entries settle before the drains of the review's cases 2 and 5

Cause: on an idle machine both scripts held in some runs, since an entry that had not come back to the daemon of its zone before, or a backend whose heartbeats went elsewhere, did not meet the fault. Change: 12 s pass before the disruption, and backends start after the configuration is acknowledged. Checks are unchanged.

--- a/review/standin/scenarios.rs
+++ b/review/standin/scenarios.rs
@@ -14,6 +14,9 @@
 /// Pause of each client between two flows.
 const PAUSE: Duration = Duration::from_millis(150);
 
+/// Time after which each entry watches the control daemon of its zone, in whatever order the processes have started.
+const SETTLED: Duration = Duration::from_secs(12);
+
 /// Runs a case and returns whether the rule was broken.
 pub fn run(
     name: &str,
@@ -252,17 +255,17 @@
 ) -> Result<bool, String> {
     const FROZEN: usize = 1;
     let cluster = Cluster::start(&[1, 1, 2], processes.clone(), Arc::clone(record))?;
+    cluster.publish()?;
     let mut backends = Vec::new();
     for (number, zone) in [1, 1, 2, 2].into_iter().enumerate() {
         let id = 0xe000 + number as u64;
         backends.push(Backend::start(&cluster, id, number as u8 + 1, ZONES[zone], 0, record)?);
     }
     let leaving = Arc::clone(&backends[0]);
-    cluster.publish()?;
     cluster.wait_ready()?;
     let sent = Sent::default();
     let load = Load::start(&cluster, 6, PAUSE, &sent, record)?;
-    let start = Instant::now();
+    let start = Instant::now() + SETTLED;
     sleep_until(start, 4.0);
     if disrupted {
         cluster.freeze_control(FROZEN);
@@ -342,16 +345,16 @@
     record: &Arc<Record>,
 ) -> Result<bool, String> {
     let mut cluster = Cluster::start(&[1, 2, 3], processes.clone(), Arc::clone(record))?;
+    cluster.publish()?;
     let mut backends = Vec::new();
     for (number, zone) in [1, 1, 2, 2, 3, 3].into_iter().enumerate() {
         let id = 0xe000 + number as u64;
         backends.push(Backend::start(&cluster, id, number as u8 + 1, ZONES[zone], 0, record)?);
     }
-    cluster.publish()?;
     cluster.wait_ready()?;
     let sent = Sent::default();
     let load = Load::start(&cluster, 9, PAUSE, &sent, record)?;
-    let start = Instant::now();
+    let start = Instant::now() + SETTLED;
     for (index, at, leaving) in
         [(1, 4.0, &backends[0]), (2, 6.5, &backends[2]), (3, 9.0, &backends[4])]
     {
