Carry out no order that its caller may have given up

The order to take it back had met a frozen daemon, which carried it out when it woke up.

Cause: a withdrawal has no number, so the time at which it is carried out is all that orders it. A daemon carried out whatever it read, however old, and whether or not its caller still waited for it.

Change: a call that is read after a pause of the process counts as arrived at the beginning of that pause. A withdrawal or its reversal is written within 0.8 s of its arrival, while its caller waits, or not at all (3011). The check stands where a majority has promised the round: what others write later has a higher ballot, so a late write of this order can't undo it. An order waits 20 ms for the close of a caller that had gone before a cut let the call through. Publications are ordered by their version and stay as they were. Control daemons log stalled, order-expired and order-abandoned.

--- a/crates/consensus/src/register/round.rs
+++ b/crates/consensus/src/register/round.rs
@@ -92,6 +92,12 @@
         self.ballot
     }
 
+    /// Whether the round has its promises and writes a value.
+    #[must_use]
+    pub fn is_writing(&self) -> bool {
+        matches!(self.phase, RoundPhase::Accept { .. })
+    }
+
     /// Handles the response of a voter.
     pub fn handle_response(&mut self, from: DiskId, response: RegisterResponse) -> RoundProgress {
         match response {
--- a/crates/fleet/src/control/gossip.rs
+++ b/crates/fleet/src/control/gossip.rs
@@ -52,7 +52,7 @@
             }
             let interval = if is_joined { HEARTBEAT_INTERVAL } else { JOIN_HEARTBEAT_INTERVAL };
             tokio::time::sleep(interval).await;
-            let now = self.clock.now();
+            let now = self.observe_activity();
             if let Some(value) = self.register.newest_known() {
                 // The seeds may all be down, while the voters are also known from the local disk.
                 let voters = value.voters.all();
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod register;
 mod repair;
 mod saves;
+pub mod stalls;
 pub mod voter;
 
 pub use operations::{ControlCall, ControlHandle};
@@ -35,7 +36,8 @@
 use register::Register;
 use saves::Saves;
 use serde_json::json;
-use std::cell::RefCell;
+use stalls::StallMonitor;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -62,6 +64,9 @@
 /// itself within one interval; the second one allows for a daemon that did not respond.
 const RESTORED_FOR_INTERVALS: u32 = 2;
 
+/// Pause of the process above which it is logged. Heartbeats alone make it active more often.
+const LOGGED_PAUSE: Duration = Duration::from_secs(1);
+
 /// Maximum number of control daemons named in a heartbeat, chosen at random. Up to this many are all named
 /// each time; among more, each one is named by several others within a second.
 const PEERS_PER_HEARTBEAT: usize = 8;
@@ -88,6 +93,7 @@
     heartbeats_in_flight: RefCell<BTreeSet<SocketAddr>>,
     operations: mpsc::Sender<operations::QueuedOperation>,
     saves: Saves,
+    stalls: Cell<StallMonitor>,
     /// Wakes the entries' long polls.
     changed: Notify,
 }
@@ -125,6 +131,7 @@
             domain: DomainName::from(settings.domain.as_str()),
             peers: RefCell::new(Peers::new(address, &seeds, clock.now())),
             saves: Saves::new(targets.revision()),
+            stalls: Cell::new(StallMonitor::new(clock.now())),
             settings,
             clock,
             decision_log: DecisionLog::default(),
@@ -175,6 +182,18 @@
         self.record("stop", || json!({"targets": self.targets.borrow().live_count()}));
     }
 
+    /// Records that the process is active, before it handles a message. Returns the present time.
+    fn observe_activity(&self) -> Instant {
+        let now = self.clock.now();
+        let mut stalls = self.stalls.get();
+        let pause = stalls.observe(now);
+        self.stalls.set(stalls);
+        if pause >= LOGGED_PAUSE {
+            self.record("stalled", || json!({"for_ms": pause.as_millis()}));
+        }
+        now
+    }
+
     fn record(&self, kind: &'static str, fields: impl FnOnce() -> serde_json::Value) {
         self.decision_log.record(kind, self.clock.now(), fields);
     }
@@ -308,6 +327,7 @@
                 error.code()
             })?;
             let kind: &'static str = (&request).into();
+            self.observe_activity();
             let response = self.handle_request(request).await;
             let encoded = encode_body(&response).map_err(|error| {
                 log::error!("can't encode a response to {kind}: {error}");
--- a/crates/fleet/src/control/operations.rs
+++ b/crates/fleet/src/control/operations.rs
@@ -12,7 +12,7 @@
 use serde_json::json;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot};
 
 /// Capacity of the queues of calls and of register operations; senders wait while they are full. The
@@ -22,10 +22,31 @@
 /// Deadline for other daemons to confirm a message about a chosen value or a changed target.
 pub(super) const BROADCAST_DEADLINE: Duration = Duration::from_millis(500);
 
+/// Time from the arrival of an order to the moment from which it is not carried out any more. Callers wait for a
+/// second, and may then have the order and the opposite one carried out by another daemon.
+const ORDER_LIFETIME: Duration = Duration::from_millis(800);
+
+/// Wait before an order is carried out. When the network has held up a call, the close of a caller that has given up
+/// arrives up to a round trip after it.
+const CALLER_CLOSE_DELAY: Duration = Duration::from_millis(20);
+
 /// An operation on the register, and where to send its result.
 pub(super) struct QueuedOperation {
     pub(super) operation: RegisterOperation,
-    pub(super) reply: oneshot::Sender<Result<Arc<RegisterValue>, RegisterError>>,
+    /// Time from which the operation is not to be made any more.
+    expires_at: Option<Instant>,
+    /// Closed when nobody waits for the operation any more.
+    reply: oneshot::Sender<Result<Arc<RegisterValue>, RegisterError>>,
+}
+
+impl QueuedOperation {
+    fn has_expired(&self, now: Instant) -> bool {
+        self.expires_at.is_some_and(|expires_at| now >= expires_at)
+    }
+
+    fn is_wanted(&self, now: Instant) -> bool {
+        !self.reply.is_closed() && !self.has_expired(now)
+    }
 }
 
 /// A write to the register.
@@ -68,10 +89,12 @@
         rx.await.ok()
     }
 
-    /// Changes the declarations. The change is synced on a majority of the voters' disks when this returns.
+    /// Changes the declarations. The change is synced on a majority of the voters' disks when this returns. If the
+    /// returned future is dropped, a withdrawal or its reversal is not carried out any more, unless that has begun.
     ///
     /// # Errors
-    /// No majority of the voters responds; the change may still take effect.
+    /// No majority of the voters responds; the change may still take effect. Or a withdrawal or its reversal has
+    /// waited for so long that its caller may have given it up; it is not carried out.
     pub async fn change_declarations(&self, change: StateChange) -> Result<(), RegisterError> {
         let result = self.call(|tx| ControlCall::Change(change, tx)).await;
         result.unwrap_or(Err(RegisterError::NoQuorum))
@@ -118,12 +141,18 @@
     }
 
     async fn serve_call(self: Rc<Self>, call: ControlCall) {
-        // A task that no longer waits gets no reply; its change stays in effect.
+        let now = self.observe_activity();
+        let arrived = self.stalls.get().earliest_arrival(now);
+        // A task that no longer waits gets no reply.
         match call {
-            ControlCall::Change(change, reply) => {
-                let result = self.submit(RegisterOperation::Change(change)).await;
+            // The version orders publications, however late they are carried out.
+            ControlCall::Change(change @ StateChange::Publish(_), reply) => {
+                let result = self.submit(RegisterOperation::Change(change), None).await;
                 let _ = reply.send(result.map(|_| ()));
             }
+            ControlCall::Change(change @ StateChange::Withdraw { .. }, reply) => {
+                self.serve_order(change, arrived + ORDER_LIFETIME, reply).await;
+            }
             ControlCall::Read(reply) => {
                 let newest = self.read_newest().await;
                 let _ = reply.send(newest.map(|value| value.state.publication.clone()));
@@ -139,6 +168,33 @@
         }
     }
 
+    /// Carries out an order that nothing but its time puts in order with others. Not after `expires_at`, and not
+    /// after its caller has gone: the caller may have had it carried out elsewhere, and reversed it since.
+    async fn serve_order(
+        &self,
+        order: StateChange,
+        expires_at: Instant,
+        mut reply: oneshot::Sender<Result<(), RegisterError>>,
+    ) {
+        if tokio::time::timeout(CALLER_CLOSE_DELAY, reply.closed()).await.is_ok() {
+            return self.record_abandoned(&order);
+        }
+        let operation = RegisterOperation::Change(order.clone());
+        tokio::select! {
+            () = reply.closed() => self.record_abandoned(&order),
+            result = self.submit(operation, Some(expires_at)) => {
+                // The caller may have gone this moment; the order stays in effect.
+                let _ = reply.send(result.map(|_| ()));
+            }
+        }
+    }
+
+    /// Counts and logs an order whose caller has gone. If it was being written, it may be in effect.
+    fn record_abandoned(&self, order: &StateChange) {
+        metrics::counter!("orders", "result" => "abandoned").increment(1);
+        self.record("order-abandoned", || order_fields(order));
+    }
+
     /// Reads the newest value, confirmed by a quorum. If it is newer than the last one learned, entries and
     /// other daemons are notified.
     pub(super) async fn read_newest(self: &Rc<Self>) -> Result<Arc<RegisterValue>, RegisterError> {
@@ -155,13 +211,16 @@
         newest
     }
 
-    /// Queues an operation on the register and waits for its result.
+    /// Queues an operation on the register and waits for its result. It is not made after `expires_at`, nor after
+    /// the returned future was dropped, unless it is being written by then.
     pub(super) async fn submit(
         &self,
         operation: RegisterOperation,
+        expires_at: Option<Instant>,
     ) -> Result<Arc<RegisterValue>, RegisterError> {
         let (reply, result) = oneshot::channel();
-        if self.operations.send(QueuedOperation { operation, reply }).await.is_err() {
+        let queued = QueuedOperation { operation, expires_at, reply };
+        if self.operations.send(queued).await.is_err() {
             return Err(RegisterError::NoQuorum);
         }
         result.await.unwrap_or(Err(RegisterError::NoQuorum))
@@ -174,39 +233,82 @@
             while let Ok(operation) = queue.try_recv() {
                 batch.push(operation);
             }
-            let mut proposal = Proposal::default();
-            for queued in &batch {
-                match &queued.operation {
-                    RegisterOperation::Change(change) => proposal.changes.push(change.clone()),
-                    RegisterOperation::Voters(change) => proposal.voters = Some(change.clone()),
-                    RegisterOperation::Complete => {}
+            // Those that expire before they are written are left out, and the others proposed again.
+            loop {
+                batch = self.without_unwanted(batch);
+                let is_wanted = || {
+                    let now = self.clock.now();
+                    batch.iter().all(|queued| queued.is_wanted(now))
+                };
+                if batch.is_empty() {
+                    break;
+                }
+                match self.propose(&batch, &is_wanted).await {
+                    Err(RegisterError::Expired) => {}
+                    result => {
+                        for queued in batch {
+                            let _ = queued.reply.send(result.clone());
+                        }
+                        break;
+                    }
                 }
             }
-            let previous_ballot = self.register.chosen_ballot();
-            let started = self.clock.now();
-            let result = self.register.propose(&proposal).await;
-            let duration = self.clock.now() - started;
-            metrics::histogram!("round_seconds").record(duration);
-            metrics::counter!("orders", "result" => if result.is_ok() { "done" } else { "failed" })
-                .increment(batch.len() as u64);
-            self.record("round", || {
-                json!({
-                    "changes": proposal.changes.len(),
-                    "voters": proposal.voters.is_some(),
-                    "took_ms": duration.as_secs_f64() * 1_000.0,
-                    "error": result.as_ref().err().map(ToString::to_string),
-                })
-            });
-            if let Ok(value) = &result
-                && value.ballot > previous_ballot
-            {
-                self.notify_chosen();
-                self.broadcast_chosen(value);
+        }
+    }
+
+    /// Returns the operations that are still to be made, and answers the others.
+    fn without_unwanted(&self, batch: Vec<QueuedOperation>) -> Vec<QueuedOperation> {
+        let now = self.clock.now();
+        let (wanted, unwanted): (Vec<_>, Vec<_>) =
+            batch.into_iter().partition(|queued| queued.is_wanted(now));
+        for queued in unwanted.into_iter().filter(|queued| queued.has_expired(now)) {
+            metrics::counter!("orders", "result" => "expired").increment(1);
+            if let RegisterOperation::Change(order) = &queued.operation {
+                self.record("order-expired", || order_fields(order));
             }
-            for queued in batch {
-                let _ = queued.reply.send(result.clone());
+            let _ = queued.reply.send(Err(RegisterError::Expired));
+        }
+        wanted
+    }
+
+    /// Proposes operations together. Other daemons and the entries are notified of the value that is chosen.
+    async fn propose(
+        self: &Rc<Self>,
+        batch: &[QueuedOperation],
+        is_wanted: &dyn Fn() -> bool,
+    ) -> Result<Arc<RegisterValue>, RegisterError> {
+        let mut proposal = Proposal::default();
+        for queued in batch {
+            match &queued.operation {
+                RegisterOperation::Change(change) => proposal.changes.push(change.clone()),
+                RegisterOperation::Voters(change) => proposal.voters = Some(change.clone()),
+                RegisterOperation::Complete => {}
             }
         }
+        let previous_ballot = self.register.chosen_ballot();
+        let started = self.clock.now();
+        let result = self.register.propose(&proposal, is_wanted).await;
+        let duration = self.clock.now() - started;
+        metrics::histogram!("round_seconds").record(duration);
+        if result != Err(RegisterError::Expired) {
+            metrics::counter!("orders", "result" => if result.is_ok() { "done" } else { "failed" })
+                .increment(batch.len() as u64);
+        }
+        self.record("round", || {
+            json!({
+                "changes": proposal.changes.len(),
+                "voters": proposal.voters.is_some(),
+                "took_ms": duration.as_secs_f64() * 1_000.0,
+                "error": result.as_ref().err().map(ToString::to_string),
+            })
+        });
+        if let Ok(value) = &result
+            && value.ballot > previous_ballot
+        {
+            self.notify_chosen();
+            self.broadcast_chosen(value);
+        }
+        result
     }
 
     /// Notifies the other daemons of a newly chosen value; they notify the entries that watch them.
@@ -223,3 +325,11 @@
         }
     }
 }
+
+/// Fields of the log lines about an order.
+fn order_fields(order: &StateChange) -> serde_json::Value {
+    match order {
+        StateChange::Publish(publication) => json!({"version": publication.table.version}),
+        StateChange::Withdraw { domain, out } => json!({"domain": domain, "out": out}),
+    }
+}
--- a/crates/fleet/src/control/register.rs
+++ b/crates/fleet/src/control/register.rs
@@ -60,13 +60,19 @@
     /// No voters are known yet.
     #[error("this daemon has not found the others yet")]
     NotJoined,
+    /// The change is no longer wanted. It has not been made.
+    #[error("the order has waited for too long; it was not carried out")]
+    Expired,
 }
 
 impl RegisterError {
     /// Result code for a response to an operator.
     #[must_use]
     pub fn code(self) -> ResultCode {
-        ResultCode::NoQuorum
+        match self {
+            Self::NoQuorum | Self::Contention | Self::NotJoined => ResultCode::NoQuorum,
+            Self::Expired => ResultCode::OrderExpired,
+        }
     }
 }
 
@@ -182,12 +188,20 @@
     /// Proposes a change until it is chosen. An empty proposal rewrites the newest value, which completes an
     /// unfinished write.
     ///
+    /// `is_wanted` is asked once a majority has promised to accept no earlier round, before the change is written.
+    /// A change that another daemon makes after that moment therefore takes effect after this one.
+    ///
     /// # Errors
-    /// No majority of the voters responds, no voters are known yet, or other proposers preempt every round.
-    pub async fn propose(&self, proposal: &Proposal) -> Result<Arc<RegisterValue>, RegisterError> {
+    /// No majority of the voters responds, no voters are known yet, other proposers preempt every round, or the
+    /// change is no longer wanted.
+    pub async fn propose(
+        &self,
+        proposal: &Proposal,
+        is_wanted: &dyn Fn() -> bool,
+    ) -> Result<Arc<RegisterValue>, RegisterError> {
         let mut proposal = proposal.clone();
         for attempt in 1..=MAX_ROUNDS {
-            match self.run_round(proposal.clone()).await? {
+            match self.run_round(proposal.clone(), is_wanted).await? {
                 RoundOutcome::Chosen(value, next) => {
                     self.learn(&value);
                     match next {
@@ -208,7 +222,11 @@
     }
 
     /// Runs one round with a new ballot: prepares it, and writes the proposal's changes.
-    async fn run_round(&self, proposal: Proposal) -> Result<RoundOutcome, RegisterError> {
+    async fn run_round(
+        &self,
+        proposal: Proposal,
+        is_wanted: &dyn Fn() -> bool,
+    ) -> Result<RoundOutcome, RegisterError> {
         let known = self.newest_known().ok_or(RegisterError::NotJoined)?;
         let highest = self.highest_ballot.get().max(known.ballot).max(self.voter.promised());
         let ballot = Ballot::above(highest, self.me.disk, self.incarnation.0);
@@ -222,7 +240,12 @@
         while let Some((from, response)) = calls.next().await {
             let Some(response) = response else { continue };
             match round.handle_response(from, response) {
-                RoundProgress::Send(requests) => calls.extend(call_all(requests)),
+                RoundProgress::Send(requests) => {
+                    if round.is_writing() && !requests.is_empty() && !is_wanted() {
+                        return Err(RegisterError::Expired);
+                    }
+                    calls.extend(call_all(requests));
+                }
                 RoundProgress::Chosen { value, next } => {
                     return Ok(RoundOutcome::Chosen(value, next));
                 }
@@ -259,7 +282,7 @@
                 ReadOutcome::Unsettled => break,
             }
         }
-        self.propose(&Proposal::default()).await
+        self.propose(&Proposal::default(), &|| true).await
     }
 
     /// Asks the voters for the ballots of their newest values. If the responses of a majority do not show
--- a/crates/fleet/src/control/repair.rs
+++ b/crates/fleet/src/control/repair.rs
@@ -99,7 +99,7 @@
             "voter-change",
             || json!({"from": addresses(&change.from), "to": addresses(&change.to)}),
         );
-        if let Err(error) = self.submit(RegisterOperation::Voters(change)).await {
+        if let Err(error) = self.submit(RegisterOperation::Voters(change), None).await {
             self.record("voter-change-failed", || json!({"error": error.to_string()}));
         }
     }
@@ -111,7 +111,7 @@
         {
             return;
         }
-        if let Err(error) = self.submit(RegisterOperation::Complete).await {
+        if let Err(error) = self.submit(RegisterOperation::Complete, None).await {
             self.record("voter-change-failed", || json!({"error": error.to_string()}));
         }
     }
--- /dev/null
+++ b/crates/fleet/tests/fleet/late_orders.rs
@@ -0,0 +1,125 @@
+//! Orders that a control daemon could only carry out after their caller may have given them up, and had the
+//! opposite one carried out by another daemon.
+
+use crate::saves::{ask, settings, start_with_clock};
+use comfreyhold_consensus::register::{Ballot, RegisterRequest};
+use comfreyhold_fleet::control::{Control, RegisterError};
+use comfreyhold_fleet::messages::{FleetRequest, FleetResponse, TOPIC};
+use comfreyhold_types::clock::{Clock, ManualClock, SystemClock};
+use comfreyhold_types::codes::ResultCode;
+use comfreyhold_types::keys::DomainName;
+use comfreyhold_types::routes::StateChange;
+use comfreyhold_wire::envelope::decode_body;
+use comfreyhold_wire::exchange::{self, Responder};
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+
+/// Longer than a caller waits for an answer.
+const FREEZE: Duration = Duration::from_secs(4);
+
+fn withdraw(out: bool) -> StateChange {
+    StateChange::Withdraw { domain: DomainName::from("b"), out }
+}
+
+/// Whether the newest value that a daemon has learned to be chosen withdraws the domain.
+async fn is_withdrawn(control: &Rc<Control>) -> bool {
+    match ask(control, &FleetRequest::Newest(Ballot::default())).await {
+        FleetResponse::Newest(Some(value)) => {
+            value.state.withdrawn.contains(&DomainName::from("b"))
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against a withdrawal that is undone by an old order: a daemon that wakes up reads calls that their callers
+/// have given up and have had carried out by another daemon.
+#[tokio::test]
+async fn an_order_read_after_a_freeze_is_not_carried_out() {
+    LocalSet::new().run_until(check_order_after_freeze()).await;
+}
+
+async fn check_order_after_freeze() {
+    let folder = tempfile::tempdir().unwrap();
+    let clock = Arc::new(ManualClock::new());
+    let settings = settings(26, &[26], folder.path(), "");
+    let (control, handle) = start_with_clock(&settings, Arc::clone(&clock) as _).await;
+    handle.change_declarations(withdraw(true)).await.unwrap();
+    clock.advance(FREEZE);
+    let error = handle.change_declarations(withdraw(false)).await.unwrap_err();
+    assert_eq!((error, error.code()), (RegisterError::Expired, ResultCode::OrderExpired));
+    // The first message after the freeze may be another one.
+    clock.advance(FREEZE);
+    ask(&control, &FleetRequest::Controls).await;
+    clock.advance(Duration::from_millis(10));
+    assert_eq!(handle.change_declarations(withdraw(false)).await, Err(RegisterError::Expired));
+    assert!(is_withdrawn(&control).await);
+    // Once the backlog is read, orders are carried out again.
+    for _ in 0..20 {
+        clock.advance(Duration::from_millis(100));
+        ask(&control, &FleetRequest::Controls).await;
+    }
+    handle.change_declarations(withdraw(false)).await.unwrap();
+    assert!(!is_withdrawn(&control).await);
+}
+
+/// The second voter, beside which the proposer freezes before it gets a promise.
+struct FreezingVoter {
+    voter: Rc<Control>,
+    proposer_clock: Arc<ManualClock>,
+    freezes: Cell<bool>,
+}
+
+impl Responder for FreezingVoter {
+    fn respond(
+        self: Rc<Self>,
+        topic: u16,
+        body: Vec<u8>,
+    ) -> LocalBoxFuture<'static, Result<Vec<u8>, ResultCode>> {
+        async move {
+            let is_prepare = matches!(
+                decode_body(&body),
+                Ok(FleetRequest::Vote(addressed))
+                    if matches!(addressed.request, RegisterRequest::Prepare { .. })
+            );
+            let response = Rc::clone(&self.voter).respond(topic, body).await;
+            if topic == TOPIC && is_prepare && self.freezes.take() {
+                self.proposer_clock.advance(FREEZE);
+            }
+            response
+        }
+        .boxed_local()
+    }
+}
+
+/// Guards against an order that is written after its caller has given it up, because the daemon froze, or waited
+/// for voters, when it had already begun with it.
+#[tokio::test]
+async fn an_order_is_not_written_after_its_lifetime() {
+    LocalSet::new().run_until(check_order_in_a_freeze()).await;
+}
+
+async fn check_order_in_a_freeze() {
+    let folders = [tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap()];
+    let hosts = [27, 28];
+    let clock = Arc::new(ManualClock::new());
+    let voter_settings = settings(28, &hosts, folders[1].path(), "exchange_bind: \"{ip}:7905\"\n");
+    let exchange = voter_settings.exchange_address();
+    let (voter, _voter_handle) = start_with_clock(&voter_settings, Arc::new(SystemClock)).await;
+    let proposer_clock = Arc::clone(&clock);
+    let proxy = Rc::new(FreezingVoter { voter, proposer_clock, freezes: Cell::new(false) });
+    let listener = TcpListener::bind(exchange).await.unwrap();
+    tokio::task::spawn_local(exchange::serve(listener, Rc::clone(&proxy)));
+    let proposer = settings(27, &hosts, folders[0].path(), "");
+    let (control, handle) = start_with_clock(&proposer, Arc::clone(&clock) as Arc<dyn Clock>).await;
+    handle.change_declarations(withdraw(true)).await.unwrap();
+    proxy.freezes.set(true);
+    assert_eq!(handle.change_declarations(withdraw(false)).await, Err(RegisterError::Expired));
+    assert!(!proxy.freezes.get(), "the voter was not asked");
+    assert!(is_withdrawn(&control).await);
+}
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -6,6 +6,8 @@
 mod controls;
 mod early_packets;
 mod feed;
+mod late_orders;
 mod peers;
 mod saves;
 mod settings;
+mod stalls;
--- a/crates/fleet/tests/fleet/saves.rs
+++ b/crates/fleet/tests/fleet/saves.rs
@@ -5,15 +5,15 @@
 use comfreyhold_consensus::disk::read_records;
 use comfreyhold_fleet::control::voter::saved_targets;
 use comfreyhold_fleet::control::{Control, ControlHandle};
-use comfreyhold_fleet::messages::{FleetRequest, TOPIC};
+use comfreyhold_fleet::messages::{FleetRequest, FleetResponse, TOPIC};
 use comfreyhold_fleet::settings::FleetSettings;
 use comfreyhold_types::announcement::{
     Announcement, AnnouncementStamp, Availability, MAX_BORN_MS, MAX_COLD_MS, MAX_SEQUENCE,
     MAX_SLOTS,
 };
-use comfreyhold_types::clock::SystemClock;
+use comfreyhold_types::clock::{Clock, SystemClock};
 use comfreyhold_types::keys::TargetId;
-use comfreyhold_wire::envelope::encode_body;
+use comfreyhold_wire::envelope::{decode_body, encode_body};
 use comfreyhold_wire::exchange::Responder;
 use std::net::Ipv4Addr;
 use std::path::Path;
@@ -29,17 +29,34 @@
 /// File that holds the saved targets.
 const TARGETS_FILE: &str = "targets";
 
-/// Starts the only control daemon of a deployment. `host` keeps the tests of this process apart.
-async fn start(host: u8, folder: &Path) -> (Rc<Control>, ControlHandle) {
+/// Settings of a control daemon whose seeds are those of `seeds`. `host` keeps the tests of this process apart.
+/// `{ip}` in the further settings stands for its address.
+pub fn settings(host: u8, seeds: &[u8], folder: &Path, further: &str) -> FleetSettings {
     let [.., high, low] = std::process::id().to_be_bytes();
-    let ip = Ipv4Addr::new(127, high, low, host);
+    let ip = |host| Ipv4Addr::new(127, high, low, host);
+    let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{}:80\"", ip(*seed))).collect();
+    let further = further.replace("{ip}", &ip(host).to_string());
     let text = format!(
-        "instance: one\ndomain: a\nip: {ip}\nexchange_port: 7902\nseeds: [\"{ip}:80\"]\n\
+        "instance: one\ndomain: a\nip: {}\nexchange_port: 7902\nseeds: [{}]\n\
          first_start: true\nannounce_interval_ms: 60000\ntolerate: {{instances: 0}}\n\
-         bounds: {{stop_s: 6}}\ndata_folder: {folder:?}\n",
+         bounds: {{stop_s: 6}}\ndata_folder: {folder:?}\n{further}",
+        ip(host),
+        seeds.join(", "),
     );
-    let settings = FleetSettings::parse(&text).unwrap();
-    Control::start(settings, Arc::new(SystemClock)).await.unwrap()
+    FleetSettings::parse(&text).unwrap()
+}
+
+/// Starts a control daemon.
+pub async fn start_with_clock(
+    settings: &FleetSettings,
+    clock: Arc<dyn Clock>,
+) -> (Rc<Control>, ControlHandle) {
+    Control::start(settings.clone(), clock).await.unwrap()
+}
+
+/// Starts the only control daemon of a deployment.
+async fn start(host: u8, folder: &Path) -> (Rc<Control>, ControlHandle) {
+    start_with_clock(&settings(host, &[host], folder, ""), Arc::new(SystemClock)).await
 }
 
 fn saved_availability(folder: &TempDir, id: u64) -> Option<Availability> {
@@ -103,9 +120,15 @@
     assert_eq!(saved_availability(&copy, 2), Some(Availability::Ended));
 }
 
+/// Sends a request to a daemon as another daemon does, and returns the response.
+pub async fn ask(control: &Rc<Control>, request: &FleetRequest) -> FleetResponse {
+    let response = Rc::clone(control).respond(TOPIC, encode_body(request).unwrap()).await;
+    decode_body(&response.unwrap()).unwrap()
+}
+
 /// Sends a request to a daemon as another daemon does.
 async fn tell(control: &Rc<Control>, request: &FleetRequest) {
-    Rc::clone(control).respond(TOPIC, encode_body(request).unwrap()).await.unwrap();
+    ask(control, request).await;
 }
 
 /// Guards against late and refused news that replace what is known, in the file from which a daemon restarts, and
--- a/crates/types/src/codes.rs
+++ b/crates/types/src/codes.rs
@@ -106,6 +106,8 @@
     DocumentTooLarge = 3009,
     /// The control instance can't be replaced at present.
     MemberChangeRefused = 3010,
+    /// The order has waited for so long that its sender may have given it up. It was not carried out.
+    OrderExpired = 3011,
     /// The announcement is malformed.
     BadAnnouncement = 4001,
     /// The address belongs to another service.
