End the incarnation that a call or message meant, and no later one

Cause: its call to leave names the id only. It had met a frozen daemon, which carried it out seconds after the caller had gone to another one. The message by which daemons tell each other of an end named the id only, too, and each receiver ended the newest incarnation that it knew. Besides, an end was numbered after the last announcement that the sender knew, and refused as stale by a daemon that knew one more.

An end is sent as an announcement with the start of its incarnation, and is the last one of that incarnation whatever its number. A daemon without a live record of the target asks the others for its last announcement first.

--- a/crates/fleet/src/control/gossip.rs
+++ b/crates/fleet/src/control/gossip.rs
@@ -252,16 +252,33 @@
         }
     }
 
-    /// Handles the end of a target that was announced to this daemon.
+    /// Handles the end of a target that was announced to this daemon. The call names the target only: the end is that
+    /// of the latest incarnation known at this moment, and is sent to the other daemons as such.
     pub(super) async fn handle_end(self: &Rc<Self>, id: TargetId) {
-        let ended = self.apply_end(id);
-        join(self.broadcast(FleetRequest::Ended(id)), self.save_left(&ended)).await;
+        let Some(last) = self.find_last_announcement(id).await else { return };
+        let end = last.end();
+        let ended = self.apply_announcements(std::slice::from_ref(&end));
+        join(self.broadcast(FleetRequest::Announced(vec![end])), self.save_left(&ended)).await;
     }
 
-    /// Marks a target as ended. Returns its end, unless the target is not known or has ended before.
-    pub(super) fn apply_end(&self, id: TargetId) -> Vec<Announcement> {
-        let end = self.targets.borrow().end_of(id);
-        self.apply_announcements(end.as_slice())
+    /// Returns the last announcement of a target that has not ended. Asks the other daemons unless the target has
+    /// announced itself lately.
+    async fn find_last_announcement(&self, id: TargetId) -> Option<Announcement> {
+        let has_not_ended = |last: &Announcement| last.availability != Availability::Ended;
+        let recent = self.targets.borrow().by_ids(&[id], self.clock.now()).pop();
+        if let Some(recent) = recent.filter(has_not_ended) {
+            return Some(recent);
+        }
+        let request = FleetRequest::LastAnnouncement(id);
+        let ask = |to| self.connections.call(to, &request, BROADCAST_DEADLINE);
+        let responses = join_all(self.live_peers().into_iter().map(ask)).await;
+        let told = responses.into_iter().filter_map(|response| match response {
+            Ok(FleetResponse::Announcements(announcements)) => Some(announcements),
+            _ => None,
+        });
+        let own = self.targets.borrow().last_announcement(id).cloned();
+        let of_target = told.flatten().filter(|told| told.id == id && told.check().is_ok());
+        own.into_iter().chain(of_target).max_by_key(Announcement::position).filter(has_not_ended)
     }
 
     /// Applies announcements received from other daemons, except for those that are out of range: a daemon of
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -11,7 +11,7 @@
 pub mod stalls;
 pub mod voter;
 
-pub use operations::{ControlCall, ControlHandle};
+pub use operations::{ControlCall, ControlHandle, EndError};
 pub use register::RegisterError;
 
 use crate::connections::ConnectionPool;
@@ -299,10 +299,9 @@
                 let announcements = self.targets.borrow().by_ids(&ids, self.clock.now());
                 FleetResponse::Announcements(announcements)
             }
-            FleetRequest::Ended(id) => {
-                let ended = self.apply_end(id);
-                self.save_left(&ended).await;
-                FleetResponse::Done
+            FleetRequest::LastAnnouncement(id) => {
+                let last = self.targets.borrow().last_announcement(id).cloned();
+                FleetResponse::Announcements(last.into_iter().collect())
             }
             FleetRequest::Watch(cursor) => {
                 FleetResponse::News(Box::new(self.poll_changes(cursor).await))
--- a/crates/fleet/src/control/operations.rs
+++ b/crates/fleet/src/control/operations.rs
@@ -7,12 +7,14 @@
 use comfreyhold_consensus::register::RegisterValue;
 use comfreyhold_consensus::register::round::{Proposal, VoterChange};
 use comfreyhold_types::announcement::{Announcement, AnnouncementError};
+use comfreyhold_types::codes::ResultCode;
 use comfreyhold_types::keys::TargetId;
 use comfreyhold_types::routes::{RoutePublication, StateChange};
 use serde_json::json;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
 
 /// Capacity of the queues of calls and of register operations; senders wait while they are full. The
@@ -68,7 +70,29 @@
     /// Counts and logs an announcement that can't be read: from whom, and why.
     Unreadable(String, String),
     /// Handles the end of a target.
-    Ended(TargetId, oneshot::Sender<()>),
+    Ended(TargetId, oneshot::Sender<Result<(), EndError>>),
+}
+
+/// Why the end of a target is not carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum EndError {
+    /// The control daemon has ended.
+    #[error("this daemon is stopping")]
+    Stopping,
+    /// The target may have given the call up, and may have started again since.
+    #[error("the call has waited for too long; it was not carried out")]
+    Expired,
+}
+
+impl EndError {
+    /// Result code for a response to the target.
+    #[must_use]
+    pub fn code(self) -> ResultCode {
+        match self {
+            Self::Stopping => ResultCode::Stopping,
+            Self::Expired => ResultCode::OrderExpired,
+        }
+    }
 }
 
 /// Handle for calls to a control daemon from other tasks and threads. Cheap to clone.
@@ -126,9 +150,13 @@
         let _ = self.calls.send(ControlCall::Unreadable(from.to_owned(), reason.to_owned())).await;
     }
 
-    /// Handles the end of a target. Returns false if the control daemon has ended.
-    pub async fn announce_end(&self, id: TargetId) -> bool {
-        self.call(|tx| ControlCall::Ended(id, tx)).await.is_some()
+    /// Handles the end of a target. If the returned future is dropped early, it is not carried out.
+    ///
+    /// # Errors
+    /// The control daemon has ended, or the call has waited for so long that the target may have given it up.
+    pub async fn announce_end(&self, id: TargetId) -> Result<(), EndError> {
+        let result = self.call(|tx| ControlCall::Ended(id, tx)).await;
+        result.unwrap_or(Err(EndError::Stopping))
     }
 }
 
@@ -162,8 +190,7 @@
             }
             ControlCall::Unreadable(from, reason) => self.record_refused(&from, &reason),
             ControlCall::Ended(id, reply) => {
-                self.handle_end(id).await;
-                let _ = reply.send(());
+                self.serve_end(id, arrived + ORDER_LIFETIME, reply).await;
             }
         }
     }
@@ -176,7 +203,7 @@
         expires_at: Instant,
         mut reply: oneshot::Sender<Result<(), RegisterError>>,
     ) {
-        if tokio::time::timeout(CALLER_CLOSE_DELAY, reply.closed()).await.is_ok() {
+        if has_gone(&mut reply).await {
             return self.record_abandoned(&order);
         }
         let operation = RegisterOperation::Change(order.clone());
@@ -189,6 +216,28 @@
         }
     }
 
+    /// Carries out the end of a target, on the same conditions as an order: a target that has gone may have had it
+    /// carried out elsewhere, and may have started again under its id.
+    async fn serve_end(
+        self: &Rc<Self>,
+        id: TargetId,
+        expires_at: Instant,
+        mut reply: oneshot::Sender<Result<(), EndError>>,
+    ) {
+        let reason = if has_gone(&mut reply).await {
+            "abandoned"
+        } else if self.clock.now() >= expires_at {
+            "expired"
+        } else {
+            self.handle_end(id).await;
+            let _ = reply.send(Ok(()));
+            return;
+        };
+        metrics::counter!("ends_not_carried_out", "reason" => reason).increment(1);
+        self.record("end-not-carried-out", || json!({"target": id.to_string(), "reason": reason}));
+        let _ = reply.send(Err(EndError::Expired));
+    }
+
     /// Counts and logs an order whose caller has gone. If it was being written, it may be in effect.
     fn record_abandoned(&self, order: &StateChange) {
         metrics::counter!("orders", "result" => "abandoned").increment(1);
@@ -326,6 +375,11 @@
     }
 }
 
+/// Waits for [`CALLER_CLOSE_DELAY`]. Returns whether the caller has gone by then.
+async fn has_gone<T>(reply: &mut oneshot::Sender<T>) -> bool {
+    tokio::time::timeout(CALLER_CLOSE_DELAY, reply.closed()).await.is_ok()
+}
+
 /// Fields of the log lines about an order.
 fn order_fields(order: &StateChange) -> serde_json::Value {
     match order {
--- a/crates/fleet/src/entry/view.rs
+++ b/crates/fleet/src/entry/view.rs
@@ -125,11 +125,12 @@
         true
     }
 
-    /// Merges the reports of all sources about a target: the announcement with the newest stamp counts, also
+    /// Merges the reports of all sources about a target: the last announcement counts, also
     /// one that no source reports any more, and the target is silent only if all of the reports say so.
     fn merged_target(&self, id: TargetId) -> Option<TargetSpec> {
         let reports = || self.sources.iter().filter_map(|source| source.reports.get(&id));
-        let (newest, received) = reports().max_by_key(|(report, _)| report.announcement.stamp)?;
+        let (newest, received) =
+            reports().max_by_key(|(report, _)| report.announcement.position())?;
         let left = self.left.get(&id).filter(|(left, _)| outlasts(left, &newest.announcement));
         let (announcement, received) =
             left.map_or((&newest.announcement, received), |(left, received)| (left, received));
@@ -165,6 +166,5 @@
 /// Whether an announcement stays in effect against another one of the same target. The end of an incarnation
 /// is final.
 fn outlasts(known: &Announcement, other: &Announcement) -> bool {
-    let is_final = known.availability == Availability::Ended;
-    other.stamp <= known.stamp || (is_final && other.stamp.born_ms <= known.stamp.born_ms)
+    other.position() <= known.position()
 }
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -66,8 +66,8 @@
     Announced(Vec<Announcement>),
     /// Fetches the announcements of these targets.
     Announcements(Vec<TargetId>),
-    /// A target has announced its end.
-    Ended(TargetId),
+    /// Fetches the last announcement of a target that ends, also if the receiver has it from its file only.
+    LastAnnouncement(TargetId),
     /// An entry's long poll for changes since this cursor.
     Watch(WatchCursor),
     /// An entry's query for the live control daemons.
@@ -83,9 +83,9 @@
     Hello(Hello),
     /// Response to `Newest`: the newer value, if there is one.
     Newest(Option<Arc<RegisterValue>>),
-    /// Response to `Announcements`, without the targets that the receiver does not know.
+    /// Response to `Announcements` and `LastAnnouncement`, without the targets that the receiver does not know.
     Announcements(Vec<Announcement>),
-    /// Response without content: to `Chosen`, `Announced` and `Ended`.
+    /// Response without content: to `Chosen` and `Announced`.
     Done,
     /// Response to `Watch`.
     News(Box<EntryUpdate>),
--- a/crates/fleet/tests/fleet/late_orders.rs
+++ b/crates/fleet/tests/fleet/late_orders.rs
@@ -1,13 +1,15 @@
-//! Orders that a control daemon could only carry out after their caller may have given them up, and had the
-//! opposite one carried out by another daemon.
+//! Orders, and ends of targets, that a control daemon could only carry out after their caller may have given them up.
+//! The opposite order may have been carried out by another daemon, or the target may have started again.
 
+use crate::feed::announcement;
 use crate::saves::{ask, settings, start_with_clock};
 use comfreyhold_consensus::register::{Ballot, RegisterRequest};
-use comfreyhold_fleet::control::{Control, RegisterError};
+use comfreyhold_fleet::control::{Control, EndError, RegisterError};
 use comfreyhold_fleet::messages::{FleetRequest, FleetResponse, TOPIC};
+use comfreyhold_types::announcement::{Announcement, AnnouncementStamp, Availability};
 use comfreyhold_types::clock::{Clock, ManualClock, SystemClock};
 use comfreyhold_types::codes::ResultCode;
-use comfreyhold_types::keys::DomainName;
+use comfreyhold_types::keys::{DomainName, TargetId};
 use comfreyhold_types::routes::StateChange;
 use comfreyhold_wire::envelope::decode_body;
 use comfreyhold_wire::exchange::{self, Responder};
@@ -23,6 +25,9 @@
 /// Longer than a caller waits for an answer.
 const FREEZE: Duration = Duration::from_secs(4);
 
+/// Far above the time that anything here takes; only a fault reaches it.
+const LIMIT: Duration = Duration::from_secs(60);
+
 fn withdraw(out: bool) -> StateChange {
     StateChange::Withdraw { domain: DomainName::from("b"), out }
 }
@@ -123,3 +128,87 @@
     assert!(!proxy.freezes.get(), "the voter was not asked");
     assert!(is_withdrawn(&control).await);
 }
+
+const ID: TargetId = TargetId(1);
+
+/// The first announcement of the target's incarnation with this start.
+fn incarnation(born_ms: u64) -> Announcement {
+    let stamp = AnnouncementStamp { born_ms, sequence: 1 };
+    Announcement { stamp, ..announcement(ID.0, 1, Availability::Serving) }
+}
+
+async fn last_announcement(control: &Rc<Control>) -> Option<Announcement> {
+    match ask(control, &FleetRequest::LastAnnouncement(ID)).await {
+        FleetResponse::Announcements(mut announcements) => announcements.pop(),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against an old call to leave that ends a target which has started again under its id: a daemon that wakes
+/// up reads the call after the target has given it up.
+#[tokio::test]
+async fn an_end_read_after_a_freeze_is_not_carried_out() {
+    LocalSet::new().run_until(check_end_after_freeze()).await;
+}
+
+async fn check_end_after_freeze() {
+    let folder = tempfile::tempdir().unwrap();
+    let clock = Arc::new(ManualClock::new());
+    let settings = settings(29, &[29], folder.path(), "");
+    let (control, handle) = start_with_clock(&settings, Arc::clone(&clock) as _).await;
+    handle.announce(incarnation(200)).await.unwrap().unwrap();
+    clock.advance(FREEZE);
+    assert_eq!(handle.announce_end(ID).await, Err(EndError::Expired));
+    assert_eq!(last_announcement(&control).await, Some(incarnation(200)));
+}
+
+/// Guards against the end of an incarnation that ends a later one, because it reached this daemon after the target had
+/// started again.
+#[tokio::test]
+async fn a_late_end_does_not_end_a_later_incarnation() {
+    LocalSet::new().run_until(check_late_end()).await;
+}
+
+async fn check_late_end() {
+    let folder = tempfile::tempdir().unwrap();
+    let settings = settings(30, &[30], folder.path(), "");
+    let (control, handle) = start_with_clock(&settings, Arc::new(SystemClock)).await;
+    handle.announce(incarnation(200)).await.unwrap().unwrap();
+    ask(&control, &FleetRequest::Announced(vec![incarnation(100).end()])).await;
+    assert_eq!(last_announcement(&control).await, Some(incarnation(200)));
+    ask(&control, &FleetRequest::Announced(vec![incarnation(200).end()])).await;
+    assert_eq!(last_announcement(&control).await, Some(incarnation(200).end()));
+}
+
+/// Guards against an end that is acknowledged and then forgotten, because the daemon that was told did not know the
+/// target, or knew an earlier incarnation only.
+#[tokio::test]
+async fn an_end_reaches_the_incarnation_that_only_other_daemons_know() {
+    LocalSet::new().run_until(check_end_at_another_daemon()).await;
+}
+
+async fn check_end_at_another_daemon() {
+    let folders = [tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap()];
+    let hosts = [31, 32];
+    let mut daemons = Vec::new();
+    for (host, folder) in hosts.iter().zip(&folders) {
+        let settings = settings(*host, &hosts, folder.path(), "");
+        daemons.push(start_with_clock(&settings, Arc::new(SystemClock)).await);
+    }
+    let [(knowing, _), (told, handle)] = &daemons[..] else { unreachable!() };
+    let found = async {
+        while !matches!(
+            ask(told, &FleetRequest::Controls).await,
+            FleetResponse::Controls(live) if live.len() == 2
+        ) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, found).await.expect("the daemons find each other");
+    ask(told, &FleetRequest::Announced(vec![incarnation(100).end()])).await;
+    ask(knowing, &FleetRequest::Announced(vec![incarnation(200)])).await;
+    handle.announce_end(ID).await.unwrap();
+    for control in [knowing, told] {
+        assert_eq!(last_announcement(control).await, Some(incarnation(200).end()));
+    }
+}
--- a/crates/fleet/tests/fleet/saves.rs
+++ b/crates/fleet/tests/fleet/saves.rs
@@ -79,7 +79,7 @@
     }
     handle.announce(announcement(1, 2, Availability::Draining)).await.unwrap().unwrap();
     assert_eq!(saved_availability(&folder, 1), Some(Availability::Draining));
-    assert!(handle.announce_end(TargetId(2)).await);
+    handle.announce_end(TargetId(2)).await.unwrap();
     assert_eq!(saved_availability(&folder, 2), Some(Availability::Ended));
     // Targets that leave after the first save are added to it, one record each.
     for id in 3..9 {
@@ -114,9 +114,10 @@
     std::fs::write(copy.path().join(TARGETS_FILE), saved).unwrap();
     control.stop();
     let (restarted, handle) = start(24, copy.path()).await;
-    assert!(handle.announce_end(TargetId(1)).await);
+    handle.announce_end(TargetId(1)).await.unwrap();
     assert_eq!(saved_availability(&copy, 1), Some(Availability::Ended));
-    tell(&restarted, &FleetRequest::Ended(TargetId(2))).await;
+    let end = announcement(2, 1, Availability::Serving).end();
+    tell(&restarted, &FleetRequest::Announced(vec![end])).await;
     assert_eq!(saved_availability(&copy, 2), Some(Availability::Ended));
 }
 
--- a/crates/membership/src/announcements.rs
+++ b/crates/membership/src/announcements.rs
@@ -274,16 +274,13 @@
 
     /// Whether an announcement is ignored, since a later one is recorded or its incarnation has ended.
     fn is_stale(&self, announcement: &Announcement) -> bool {
-        let known = self.records.get(&announcement.id);
-        known.is_some_and(|known| {
-            let stamp = known.announcement.stamp;
-            let ended =
-                known.announcement.availability == Availability::Ended || known.is_displaced;
-            // A restored record is confirmed by a repetition, which may have the same stamp.
-            let is_repetition = known.is_restored && announcement.stamp == stamp;
-            (announcement.stamp <= stamp && !is_repetition)
-                || (ended && announcement.stamp.born_ms <= stamp.born_ms)
-        })
+        let Some(known) = self.records.get(&announcement.id) else { return false };
+        let (position, latest) = (announcement.position(), known.announcement.position());
+        // A restored record is confirmed by a repetition, which may have the same stamp.
+        let is_repetition = known.is_restored && position == latest;
+        let born_ms = announcement.stamp.born_ms;
+        (position <= latest && !is_repetition)
+            || (known.has_ended() && born_ms <= known.announcement.stamp.born_ms)
     }
 
     /// Whether a target that started later holds the announced address.
@@ -397,16 +394,11 @@
             .collect()
     }
 
-    /// Returns the end of a target, with a higher sequence number than its last announcement; `None` if it is not
-    /// known or has ended. Targets restored from disk are included: they may end before they repeat their
-    /// announcement.
+    /// Returns the last announcement of a target, with the end of an ended one. Targets that have timed out or were
+    /// restored from disk are included: they may end before they repeat their announcement.
     #[must_use]
-    pub fn end_of(&self, id: TargetId) -> Option<Announcement> {
-        let record = self.records.get(&id).filter(|record| !record.has_ended())?;
-        let mut end = record.announcement.clone();
-        end.stamp.sequence += 1;
-        end.availability = Availability::Ended;
-        Some(end)
+    pub fn last_announcement(&self, id: TargetId) -> Option<&Announcement> {
+        self.records.get(&id).map(|record| &record.announcement)
     }
 
     /// Returns the announcements to send at once to a daemon that has restarted: those of targets that announce
--- a/crates/membership/tests/announcements.rs
+++ b/crates/membership/tests/announcements.rs
@@ -97,6 +97,18 @@
     assert_eq!(availability(&targets, 1, now), Some(Availability::Ended));
 }
 
+/// Guards against a target that stays in use after its end, because another daemon reported the end under a lower
+/// number than that of an announcement on its way here.
+#[test]
+fn an_end_is_the_last_announcement_of_its_incarnation_whatever_its_number() {
+    let (mut targets, now) = (Announcements::new(TIMEOUT), Instant::now());
+    targets.apply(&announcement(1, 100, 9, 1), now);
+    let end = announcement(1, 100, 7, 1).end();
+    assert_eq!(targets.apply(&end, now), AnnouncementOutcome::Changed);
+    assert_eq!(targets.apply(&announcement(1, 100, 10, 1), now), AnnouncementOutcome::Stale);
+    assert_eq!(availability(&targets, 1, now), Some(Availability::Ended));
+}
+
 /// Guards against a target that stays in use after its timeout, or stays out of use after it is announced
 /// again.
 #[test]
--- a/crates/types/src/announcement.rs
+++ b/crates/types/src/announcement.rs
@@ -141,6 +141,22 @@
         Ok(())
     }
 
+    /// Position among the announcements of one target: by start, and then by number. The end of an incarnation comes
+    /// last, whatever its number: a daemon that reports an end may have missed the numbers before it.
+    #[must_use]
+    pub fn position(&self) -> (u64, bool, u64) {
+        let is_end = self.availability == Availability::Ended;
+        (self.stamp.born_ms, is_end, self.stamp.sequence)
+    }
+
+    /// Returns the end of the announced incarnation.
+    #[must_use]
+    pub fn end(&self) -> Self {
+        let sequence = self.stamp.sequence + 1;
+        let stamp = AnnouncementStamp { sequence, ..self.stamp };
+        Self { stamp, availability: Availability::Ended, cold_ms: 0, ..self.clone() }
+    }
+
     /// Whether routing treats this announcement like another one of the same target. They may differ in the
     /// sequence number, and in the remaining cold time if it is above 0 in both.
     #[must_use]
