Give announcements of services that nobody has published no claim

Cause: the latest start at an address, or under an id, ends earlier ones. An announcement got that claim before anybody asked whether its service exists.

Change: only an announcement whose service a publication has named gets a record. Another one is held apart for three announcement intervals, and is applied if a publication names its service by then, as backends announce themselves before the first configuration. It isn't refused, since this daemon may lack the newest publication; for the same reason a held drain is sent to the other daemons before it is acknowledged.

--- a/crates/fleet/src/control/gossip.rs
+++ b/crates/fleet/src/control/gossip.rs
@@ -13,6 +13,7 @@
 use comfreyhold_membership::announcements::AnnouncementOutcome;
 use comfreyhold_types::announcement::{Announcement, AnnouncementError, Availability};
 use comfreyhold_types::keys::TargetId;
+use comfreyhold_types::routes::SharedState;
 use comfreyhold_wire::envelope::encode_body;
 use futures_util::future::{join, join_all};
 use serde_json::json;
@@ -230,6 +231,13 @@
                 self.refreshed_targets.borrow_mut().insert(announcement.id, now);
             }
             AnnouncementOutcome::Stale => self.record_target(announcement, "stale-announcement"),
+            AnnouncementOutcome::Held => {
+                self.record_target(announcement, "held-announcement");
+                if announcement.availability != Availability::Serving {
+                    // The other daemons may know a newer publication, and have the target in use.
+                    self.broadcast(FleetRequest::Announced(vec![announcement.clone()])).await;
+                }
+            }
         }
         Ok(())
     }
@@ -301,6 +309,21 @@
         changed
     }
 
+    /// Applies the announcements that were held for services of a newer publication.
+    pub(super) fn release_held(&self, state: &SharedState) {
+        let now = self.clock.now();
+        let previous_revision = self.targets.borrow().revision();
+        let changed = self.targets.borrow_mut().add_services(state.named_services(), now);
+        self.notify_targets(previous_revision);
+        if changed.is_empty() {
+            return;
+        }
+        self.record("announcements-released", || json!({"targets": changed.len()}));
+        self.refreshed_targets.borrow_mut().extend(changed.iter().map(|id| (*id, now)));
+        self.pending_broadcast.borrow_mut().extend(changed);
+        self.broadcast_due.notify_one();
+    }
+
     /// Wakes the entries' long polls if the targets have changed since a revision.
     pub(super) fn notify_targets(&self, previous_revision: u64) {
         if self.targets.borrow().revision() != previous_revision {
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -150,6 +150,9 @@
         });
         control
             .record("start", || json!({"settings": control.settings.summary(), "disk": me.disk.0}));
+        if let Some(value) = control.register.newest_known() {
+            control.release_held(&value.state);
+        }
         let handle = control.spawn_tasks(listener, operation_queue);
         Ok((control, handle))
     }
@@ -227,6 +230,7 @@
     fn notify_chosen(&self) {
         self.changed.notify_waiters();
         let Some(value) = self.register.chosen() else { return };
+        self.release_held(&value.state);
         self.record("declarations", || {
             json!({
                 "ballot": value.ballot.count,
--- a/crates/fleet/tests/fleet/feed.rs
+++ b/crates/fleet/tests/fleet/feed.rs
@@ -54,6 +54,13 @@
     RoutePublication { document: Arc::new(vec![1]), table }
 }
 
+/// A daemon's targets: none yet, and the service of [`announcement`] is known.
+fn empty_targets() -> Announcements {
+    let mut targets = Announcements::new(SILENT_AFTER);
+    targets.add_services(["orders"], Instant::now());
+    targets
+}
+
 /// The state of a control daemon that its entries receive.
 struct Daemon {
     incarnation: IncarnationId,
@@ -65,7 +72,7 @@
     fn new(incarnation: u64) -> Self {
         Self {
             incarnation: IncarnationId(incarnation),
-            targets: Announcements::new(SILENT_AFTER),
+            targets: empty_targets(),
             values: Vec::new(),
         }
     }
--- a/crates/fleet/tests/fleet/late_orders.rs
+++ b/crates/fleet/tests/fleet/late_orders.rs
@@ -2,7 +2,7 @@
 //! The opposite order may have been carried out by another daemon, or the target may have started again.
 
 use crate::feed::announcement;
-use crate::saves::{ask, settings, start_with_clock};
+use crate::saves::{ask, publish, settings, start_with_clock};
 use comfreyhold_consensus::register::{Ballot, RegisterRequest};
 use comfreyhold_fleet::control::{Control, EndError, RegisterError};
 use comfreyhold_fleet::messages::{FleetRequest, FleetResponse, TOPIC};
@@ -156,6 +156,7 @@
     let clock = Arc::new(ManualClock::new());
     let settings = settings(29, &[29], folder.path(), "");
     let (control, handle) = start_with_clock(&settings, Arc::clone(&clock) as _).await;
+    publish(&handle).await;
     handle.announce(incarnation(200)).await.unwrap().unwrap();
     clock.advance(FREEZE);
     assert_eq!(handle.announce_end(ID).await, Err(EndError::Expired));
@@ -173,6 +174,7 @@
     let folder = tempfile::tempdir().unwrap();
     let settings = settings(30, &[30], folder.path(), "");
     let (control, handle) = start_with_clock(&settings, Arc::new(SystemClock)).await;
+    publish(&handle).await;
     handle.announce(incarnation(200)).await.unwrap().unwrap();
     ask(&control, &FleetRequest::Announced(vec![incarnation(100).end()])).await;
     assert_eq!(last_announcement(&control).await, Some(incarnation(200)));
@@ -205,6 +207,14 @@
         }
     };
     tokio::time::timeout(LIMIT, found).await.expect("the daemons find each other");
+    publish(handle).await;
+    let learned = async {
+        let newest = FleetRequest::Newest(Ballot::default());
+        while matches!(ask(knowing, &newest).await, FleetResponse::Newest(None)) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, learned).await.expect("the publication reaches both daemons");
     ask(told, &FleetRequest::Announced(vec![incarnation(100).end()])).await;
     ask(knowing, &FleetRequest::Announced(vec![incarnation(200)])).await;
     handle.announce_end(ID).await.unwrap();
--- a/crates/fleet/tests/fleet/peers.rs
+++ b/crates/fleet/tests/fleet/peers.rs
@@ -17,6 +17,7 @@
 /// Digests of a daemon that knows the targets with these ids.
 fn digests(ids: &[u64]) -> TargetDigests {
     let mut targets = Announcements::new(Duration::from_secs(3));
+    targets.add_services(["orders"], Instant::now());
     for id in ids {
         targets.apply(&announcement(*id), Instant::now());
     }
--- a/crates/fleet/tests/fleet/saves.rs
+++ b/crates/fleet/tests/fleet/saves.rs
@@ -1,7 +1,7 @@
 //! What a control daemon has saved when it acknowledges that a target takes no more flows, and odd announcements
 //! sent to a running control daemon.
 
-use crate::feed::announcement;
+use crate::feed::{announcement, publication};
 use comfreyhold_consensus::disk::read_records;
 use comfreyhold_fleet::control::voter::saved_targets;
 use comfreyhold_fleet::control::{Control, ControlHandle};
@@ -13,6 +13,7 @@
 };
 use comfreyhold_types::clock::{Clock, SystemClock};
 use comfreyhold_types::keys::TargetId;
+use comfreyhold_types::routes::StateChange;
 use comfreyhold_wire::envelope::{decode_body, encode_body};
 use comfreyhold_wire::exchange::Responder;
 use std::net::Ipv4Addr;
@@ -54,9 +55,17 @@
     Control::start(settings.clone(), clock).await.unwrap()
 }
 
-/// Starts the only control daemon of a deployment.
+/// Publishes routes to the service of the targets.
+pub async fn publish(handle: &ControlHandle) {
+    handle.change_declarations(StateChange::Publish(publication(1, &[1]))).await.unwrap();
+}
+
+/// Starts the only control daemon of a deployment, and publishes routes to the service of the targets.
 async fn start(host: u8, folder: &Path) -> (Rc<Control>, ControlHandle) {
-    start_with_clock(&settings(host, &[host], folder, ""), Arc::new(SystemClock)).await
+    let settings = settings(host, &[host], folder, "");
+    let (control, handle) = start_with_clock(&settings, Arc::new(SystemClock)).await;
+    publish(&handle).await;
+    (control, handle)
 }
 
 fn saved_availability(folder: &TempDir, id: u64) -> Option<Availability> {
@@ -228,6 +237,11 @@
         let refused = handle.announce(announcement.clone()).await.unwrap();
         assert!(refused.is_err(), "{announcement:?}");
     }
+    // A service that no publication names may be named soon, so it is not refused.
+    let unnamed = Announcement { service: "unnamed".to_owned(), ..base };
+    handle.announce(Announcement { stamp: stamp(7, 1), ..unnamed.clone() }).await.unwrap().unwrap();
+    let same_id = Announcement { id: fine.id, stamp: stamp(8, 1), ..unnamed };
+    handle.announce(same_id).await.unwrap().unwrap();
     handle.record_unreadable("i-7", "no JSON").await;
     handle.announce(Announcement { stamp: stamp(1, 2), ..fine }).await.unwrap().unwrap();
     // A drain waits until everything before it is saved.
--- a/crates/membership/src/announcements.rs
+++ b/crates/membership/src/announcements.rs
@@ -5,6 +5,9 @@
 //! converge to the same records. The records are soft state: targets repeat their announcements, from which
 //! a restarted daemon rebuilds the records. Daemons send repetitions to each other without their content, and
 //! with a digest of it.
+//!
+//! An announcement has a record, and with it a claim on its id and address, only if a publication has named its
+//! service. Another one is held for a short time, since the publication may arrive later.
 
 use comfreyhold_types::announcement::{
     Announcement, AnnouncementStamp, Availability, MAX_COLD_MS, MAX_SEQUENCE,
@@ -35,6 +38,10 @@
 /// targets are dropped. The bound is several times the number of targets that the system is designed for.
 const MAX_RECORDS: usize = 20_000;
 
+/// Maximum number of announcements that are held until a publication names their service. Further ones are
+/// dropped; their targets repeat them.
+const MAX_HELD: usize = 5_000;
+
 /// Number of groups that daemons compare by digest. For a difference, they exchange only the group in
 /// question.
 const DIGEST_GROUPS: usize = 16;
@@ -117,6 +124,8 @@
     Refreshed,
     /// It was ignored, since a later one is recorded or the target has ended.
     Stale,
+    /// No publication has named its service. It changes no record, and is applied if one does soon.
+    Held,
 }
 
 /// State of a target as sent to entries.
@@ -150,9 +159,19 @@
     last_seen: Instant,
 }
 
+/// Announcement of a target whose service no publication has named.
+#[derive(Clone, Debug)]
+struct HeldAnnouncement {
+    announcement: Announcement,
+    received: Instant,
+}
+
 /// Records of all targets at one daemon.
 pub struct Announcements {
     records: BTreeMap<TargetId, AnnouncementRecord>,
+    held: BTreeMap<TargetId, HeldAnnouncement>,
+    /// Services that any publication known to this process has named.
+    named_services: BTreeSet<String>,
     holders: BTreeMap<SocketAddrV4, AddressHolder>,
     timeout: Duration,
     revision: u64,
@@ -164,8 +183,40 @@
     /// Creates an empty set. A target without an announcement for `timeout` is reported as `silent`.
     #[must_use]
     pub fn new(timeout: Duration) -> Self {
-        let (records, holders, cached_digests) = Default::default();
-        Self { records, holders, timeout, revision: 0, cached_digests }
+        let (records, held, named_services, holders, cached_digests) = Default::default();
+        Self { records, held, named_services, holders, timeout, revision: 0, cached_digests }
+    }
+
+    /// Adds services that a publication has named, and applies the announcements that were held for them. Returns
+    /// the targets that these have changed.
+    pub fn add_services<'a>(
+        &mut self,
+        names: impl IntoIterator<Item = &'a str>,
+        now: Instant,
+    ) -> Vec<TargetId> {
+        let count = self.named_services.len();
+        for name in names {
+            if !self.named_services.contains(name) {
+                self.named_services.insert(name.to_owned());
+            }
+        }
+        if self.named_services.len() == count {
+            return Vec::new();
+        }
+        let named_services = &self.named_services;
+        let is_named = |_: &TargetId, held: &mut HeldAnnouncement| {
+            named_services.contains(&held.announcement.service)
+        };
+        let released: Vec<_> = self.held.extract_if(.., is_named).collect();
+        let mut changed = Vec::new();
+        for (id, mut held) in released {
+            let waited = millis(now.saturating_duration_since(held.received));
+            held.announcement.cold_ms = held.announcement.cold_ms.saturating_sub(waited);
+            if self.apply(&held.announcement, now) == AnnouncementOutcome::Changed {
+                changed.push(id);
+            }
+        }
+        changed
     }
 
     /// Number of the last change that entries need.
@@ -174,12 +225,14 @@
         self.revision
     }
 
-    /// Restores the records saved by an earlier run of this process. A record times out after `trust` unless the
-    /// target repeats its announcement, and is not sent to other daemons before that repetition.
+    /// Restores the records saved by an earlier run of this process, whose services a publication had named. A
+    /// record times out after `trust` unless the target repeats its announcement, and is not sent to other daemons
+    /// before that repetition.
     pub fn restore(&mut self, saved: Vec<Announcement>, trust: Duration, now: Instant) {
         let Some(last_seen) = (now + trust).checked_sub(self.timeout) else { return };
         for mut announcement in saved.into_iter().filter(|saved| saved.check().is_ok()) {
             announcement.cold_ms = 0;
+            self.named_services.insert(announcement.service.clone());
             if self.apply(&announcement, now) == AnnouncementOutcome::Changed
                 && let Some(record) = self.records.get_mut(&announcement.id)
             {
@@ -199,6 +252,9 @@
 
     /// Applies an announcement and returns its effect.
     pub fn apply(&mut self, announcement: &Announcement, now: Instant) -> AnnouncementOutcome {
+        if !self.named_services.contains(&announcement.service) {
+            return self.hold(announcement, now);
+        }
         self.claim_address(announcement, now);
         if self.is_stale(announcement) {
             return AnnouncementOutcome::Stale;
@@ -240,6 +296,21 @@
         if is_refresh { AnnouncementOutcome::Refreshed } else { AnnouncementOutcome::Changed }
     }
 
+    /// Holds an announcement until a publication names its service.
+    fn hold(&mut self, announcement: &Announcement, now: Instant) -> AnnouncementOutcome {
+        let known = self.held.get(&announcement.id).map(|held| held.announcement.position());
+        if known.is_some_and(|known| announcement.position() <= known) {
+            return AnnouncementOutcome::Stale;
+        }
+        if known.is_none() && self.held.len() >= MAX_HELD {
+            log::warn!("{}: too many targets of unknown services", announcement.id);
+            return AnnouncementOutcome::Stale;
+        }
+        let held = HeldAnnouncement { announcement: announcement.clone(), received: now };
+        self.held.insert(announcement.id, held);
+        AnnouncementOutcome::Held
+    }
+
     /// Applies announcements that another daemon has received again. Returns the targets whose content under that
     /// stamp is not recorded here: their records stay as they are until the content arrives.
     pub fn refresh(&mut self, repetitions: &[Repetition], now: Instant) -> Vec<TargetId> {
@@ -337,6 +408,7 @@
     /// Returns the targets that have newly timed out.
     pub fn check_timeouts(&mut self, now: Instant) -> Vec<TargetId> {
         let before = self.records.len();
+        self.held.retain(|_, held| now < held.received + self.timeout);
         let (timeout, revision) = (self.timeout, &mut self.revision);
         let mut timed_out = Vec::new();
         for (id, record) in &mut self.records {
--- a/crates/membership/tests/announcements.rs
+++ b/crates/membership/tests/announcements.rs
@@ -31,6 +31,13 @@
     Announcement { availability: Availability::Draining, ..announcement }
 }
 
+/// A daemon without targets that knows the service of [`announcement`].
+fn empty() -> Announcements {
+    let mut targets = Announcements::new(TIMEOUT);
+    targets.add_services(["orders"], Instant::now());
+    targets
+}
+
 /// The announcement as daemons repeat it to each other.
 fn repetition(announcement: &Announcement) -> Repetition {
     let Announcement { id, stamp, cold_ms, .. } = *announcement;
@@ -46,7 +53,7 @@
 /// Guards against a target that takes flows again because an announcement from before its drain arrives late.
 #[test]
 fn late_announcements_are_ignored() {
-    let (mut targets, now) = (Announcements::new(TIMEOUT), Instant::now());
+    let (mut targets, now) = (empty(), Instant::now());
     targets.apply(&announcement(1, 100, 1, 1), now);
     assert_eq!(
         targets.apply(&draining(announcement(1, 100, 3, 1)), now),
@@ -59,7 +66,7 @@
 /// Guards against a dead target that is restored at an address that another service has taken over.
 #[test]
 fn latest_incarnation_holds_an_address() {
-    let (mut targets, now) = (Announcements::new(TIMEOUT), Instant::now());
+    let (mut targets, now) = (empty(), Instant::now());
     targets.apply(&announcement(1, 100, 1, 1), now);
     targets.apply(&announcement(2, 200, 1, 1), now);
     assert_eq!(availability(&targets, 1, now), Some(Availability::Ended));
@@ -67,10 +74,47 @@
     assert_eq!(availability(&targets, 2, now), Some(Availability::Serving));
 }
 
+/// Guards against an odd announcement that takes away a running target by its id or address: it has a service that no
+/// publication names, so it names no target to use.
+#[test]
+fn an_announcement_of_an_unnamed_service_claims_nothing() {
+    let (mut targets, now) = (empty(), Instant::now());
+    targets.apply(&announcement(1, 100, 4, 1), now);
+    let revision = targets.revision();
+    let unnamed = |id, born_ms| Announcement {
+        service: "unnamed".to_owned(),
+        ..announcement(id, born_ms, 1, 1)
+    };
+    for odd in [unnamed(1, 100), unnamed(1, 200), unnamed(2, 200), draining(unnamed(1, 300))] {
+        assert_eq!(targets.apply(&odd, now), AnnouncementOutcome::Held);
+    }
+    assert_eq!(targets.revision(), revision);
+    assert_eq!(targets.apply(&announcement(1, 100, 5, 1), now), AnnouncementOutcome::Refreshed);
+    assert_eq!(availability(&targets, 1, now), Some(Availability::Serving));
+    assert_eq!(availability(&targets, 2, now), None);
+}
+
+/// Guards against a target that stays unknown because its announcement was received before the publication that names
+/// its service, and against one that is used long after it has announced itself.
+#[test]
+fn an_announcement_is_held_until_its_service_is_named() {
+    let (mut targets, start) = (Announcements::new(TIMEOUT), Instant::now());
+    let cold = Announcement { cold_ms: 2_000, ..announcement(1, 100, 1, 1) };
+    assert_eq!(targets.apply(&cold, start), AnnouncementOutcome::Held);
+    assert_eq!(targets.add_services(["others"], start), []);
+    let later = start + Duration::from_millis(500);
+    assert_eq!(targets.add_services(["orders"], later), [TargetId(1)]);
+    assert_eq!(targets.changed_since(0, later)[0].announcement.cold_ms, 1_500);
+    let gone = Announcement { service: "late".to_owned(), ..announcement(2, 100, 1, 2) };
+    targets.apply(&gone, start);
+    targets.check_timeouts(start + TIMEOUT);
+    assert_eq!(targets.add_services(["late"], start + TIMEOUT), []);
+}
+
 /// Guards against a late announcement of a target without a record that displaces a later target.
 #[test]
 fn earlier_incarnation_does_not_displace_an_address_holder() {
-    let (mut targets, now) = (Announcements::new(TIMEOUT), Instant::now());
+    let (mut targets, now) = (empty(), Instant::now());
     targets.apply(&announcement(2, 200, 1, 1), now);
     assert_eq!(targets.apply(&announcement(1, 100, 5, 1), now), AnnouncementOutcome::Stale);
     assert_eq!(availability(&targets, 2, now), Some(Availability::Serving));
@@ -79,7 +123,7 @@
 /// Guards against a restarted target that is ignored because its sequence numbers start again.
 #[test]
 fn later_incarnation_with_the_same_id_is_accepted() {
-    let (mut targets, now) = (Announcements::new(TIMEOUT), Instant::now());
+    let (mut targets, now) = (empty(), Instant::now());
     targets.apply(&draining(announcement(1, 100, 50, 1)), now);
     assert_eq!(targets.apply(&announcement(1, 300, 1, 1), now), AnnouncementOutcome::Changed);
     assert_eq!(availability(&targets, 1, now), Some(Availability::Serving));
@@ -88,7 +132,7 @@
 /// Guards against an ended target that is restored by its own late announcement.
 #[test]
 fn ended_target_stays_ended() {
-    let (mut targets, now) = (Announcements::new(TIMEOUT), Instant::now());
+    let (mut targets, now) = (empty(), Instant::now());
     let ended = Announcement { availability: Availability::Ended, ..announcement(1, 100, 4, 1) };
     targets.apply(&announcement(1, 100, 3, 1), now);
     targets.apply(&ended, now);
@@ -101,7 +145,7 @@
 /// number than that of an announcement on its way here.
 #[test]
 fn an_end_is_the_last_announcement_of_its_incarnation_whatever_its_number() {
-    let (mut targets, now) = (Announcements::new(TIMEOUT), Instant::now());
+    let (mut targets, now) = (empty(), Instant::now());
     targets.apply(&announcement(1, 100, 9, 1), now);
     let end = announcement(1, 100, 7, 1).end();
     assert_eq!(targets.apply(&end, now), AnnouncementOutcome::Changed);
@@ -113,7 +157,7 @@
 /// again.
 #[test]
 fn target_is_timed_out_until_its_next_announcement() {
-    let (mut targets, start) = (Announcements::new(TIMEOUT), Instant::now());
+    let (mut targets, start) = (empty(), Instant::now());
     targets.apply(&announcement(1, 100, 1, 1), start);
     let later = start + TIMEOUT;
     assert_eq!(targets.check_timeouts(later), vec![TargetId(1)]);
@@ -125,7 +169,7 @@
 /// Guards against reports to entries about mere repetitions, and against changes that are not reported.
 #[test]
 fn only_changes_relevant_to_routing_are_reported() {
-    let (mut targets, now) = (Announcements::new(TIMEOUT), Instant::now());
+    let (mut targets, now) = (empty(), Instant::now());
     targets.apply(&announcement(1, 100, 1, 1), now);
     let revision = targets.revision();
     assert_eq!(targets.apply(&announcement(1, 100, 2, 1), now), AnnouncementOutcome::Refreshed);
@@ -139,11 +183,11 @@
 /// that are sent to other daemons or kept for longer than they take to announce themselves.
 #[test]
 fn restored_targets_are_kept_briefly_and_not_sent() {
-    let (mut before, now) = (Announcements::new(TIMEOUT), Instant::now());
+    let (mut before, now) = (empty(), Instant::now());
     before.apply(&announcement(1, 100, 7, 1), now);
     before.apply(&announcement(2, 100, 7, 2), now);
     let trust = Duration::from_secs(2);
-    let mut after = Announcements::new(TIMEOUT);
+    let mut after = empty();
     after.restore(before.announcements_to_save(), trust, now);
     assert_eq!(after.live_count(), 2);
     assert!(after.all(now).is_empty());
@@ -162,8 +206,7 @@
 /// Guards against daemons that exchange all targets for a difference in one, or none despite a difference.
 #[test]
 fn difference_changes_the_digest_of_its_group() {
-    let (mut a, mut b, now) =
-        (Announcements::new(TIMEOUT), Announcements::new(TIMEOUT), Instant::now());
+    let (mut a, mut b, now) = (empty(), empty(), Instant::now());
     for id in 1..40 {
         let last_octet = u8::try_from(id).unwrap();
         a.apply(&announcement(id, 100, 1, last_octet), now);
@@ -184,7 +227,7 @@
 /// Guards against a cached digest that is not updated after a target timed out, restarted or ended.
 #[test]
 fn digests_follow_each_change_of_the_records() {
-    let (mut targets, start) = (Announcements::new(TIMEOUT), Instant::now());
+    let (mut targets, start) = (empty(), Instant::now());
     let empty = targets.digests();
     targets.apply(&announcement(1, 100, 1, 1), start);
     let first = targets.digests();
@@ -203,8 +246,7 @@
 /// missed the end and never receives it.
 #[test]
 fn ended_target_is_sent_while_others_may_need_it() {
-    let (mut a, mut b, now) =
-        (Announcements::new(TIMEOUT), Announcements::new(TIMEOUT), Instant::now());
+    let (mut a, mut b, now) = (empty(), empty(), Instant::now());
     let ended = Announcement { availability: Availability::Ended, ..announcement(1, 100, 2, 1) };
     a.apply(&ended, now);
     b.apply(&announcement(1, 100, 1, 1), now);
@@ -221,9 +263,9 @@
 /// saved it.
 #[test]
 fn restored_target_is_confirmed_by_its_stamp() {
-    let (mut before, now) = (Announcements::new(TIMEOUT), Instant::now());
+    let (mut before, now) = (empty(), Instant::now());
     before.apply(&announcement(1, 100, 7, 1), now);
-    let mut after = Announcements::new(TIMEOUT);
+    let mut after = empty();
     after.restore(before.announcements_to_save(), Duration::from_secs(2), now);
     assert!(after.refresh(&[repetition(&announcement(1, 100, 7, 1))], now).is_empty());
     assert_eq!(after.digests(), before.digests());
@@ -236,7 +278,7 @@
     let now = Instant::now();
     let serving = announcement(1, 100, 4, 1);
     for is_restored in [false, true] {
-        let (mut a, mut b) = (Announcements::new(TIMEOUT), Announcements::new(TIMEOUT));
+        let (mut a, mut b) = (empty(), empty());
         a.apply(&serving, now);
         if is_restored {
             b.restore(vec![serving.clone()], TIMEOUT, now);
@@ -259,7 +301,7 @@
 #[test]
 fn a_repetition_carries_the_cold_period() {
     let now = Instant::now();
-    let (mut a, mut b) = (Announcements::new(TIMEOUT), Announcements::new(TIMEOUT));
+    let (mut a, mut b) = (empty(), empty());
     for targets in [&mut a, &mut b] {
         targets.apply(&announcement(1, 100, 1, 1), now);
     }
@@ -286,7 +328,7 @@
     ) {
         let now = Instant::now();
         let apply_all = |all: &[Announcement]| {
-            let mut targets = Announcements::new(TIMEOUT);
+            let mut targets = empty();
             // Applied twice, because a record that a later target displaced is final only after the second time.
             for announcement in all.iter().chain(all) {
                 targets.apply(announcement, now);
@@ -306,7 +348,7 @@
         received in prop::collection::vec((any_announcement(), any::<bool>()), 1..30)
     ) {
         let now = Instant::now();
-        let (mut a, mut b) = (Announcements::new(TIMEOUT), Announcements::new(TIMEOUT));
+        let (mut a, mut b) = (empty(), empty());
         let ids: Vec<TargetId> = (0..4).map(TargetId).collect();
         for (announcement, reaches_both) in &received {
             let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 80 + u16::try_from(announcement.id.0).unwrap());
@@ -328,7 +370,7 @@
 /// first announcement arrived. Found by `records_do_not_depend_on_the_order`.
 #[test]
 fn displaced_incarnation_ends_earlier_ones_of_its_target() {
-    let (mut targets, now) = (Announcements::new(TIMEOUT), Instant::now());
+    let (mut targets, now) = (empty(), Instant::now());
     targets.apply(&announcement(1, 10, 0, 1), now);
     targets.apply(&announcement(2, 42, 0, 2), now);
     targets.apply(&announcement(1, 30, 0, 2), now);
@@ -339,7 +381,7 @@
 /// Found by `records_do_not_depend_on_the_order`.
 #[test]
 fn ended_target_stays_ended_after_the_address_holder_moves() {
-    let (mut targets, now) = (Announcements::new(TIMEOUT), Instant::now());
+    let (mut targets, now) = (empty(), Instant::now());
     targets.apply(&announcement(2, 40, 0, 2), now);
     targets.apply(&announcement(2, 20, 0, 1), now);
     assert_eq!(targets.apply(&announcement(1, 10, 0, 1), now), AnnouncementOutcome::Stale);
--- a/crates/types/src/routes.rs
+++ b/crates/types/src/routes.rs
@@ -332,6 +332,12 @@
         self.publication.as_ref().map(|publication| publication.table.version)
     }
 
+    /// Services that the newest publication declares, and those that earlier ones have led routes to.
+    pub fn named_services(&self) -> impl Iterator<Item = &str> {
+        let declared = self.publication.iter().flat_map(|p| p.table.services.keys());
+        declared.chain(self.former.values().flatten()).map(String::as_str)
+    }
+
     /// Applies a change and returns whether the state differs afterwards. A repeated change has no effect.
     pub fn apply(&mut self, change: &StateChange) -> bool {
         let changed = match change {
