Report an order as expired only if it can't take effect any more

The other proposer may complete it, so the refusal could be false. It is reported as without quorum now, which says that it may take effect.

Measured: an_order_that_may_take_effect_is_not_reported_as_expired passes, as do the five other tests of fleet/late_orders. It was not run on the code before, in which propose returned Expired from any round.

--- a/crates/fleet/src/control/register.rs
+++ b/crates/fleet/src/control/register.rs
@@ -60,7 +60,7 @@
     /// No voters are known yet.
     #[error("this daemon has not found the others yet")]
     NotJoined,
-    /// The change is no longer wanted. It has not been made.
+    /// The change is no longer wanted. It has not been made, and will not be.
     #[error("the order has waited for too long; it was not carried out")]
     Expired,
 }
@@ -78,7 +78,12 @@
 
 enum RoundOutcome {
     Chosen(Arc<RegisterValue>, Option<Proposal>),
-    Preempted,
+    Preempted {
+        /// Whether a voter may have accepted the value, so that another proposer may complete it.
+        was_written: bool,
+    },
+    /// Nothing was written, since the change is no longer wanted.
+    Unwanted,
     NoQuorum,
 }
 
@@ -200,6 +205,7 @@
         is_wanted: &dyn Fn() -> bool,
     ) -> Result<Arc<RegisterValue>, RegisterError> {
         let mut proposal = proposal.clone();
+        let mut may_take_effect = false;
         for attempt in 1..=MAX_ROUNDS {
             match self.run_round(proposal.clone(), is_wanted).await? {
                 RoundOutcome::Chosen(value, next) => {
@@ -210,7 +216,10 @@
                     }
                 }
                 RoundOutcome::NoQuorum => return Err(RegisterError::NoQuorum),
-                RoundOutcome::Preempted => {
+                RoundOutcome::Unwanted if may_take_effect => return Err(RegisterError::NoQuorum),
+                RoundOutcome::Unwanted => return Err(RegisterError::Expired),
+                RoundOutcome::Preempted { was_written } => {
+                    may_take_effect |= was_written;
                     let max_backoff = PREEMPTED_BACKOFF.saturating_mul(1 << attempt.min(8));
                     let jitter = rand::rng().random::<f64>();
                     tokio::time::sleep(max_backoff.min(MAX_PREEMPTED_BACKOFF).mul_f64(jitter))
@@ -242,7 +251,7 @@
             match round.handle_response(from, response) {
                 RoundProgress::Send(requests) => {
                     if round.is_writing() && !requests.is_empty() && !is_wanted() {
-                        return Err(RegisterError::Expired);
+                        return Ok(RoundOutcome::Unwanted);
                     }
                     calls.extend(call_all(requests));
                 }
@@ -251,7 +260,7 @@
                 }
                 RoundProgress::Preempted(ballot) => {
                     self.highest_ballot.set(self.highest_ballot.get().max(ballot));
-                    return Ok(RoundOutcome::Preempted);
+                    return Ok(RoundOutcome::Preempted { was_written: round.is_writing() });
                 }
             }
         }
--- a/crates/fleet/tests/fleet/late_orders.rs
+++ b/crates/fleet/tests/fleet/late_orders.rs
@@ -3,15 +3,15 @@
 
 use crate::feed::announcement;
 use crate::saves::{ask, publish, settings, start_with_clock};
-use comfreyhold_consensus::register::{Ballot, RegisterRequest};
+use comfreyhold_consensus::register::{Ballot, RegisterRequest, RegisterResponse};
 use comfreyhold_fleet::control::{Control, EndError, RegisterError};
-use comfreyhold_fleet::messages::{FleetRequest, FleetResponse, TOPIC};
+use comfreyhold_fleet::messages::{FleetRequest, FleetResponse};
 use comfreyhold_types::announcement::{Announcement, AnnouncementStamp, Availability};
-use comfreyhold_types::clock::{Clock, ManualClock, SystemClock};
+use comfreyhold_types::clock::{ManualClock, SystemClock};
 use comfreyhold_types::codes::ResultCode;
 use comfreyhold_types::keys::{DomainName, TargetId};
 use comfreyhold_types::routes::StateChange;
-use comfreyhold_wire::envelope::decode_body;
+use comfreyhold_wire::envelope::{decode_body, encode_body};
 use comfreyhold_wire::exchange::{self, Responder};
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
@@ -73,30 +73,54 @@
     assert!(!is_withdrawn(&control).await);
 }
 
-/// The second voter, beside which the proposer freezes before it gets a promise.
-struct FreezingVoter {
+/// What the second voter does once, beside which the proposer freezes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Interference {
+    /// The proposer freezes before it gets the promise.
+    FreezeBeforePromise,
+    /// Another proposer preempts the round while its value is written, and then the proposer freezes.
+    PreemptAndFreeze,
+}
+
+/// The second voter.
+struct InterferingVoter {
     voter: Rc<Control>,
     proposer_clock: Arc<ManualClock>,
-    freezes: Cell<bool>,
+    interference: Cell<Option<Interference>>,
 }
 
-impl Responder for FreezingVoter {
+impl InterferingVoter {
+    /// Returns the response to a request that is not passed on to the voter.
+    fn interfere(&self, request: &RegisterRequest) -> Option<FleetResponse> {
+        let rejected = match (self.interference.get()?, request) {
+            (Interference::FreezeBeforePromise, RegisterRequest::Prepare { .. }) => None,
+            (Interference::PreemptAndFreeze, RegisterRequest::Accept(value)) => {
+                let promised = Ballot { count: value.ballot.count + 1, ..value.ballot };
+                Some(FleetResponse::Vote(RegisterResponse::Rejected { promised }))
+            }
+            _ => return None,
+        };
+        self.interference.set(None);
+        self.proposer_clock.advance(FREEZE);
+        rejected
+    }
+}
+
+impl Responder for InterferingVoter {
     fn respond(
         self: Rc<Self>,
         topic: u16,
         body: Vec<u8>,
     ) -> LocalBoxFuture<'static, Result<Vec<u8>, ResultCode>> {
         async move {
-            let is_prepare = matches!(
-                decode_body(&body),
-                Ok(FleetRequest::Vote(addressed))
-                    if matches!(addressed.request, RegisterRequest::Prepare { .. })
-            );
-            let response = Rc::clone(&self.voter).respond(topic, body).await;
-            if topic == TOPIC && is_prepare && self.freezes.take() {
-                self.proposer_clock.advance(FREEZE);
+            let own_response = match decode_body(&body) {
+                Ok(FleetRequest::Vote(addressed)) => self.interfere(&addressed.request),
+                _ => None,
+            };
+            match own_response {
+                Some(response) => Ok(encode_body(&response).unwrap()),
+                None => Rc::clone(&self.voter).respond(topic, body).await,
             }
-            response
         }
         .boxed_local()
     }
@@ -110,23 +134,48 @@
 }
 
 async fn check_order_in_a_freeze() {
+    let (interference, host) = (Interference::FreezeBeforePromise, 27);
+    let (control, result) = restore_with_interference(interference, host).await;
+    assert_eq!(result, Err(RegisterError::Expired));
+    assert!(is_withdrawn(&control).await);
+}
+
+/// Guards against a false refusal: the order was written to one voter before, and another proposer may complete it.
+#[tokio::test]
+async fn an_order_that_may_take_effect_is_not_reported_as_expired() {
+    LocalSet::new().run_until(check_preempted_order()).await;
+}
+
+async fn check_preempted_order() {
+    let (interference, host) = (Interference::PreemptAndFreeze, 33);
+    let (_control, result) = restore_with_interference(interference, host).await;
+    assert_eq!(result, Err(RegisterError::NoQuorum));
+}
+
+/// Withdraws a failure domain and restores it, with an interference while it is restored. Returns the result of that.
+/// The hosts are `host` and the next one.
+async fn restore_with_interference(
+    interference: Interference,
+    host: u8,
+) -> (Rc<Control>, Result<(), RegisterError>) {
     let folders = [tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap()];
-    let hosts = [27, 28];
-    let clock = Arc::new(ManualClock::new());
-    let voter_settings = settings(28, &hosts, folders[1].path(), "exchange_bind: \"{ip}:7905\"\n");
+    let hosts = [host, host + 1];
+    let bind = "exchange_bind: \"{ip}:7905\"\n";
+    let voter_settings = settings(hosts[1], &hosts, folders[1].path(), bind);
     let exchange = voter_settings.exchange_address();
     let (voter, _voter_handle) = start_with_clock(&voter_settings, Arc::new(SystemClock)).await;
+    let clock = Arc::new(ManualClock::new());
     let proposer_clock = Arc::clone(&clock);
-    let proxy = Rc::new(FreezingVoter { voter, proposer_clock, freezes: Cell::new(false) });
+    let proxy = Rc::new(InterferingVoter { voter, proposer_clock, interference: Cell::new(None) });
     let listener = TcpListener::bind(exchange).await.unwrap();
     tokio::task::spawn_local(exchange::serve(listener, Rc::clone(&proxy)));
-    let proposer = settings(27, &hosts, folders[0].path(), "");
-    let (control, handle) = start_with_clock(&proposer, Arc::clone(&clock) as Arc<dyn Clock>).await;
+    let proposer = settings(host, &hosts, folders[0].path(), "");
+    let (control, handle) = start_with_clock(&proposer, clock).await;
     handle.change_declarations(withdraw(true)).await.unwrap();
-    proxy.freezes.set(true);
-    assert_eq!(handle.change_declarations(withdraw(false)).await, Err(RegisterError::Expired));
-    assert!(!proxy.freezes.get(), "the voter was not asked");
-    assert!(is_withdrawn(&control).await);
+    proxy.interference.set(Some(interference));
+    let result = handle.change_declarations(withdraw(false)).await;
+    assert_eq!(proxy.interference.get(), None, "the voter was not asked");
+    (control, result)
 }
 
 const ID: TargetId = TargetId(1);
