Order announcements by the target's own numbers at all entries

Callers could see: a target that drains gets new work from all entries until its next announcement.

Cause: an entry compared an announcement's number with those that it had taken in itself only, and numbered the record that entries share. An entry that read an announcement from before a drain, which the target had given up and repeated elsewhere, took it in as the newest content.

Change: the shared record has the number that the target gave, and an older announcement is refused (4003) at every entry that knows the record.

Measured: an_announcement_from_before_a_drain_at_another_entry_is_refused passes; the same steps on the code before left the target serving. All tests of membership pass. schedules_converge numbers its announcements now, as targets do. The programs of the users' platform don't use this registry.

--- a/crates/capacity/src/cmd/registry.rs
+++ b/crates/capacity/src/cmd/registry.rs
@@ -90,7 +90,7 @@
                 record.incarnation.0 += self.restarts;
             }
             let index = number as usize % self.registries.len();
-            let announcement = Announcement { record, lease_ms: DEFAULT_LEASE_MS };
+            let announcement = Announcement { record, lease_ms: DEFAULT_LEASE_MS, sequence: 1 };
             let registry = &mut self.registries[index];
             let actions = registry.on_announcement(self.now, &announcement, &self.declared)?;
             self.send(InstanceId(index as u16 + 1), actions);
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -203,12 +203,11 @@
     pub fn handle_announcement(
         &self,
         announcement: &Announcement,
-        sequence: u64,
     ) -> Result<(), AnnouncementError> {
         let mut members = lock(&self.members);
         let record = &announcement.record;
         let last = members.last_announcements.get(&record.address).copied().unwrap_or_default();
-        let position = (record.incarnation, sequence);
+        let position = (record.incarnation, announcement.sequence);
         let known = members.registry.targets().get(record.address);
         let same_service = known.is_none_or(|known| known.record.service == record.service);
         // A delayed announcement must not undo a newer one. One of another service doesn't come from this
--- a/crates/daemon/src/entry_admin.rs
+++ b/crates/daemon/src/entry_admin.rs
@@ -112,12 +112,12 @@
             Ok(request) => request,
             Err(error) => return reply::result(ResultCode::BadAnnouncement, &error.to_string()),
         };
-        let announcement =
-            Announcement { record: request.to_target_record(), lease_ms: request.lease_ms };
+        let (record, lease_ms) = (request.to_target_record(), request.lease_ms);
+        let announcement = Announcement { record, lease_ms, sequence: request.sequence };
         if self.entry.is_stopping() {
             return reply::result(ResultCode::Stopping, "this entry is stopping");
         }
-        match self.entry.handle_announcement(&announcement, request.sequence) {
+        match self.entry.handle_announcement(&announcement) {
             Ok(()) => reply::result(ResultCode::Ok, "taken in"),
             Err(error) => reply::result(error.code, &error.reason),
         }
--- a/crates/membership/src/registry.rs
+++ b/crates/membership/src/registry.rs
@@ -45,6 +45,9 @@
     /// Requested duration of the lease, in milliseconds (500 to 60,000).
     #[serde(default = "default_lease_ms")]
     pub lease_ms: u64,
+    /// Number of the announcement within the incarnation of the target.
+    #[serde(default)]
+    pub sequence: u64,
 }
 
 fn default_lease_ms() -> u64 {
@@ -197,6 +200,7 @@
         declared: &Declarations,
     ) -> Result<Vec<RegistryAction>, AnnouncementError> {
         self.check_announcement(announcement, declared)?;
+        self.check_sequence(announcement)?;
         let record = &announcement.record;
         let until = now + Duration::from_millis(announcement.lease_ms);
         let lease = LocalLease { until, incarnation: record.incarnation };
@@ -207,8 +211,9 @@
         let is_same =
             known.is_some_and(|k| k.record == *record && k.lease_ms == announcement.lease_ms);
         if !(was_leased && is_same) {
-            let sequence = known.map_or(1, |k| if is_same { k.sequence } else { k.sequence + 1 });
-            self.store_announced(now, announcement, sequence);
+            // An unchanged record keeps the number of the announcement that changed it last.
+            let unchanged = known.filter(|_| is_same).map(|known| known.sequence);
+            self.store_announced(now, announcement, unchanged.unwrap_or(announcement.sequence));
         }
         Ok(std::mem::take(&mut self.actions))
     }
@@ -348,6 +353,21 @@
         }
     }
 
+    /// Checks that no entry knows a later announcement of the same incarnation with other content. This entry may read
+    /// an announcement that its target has given up, and has repeated at another entry since.
+    fn check_sequence(&self, announcement: &Announcement) -> Result<(), AnnouncementError> {
+        let record = &announcement.record;
+        let known =
+            self.targets.get(record.address).filter(|k| k.record.incarnation == record.incarnation);
+        match known {
+            Some(known) if announcement.sequence < known.sequence => {
+                let reason = format!("announcement {} is newer", known.sequence);
+                refuse(ResultCode::OldIncarnation, reason)
+            }
+            _ => Ok(()),
+        }
+    }
+
     fn store_announced(&mut self, now: Instant, announcement: &Announcement, sequence: u64) {
         let lease = self.next_lease(true);
         let announced = AnnouncedTarget {
--- a/crates/membership/src/targets.rs
+++ b/crates/membership/src/targets.rs
@@ -22,7 +22,7 @@
 pub struct AnnouncedTarget {
     /// The newest announced record.
     pub record: TargetRecord,
-    /// Number of the announced content within the incarnation.
+    /// Number of the announcement that changed the content last, as its target has numbered it.
     pub sequence: u64,
     /// Duration of the lease that the target requested, in milliseconds.
     pub lease_ms: u64,
@@ -37,8 +37,8 @@
         self.heard_by.values().any(|lease| lease.hears)
     }
 
-    /// Merge order of the content. The state precedes the other fields: when two entries assign the same
-    /// number to different contents, the one with the draining state takes precedence.
+    /// Merge order of the content. The state precedes the other fields: when a target has used a number for
+    /// different contents, the one with the draining state takes precedence.
     fn merge_order(&self) -> impl Ord + use<'_> {
         let record = &self.record;
         let content = (&record.service, record.domain, record.slots, self.lease_ms);
--- a/crates/membership/tests/registry.rs
+++ b/crates/membership/tests/registry.rs
@@ -42,7 +42,7 @@
         incarnation: Incarnation(incarnation),
         state: TargetState::Serving,
     };
-    Announcement { record, lease_ms: 3_000 }
+    Announcement { record, lease_ms: 3_000, sequence: 1 }
 }
 
 fn registry(id: u16) -> Registry {
@@ -119,6 +119,30 @@
     assert_eq!(kinds(&again), [EventKind::TargetJoined]);
 }
 
+/// Guards against a drain that is undone by an announcement from before it: an entry that wakes up reads what the
+/// target has given up, and has repeated at another entry since.
+#[test]
+fn an_announcement_from_before_a_drain_at_another_entry_is_refused() {
+    let (now, state) = (Instant::now(), declared());
+    let (mut frozen, mut other) = (registry(1), registry(2));
+    other.set_peers([InstanceId(1)]);
+    let numbered = |sequence| Announcement { sequence, ..announcement(1, 5) };
+    let mut draining = numbered(42);
+    draining.record.state = TargetState::Draining;
+    frozen.on_announcement(now, &numbered(40), &state).unwrap();
+    other.on_announcement(now, &draining, &state).unwrap();
+    for action in other.tick(now) {
+        if let RegistryAction::Send { message, .. } = action {
+            frozen.on_message(now, InstanceId(2), message);
+        }
+    }
+    let refused = frozen.on_announcement(now, &numbered(41), &state).unwrap_err();
+    assert_eq!(refused.code, ResultCode::OldIncarnation);
+    let known = frozen.targets().get(draining.record.address).unwrap();
+    assert_eq!(known.record.state, TargetState::Draining);
+    frozen.on_announcement(now, &Announcement { sequence: 43, ..draining }, &state).unwrap();
+}
+
 /// Guards against an isolated entry that uses targets of other failure domains.
 #[test]
 fn isolated_entry_uses_only_its_local_domain() {
@@ -320,9 +344,10 @@
     for seed in 0..300 {
         let faults = Faults { loss: 0.2, duplicates: 0.1, late: 0.1 };
         let mut exchange = SimulatedExchange::new(seed, faults);
-        for _ in 0..40 {
+        for sequence in 0..40 {
             let rng = &mut exchange.net.rng;
             let mut target = announcement(rng.random_range(1..=6), rng.random_range(1..=4));
+            target.sequence = sequence;
             target.lease_ms = 60_000;
             target.record.slots = rng.random_range(1..=3);
             if rng.random_bool(0.2) {
