--- a/crates/membership/src/announcements.rs
+++ b/crates/membership/src/announcements.rs
@@ -9,15 +9,13 @@
 //! An announcement has a record, and with it a claim on its id and address, only if a publication has named its
 //! service. Another one is held for a short time, since the publication may arrive later.
 
-use comfreyhold_types::announcement::{
-    Announcement, AnnouncementStamp, Availability, MAX_COLD_MS, MAX_SEQUENCE,
-};
+pub use crate::digests::{ContentDigest, Repetition, TargetDigests, TargetGroup};
+
+use comfreyhold_types::announcement::{Announcement, Availability, MAX_COLD_MS, MAX_SEQUENCE};
 use comfreyhold_types::keys::TargetId;
 use serde::{Deserialize, Serialize};
-use siphasher::sip::SipHasher13;
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
-use std::hash::{Hash, Hasher};
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 use strum::IntoStaticStr;
@@ -42,78 +40,6 @@
 /// dropped; their targets repeat them.
 const MAX_HELD: usize = 5_000;
 
-/// Number of groups that daemons compare by digest. For a difference, they exchange only the group in
-/// question.
-const DIGEST_GROUPS: usize = 16;
-
-/// Digests of the fields that routing depends on, one for each group of targets.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct TargetDigests([u32; DIGEST_GROUPS]);
-
-impl TargetDigests {
-    /// Returns the groups whose digests differ from those of another daemon.
-    #[must_use]
-    pub fn differing_groups(&self, other: &Self) -> BTreeSet<TargetGroup> {
-        let differs = |group: &usize| self.0[*group] != other.0[*group];
-        (0..DIGEST_GROUPS).filter(differs).map(TargetGroup).collect()
-    }
-}
-
-/// Group of targets that share a digest.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct TargetGroup(usize);
-
-impl TargetGroup {
-    /// Returns the group of a target, which is the same at all daemons.
-    #[must_use]
-    pub fn of(id: TargetId) -> Self {
-        let mut hasher = SipHasher13::new();
-        id.hash(&mut hasher);
-        Self(usize::try_from(hasher.finish() % DIGEST_GROUPS as u64).unwrap_or_default())
-    }
-}
-
-/// Digest of the content of an announcement without its stamp and cold period.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct ContentDigest(u32);
-
-impl ContentDigest {
-    /// Returns the digest of an announcement, which is the same at all daemons.
-    #[must_use]
-    pub fn of(announcement: &Announcement) -> Self {
-        let Announcement {
-            id,
-            stamp: _,
-            service,
-            address,
-            domain,
-            slots,
-            availability,
-            cold_ms: _,
-        } = announcement;
-        let mut hasher = SipHasher13::new();
-        (id, service, address, domain, slots, availability).hash(&mut hasher);
-        let [a, b, c, d, ..] = hasher.finish().to_le_bytes();
-        Self(u32::from_le_bytes([a, b, c, d]))
-    }
-}
-
-/// Repeated announcement of a target as daemons send it to each other. The digest shows a receiver that missed
-/// a change that its own record is not what the stamp stands for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Repetition {
-    /// The target.
-    pub id: TargetId,
-    /// Stamp of its newest announcement.
-    pub stamp: AnnouncementStamp,
-    /// Digest of the content under that stamp.
-    pub content: ContentDigest,
-    /// Remaining cold period, in milliseconds.
-    pub cold_ms: u64,
-}
-
 /// Effect of an announcement on the records.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -518,15 +444,8 @@
             return digests;
         }
         let mut digests = TargetDigests::default();
-        for (id, record) in self.records.iter().filter(|(_, record)| record.is_in_digests()) {
-            let mut hasher = SipHasher13::new();
-            let announcement = &record.announcement;
-            id.hash(&mut hasher);
-            announcement.stamp.born_ms.hash(&mut hasher);
-            announcement.availability.hash(&mut hasher);
-            announcement.address.hash(&mut hasher);
-            let [a, b, c, d, ..] = hasher.finish().to_le_bytes();
-            digests.0[TargetGroup::of(*id).0] ^= u32::from_le_bytes([a, b, c, d]);
+        for record in self.records.values().filter(|record| record.is_in_digests()) {
+            digests.add(&record.announcement);
         }
         self.cached_digests.set(Some(digests));
         digests
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod collector;
 pub mod counters;
 pub mod detector;
+mod digests;
 pub mod effects;
 pub mod groups;
 pub mod installer;
