Give placement and admission a place for the load of other entries

Placement scores a target by its effective slots and by the load of all entries; until totals of other entries arrive and capacity is learned, both are what they were, the announced slots and the own load. The reset reason for a full link of the entry is named.

--- a/crates/flow/src/cookie/balancer.rs
+++ b/crates/flow/src/cookie/balancer.rs
@@ -6,6 +6,7 @@
 use super::habits::Habits;
 use super::openings::{Deferral, Surge};
 use super::placement::{PlacementContext, choose};
+use super::shared::SharedLoad;
 use super::{CallerPacket, Cookie, DiscardReason, FlowKey, PacketKind, ResetReason, Verdict};
 use bon::Builder;
 use comfreyhold_types::keys::DomainName;
@@ -61,6 +62,7 @@
     flows: Flows,
     habits: Habits,
     admission: AdmissionControl,
+    shared: SharedLoad,
     /// Highest priority of the routes to each service; 0 is the highest.
     top_priorities: BTreeMap<String, u8>,
     surge: Surge,
@@ -78,6 +80,7 @@
             flows: Flows::default(),
             habits: Habits::default(),
             admission: AdmissionControl::default(),
+            shared: SharedLoad::default(),
             top_priorities: BTreeMap::new(),
             surge: Surge::default(),
         }
@@ -95,6 +98,11 @@
         &self.directory
     }
 
+    /// Returns what is known of the load of all entries, to update it.
+    pub fn shared_mut(&mut self) -> &mut SharedLoad {
+        &mut self.shared
+    }
+
     /// Returns the number of cached flows.
     #[must_use]
     pub fn flow_count(&self) -> usize {
--- a/crates/flow/src/cookie/directory.rs
+++ b/crates/flow/src/cookie/directory.rs
@@ -2,6 +2,7 @@
 
 use super::Cookie;
 use super::health::Health;
+use super::shared::OthersLoad;
 use comfreyhold_types::announcement::Availability;
 use comfreyhold_types::keys::{DomainName, TargetId};
 use slotmap::SlotMap;
@@ -42,6 +43,17 @@
     pub silent: bool,
 }
 
+/// Answers and failures of a target that this entry has seen in an interval.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct AnswerCounts {
+    /// Requests that were answered.
+    pub answers: u32,
+    /// Sum of their answer times, each as a multiple of the usual one of its route.
+    pub ratio_sum: f64,
+    /// Requests that the target refused, failed, or left without an answer.
+    pub failures: u32,
+}
+
 /// A target with the state that this entry keeps about it.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -51,6 +63,10 @@
     pub cookie: Cookie,
     /// Load from flows through this entry, in requests.
     pub load: f64,
+    /// Load from flows through other entries, as far as it is known.
+    pub others: Option<OthersLoad>,
+    /// Answers and failures since the last load report.
+    pub answered: AnswerCounts,
     /// Health by its answers to openings.
     pub health: Health,
     /// Whether an older target has the same cookie, so that packets to this one would go there.
@@ -61,6 +77,20 @@
     pub is_replaced: bool,
 }
 
+impl Target {
+    /// Number of requests that the target handles well at once.
+    #[must_use]
+    pub fn effective_slots(&self, _now: Instant) -> f64 {
+        f64::from(self.spec.slots.max(1))
+    }
+
+    /// Requests in flight at the target through all entries, as far as this entry knows.
+    #[must_use]
+    pub fn total_load(&self, now: Instant) -> f64 {
+        self.load + self.others.map_or(0.0, |others| others.in_flight(now))
+    }
+}
+
 /// Targets of all services, by incarnation, cookie and service.
 #[derive(Default)]
 pub struct Directory {
@@ -101,6 +131,8 @@
             spec,
             cookie,
             load: 0.0,
+            others: None,
+            answered: AnswerCounts::default(),
             health: Health::default(),
             has_ambiguous_cookie: false,
             ended_at: None,
--- a/crates/flow/src/cookie/mod.rs
+++ b/crates/flow/src/cookie/mod.rs
@@ -12,6 +12,7 @@
 pub mod health;
 pub mod openings;
 pub mod placement;
+pub mod shared;
 pub mod startup_buffer;
 
 pub use balancer::{Balancer, BalancerSettings};
@@ -122,6 +123,8 @@
     TargetEnded,
     /// The targets can't serve the opening before its attempt ends.
     Overloaded,
+    /// The entry's own link can't carry the flow in time.
+    LinkFull,
 }
 
 /// Why a packet is dropped.
--- a/crates/flow/src/cookie/placement.rs
+++ b/crates/flow/src/cookie/placement.rs
@@ -81,9 +81,9 @@
 
 /// Load per slot if the target takes the flow, in requests.
 fn score(target: &Target, cx: &PlacementContext<'_>) -> f64 {
-    let slots = f64::from(target.spec.slots.max(1));
+    let slots = target.effective_slots(cx.now);
     let penalty = if target.spec.domain == *cx.local_domain { 0.0 } else { cx.remote_penalty };
-    (target.load + 1.0) / slots + penalty
+    (target.total_load(cx.now) + 1.0) / slots + penalty
 }
 
 fn rank(key: TargetKey, flow_hash: u64) -> u64 {
