Send an entry's packets through the link scheduler

An entry whose settings state limits.link_mbps sends through the scheduler; without it, or with 0, nothing changes. The entry asks the link before the balancer routes an opening, so that the balancer has no record of a refused flow; a flow whose opening was dropped before it was sent is forgotten, since its copy would count against the target. Resets for a full link have the reason link-full. A stopping process sends what is queued, and a reload may change the rate.

--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! An entry: receives callers' packets and forwards them to targets.
 
 pub mod controls;
+mod link;
 mod packets;
 pub mod view;
 mod waiting;
@@ -17,6 +18,7 @@
 use comfreyhold_types::clock::Clock;
 use comfreyhold_types::keys::DomainName;
 use controls::ControlSelector;
+use link::EntryLink;
 use packets::ReceiveState;
 use serde_json::json;
 use std::cell::{Cell, RefCell};
@@ -75,6 +77,7 @@
     /// Control daemon that each source watches at the moment.
     watched: RefCell<[Option<SocketAddr>; WATCHED_CONTROLS]>,
     receive_state: RefCell<ReceiveState>,
+    link: EntryLink,
     /// Packets received before the entry is ready for the first time; `None` from then on.
     startup_buffer: RefCell<Option<StartupBuffer>>,
     /// Openings deferred behind others, by the time at which they are due.
@@ -127,6 +130,7 @@
             balancer: RefCell::new(Balancer::new(balancer)),
             watched: RefCell::new([None; WATCHED_CONTROLS]),
             receive_state: RefCell::new(ReceiveState::default()),
+            link: EntryLink::new(settings.link()),
             startup_buffer: RefCell::new(Some(StartupBuffer::default())),
             deferred: RefCell::default(),
             deferred_added: Notify::new(),
@@ -144,6 +148,7 @@
         tokio::task::spawn_local(Rc::clone(&entry).run_ticks());
         tokio::task::spawn_local(Rc::clone(&entry).run_packets());
         tokio::task::spawn_local(Rc::clone(&entry).run_deferred());
+        tokio::task::spawn_local(Rc::clone(&entry).run_link());
         Ok(entry)
     }
 
@@ -153,11 +158,13 @@
         self.readiness.clone()
     }
 
-    /// Applies the settings that may change while the process runs: the seeds.
+    /// Applies the settings that may change while the process runs: the seeds and the rate of the link.
     pub fn reload(&self, settings: &FleetSettings) {
         let seeds = settings.seed_exchange_addresses();
         self.controls.borrow_mut().set_seeds(&seeds);
-        self.record("reload", || json!({"seeds": seeds}));
+        self.set_link(settings.link());
+        let link_mbps = settings.link().map(|link| link.mbps());
+        self.record("reload", || json!({"seeds": seeds, "link_mbps": link_mbps}));
     }
 
     /// Marks the entry as not ready from now on. It continues to forward packets.
--- a/crates/fleet/src/entry/packets.rs
+++ b/crates/fleet/src/entry/packets.rs
@@ -18,7 +18,7 @@
 pub(super) const MAX_DATAGRAM_BYTES: usize = 2_048;
 
 /// Maximum number of packets handled before other tasks run.
-const BATCH_PACKETS: usize = 64;
+pub(super) const BATCH_PACKETS: usize = 64;
 
 /// Size of the socket's receive buffer, in bytes: the packets that may wait for a busy process. Further ones
 /// are dropped.
@@ -87,6 +87,7 @@
             let now = self.clock.now();
             self.detect_stall(now);
             self.last_tick.set(now);
+            self.record_link_use(now);
         }
     }
 
@@ -167,27 +168,26 @@
         now: Instant,
     ) {
         let PendingPacket { packet, datagram, received, is_late, .. } = *pending;
+        if !self.is_opening_sendable(pending, now) {
+            return;
+        }
         let waited = now.saturating_duration_since(received);
         let verdict = self.balancer.borrow_mut().route_packet(packet, is_late, waited, now);
         out.clear();
-        let to = match verdict {
+        let (to, forwards) = match verdict {
             Verdict::Forward { target, address, cookie, answered } => {
                 if let Some(answered) = answered {
                     metrics::histogram!("opening_answered_seconds").record(answered);
                 }
                 self.codec.encode_forward(datagram, target, cookie, out);
-                address
+                (address, Some(received))
             }
-            Verdict::Reset(_) => self.codec.encode_reset(packet, out),
+            Verdict::Reset(_) => (self.codec.encode_reset(packet, out), None),
             Verdict::Defer(wait) => return self.defer_opening(pending, wait, now),
             Verdict::Discard(reason) => return self.record_discard(packet, reason),
         };
-        if let Err(error) = self.socket.try_send_to(out, to.into()) {
-            metrics::counter!("packets_unsent").increment(1);
-            self.record(
-                "unsent",
-                || json!({"flow": flow_label(&packet.flow), "error": error.to_string()}),
-            );
+        if !self.transmit(packet, forwards, (to, out), now) {
+            return;
         }
         match verdict {
             Verdict::Reset(reason) => self.record_reset(packet, reason, now),
@@ -235,12 +235,13 @@
         })
     }
 
-    fn record_reset(&self, packet: &CallerPacket, reason: ResetReason, now: Instant) {
+    pub(super) fn record_reset(&self, packet: &CallerPacket, reason: ResetReason, now: Instant) {
         let name: &'static str = reason.into();
         metrics::counter!("resets", "reason" => name).increment(1);
         self.record("reset", || {
             let mut fields = match reason {
                 ResetReason::Overloaded => self.limit_fields(packet, now),
+                ResetReason::LinkFull => self.link_fields(packet),
                 _ => json!({}),
             };
             fields["flow"] = json!(flow_label(&packet.flow));
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of one process, read from a YAML file.
 
 use anyhow::{Context, ensure};
+use comfreyhold_link::LinkSettings;
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -43,6 +44,9 @@
     pub tolerate: ToleranceSettings,
     /// Limits set by the deployment's operators.
     pub bounds: BoundSettings,
+    /// Limits of the instance that the process runs on.
+    #[serde(default)]
+    pub limits: LimitSettings,
 }
 
 /// Addresses to listen on; the role of the process determines which are required.
@@ -76,6 +80,16 @@
     pub stop_s: u64,
 }
 
+/// Limits of the instance that the process runs on.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LimitSettings {
+    /// Rate of the instance's link in each direction, in Mbit/s. Without it, or with 0, an entry sends packets at
+    /// once, however many there are.
+    #[serde(default)]
+    pub link_mbps: Option<f64>,
+}
+
 impl FleetSettings {
     /// Reads and validates a settings file.
     ///
@@ -103,6 +117,8 @@
             "tolerate.instances: at most {MAX_TOLERATED_LOSSES} are supported"
         );
         ensure!(settings.bounds.stop_s > 0, "bounds.stop_s: must be greater than 0");
+        let mbps = settings.limits.link_mbps.unwrap_or_default();
+        LinkSettings::from_mbps(mbps).context("limits.link_mbps")?;
         Ok(settings)
     }
 
@@ -132,6 +148,12 @@
         wanted.min(Duration::from_secs(self.bounds.stop_s) / 2)
     }
 
+    /// Rate of the instance's link, if one is stated.
+    #[must_use]
+    pub fn link(&self) -> Option<LinkSettings> {
+        LinkSettings::from_mbps(self.limits.link_mbps?).ok().flatten()
+    }
+
     /// The settings written to the log at the start, by name.
     #[must_use]
     pub fn summary(&self) -> BTreeMap<&'static str, String> {
@@ -141,6 +163,10 @@
             ("exchange", self.exchange_address().to_string()),
             ("first_start", self.first_start.to_string()),
             ("seeds", format!("{:?}", self.seeds)),
+            (
+                "link_mbps",
+                self.link().map_or_else(|| "none".to_owned(), |link| link.mbps().to_string()),
+            ),
         ])
     }
 }
--- a/crates/flow/src/cookie/balancer.rs
+++ b/crates/flow/src/cookie/balancer.rs
@@ -1,5 +1,9 @@
 //! Decides on each packet of a caller by the flow cookie, the routes and the load of the targets.
 
+mod unsent;
+
+pub use unsent::OpeningRoute;
+
 use super::admission::{Admission, AdmissionControl, FirstAnswer, LimitStatus, OpeningAge};
 use super::directory::{Directory, Target, TargetKey, TargetSpec};
 use super::flows::{Flow, FlowStage, Flows};
