--- a/crates/flow/tests/cookie/main.rs
+++ b/crates/flow/tests/cookie/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, clippy::panic)]
 
 mod support;
+mod unsent;
 
 use comfreyhold_flow::cookie::balancer::Routing;
 use comfreyhold_flow::cookie::directory::TargetSpec;
