--- a/crates/fleet/tests/fleet/link.rs
+++ b/crates/fleet/tests/fleet/link.rs
@@ -34,7 +34,7 @@
 const LINK_MBPS: &str = "limits: {link_mbps: 1.5}";
 
 /// Openings of a burst. 19 pass a link with room at once, and the 20th is the first to be queued. By then the
-/// flows cost 22,200 bytes, and the link carries 16,875 within the objective.
+/// flows cost 22,200 bytes, and the link carries 4,219 in its quarter of the objective.
 const BURST: u8 = 40;
 const ADMITTED: u8 = 20;
 
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -24,5 +24,5 @@
 pub use queue::{
     MAX_QUEUE_TIME, MAX_QUEUED_BYTES, MAX_QUEUED_PACKETS, MAX_QUEUED_RESETS, PACKETS_PER_LOWER,
 };
-pub use scheduler::{LinkScheduler, LinkStatus, Next, Offer};
+pub use scheduler::{LinkScheduler, LinkStatus, Next, OBJECTIVE_PARTS, Offer};
 pub use settings::{LinkError, LinkSettings, MAX_LINK_MBPS};
--- a/crates/link/src/scheduler.rs
+++ b/crates/link/src/scheduler.rs
@@ -13,6 +13,11 @@
 /// estimate of what flows will cost alone refuses nothing.
 const FULL_PERIOD: Duration = Duration::from_secs(1);
 
+/// The link may take one of this many parts of a request's objective. Two are for the target, and one is for the inbound
+/// link, which carries the same packets. With the whole objective for the link, most admitted requests are late
+/// (docs/design/link.md).
+pub const OBJECTIVE_PARTS: u32 = 4;
+
 /// Least capacity of the queue in bytes: two full packets, since the thinnest links could queue none otherwise.
 const MIN_QUEUE_BYTES: usize = 2_600;
 
@@ -157,15 +162,15 @@
         self.queue.extend_opening(opening, expires)
     }
 
-    /// Whether the link can carry a new flow of the route within the objective of its requests. Always true while
-    /// nothing is queued, and until it is known what flows of the route cost.
+    /// Whether the link can carry a new flow of the route within its part of the objective of the requests. Always true
+    /// while nothing was queued for a second, and until it is known what flows of the route cost.
     pub fn admits(&mut self, route: SocketAddrV4, terms: RouteTerms, now: Instant) -> bool {
         self.update(now);
         let is_full = self.last_queued.is_some_and(|last| now < last + FULL_PERIOD);
         if !is_full || terms.objective.is_zero() || self.costs.mean(route).is_none() {
             return true;
         }
-        self.expected_wait(route, terms.priority) <= terms.objective
+        self.expected_wait(route, terms.priority) <= terms.objective / OBJECTIVE_PARTS
     }
 
     /// Time in which the link can carry what is queued, what admitted flows will cost, and one more flow of the
