Exchange load between entries and control daemons

Cause: the balancer can report and apply load, but nothing carries the messages. Change: entries hold a poll at the daemon that their first source watches, and report every 250 ms while they are under pressure or told to. Daemons hold the polls for 5 s, answer reports with totals, and send each other the sums of their own entries while load is shared. Calls about load use connections of their own, at most one is open at a time, and failed ones are repeated after 0.5 to 10 s with jitter. Messages that are refused are counted. New variants are at the ends of FleetRequest and FleetResponse.

--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod feed;
 mod gossip;
+mod load;
 mod operations;
 pub mod peers;
 mod register;
@@ -11,6 +12,8 @@
 pub mod stalls;
 pub mod voter;
 
+pub use load::LOAD_POLL_TIMEOUT;
+pub(crate) use load::sender_start;
 pub use operations::{ControlCall, ControlHandle, EndError};
 pub use register::RegisterError;
 
@@ -31,6 +34,7 @@
 use feed::FeedState;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
+use load::LoadSharing;
 use peers::Peers;
 use rand::seq::IteratorRandom;
 use register::Register;
@@ -96,6 +100,7 @@
     stalls: Cell<StallMonitor>,
     /// Wakes the entries' long polls.
     changed: Notify,
+    load: LoadSharing,
 }
 
 impl Control {
@@ -125,6 +130,7 @@
         let connections = Rc::new(ConnectionPool::default());
         let register =
             Register::new(me, incarnation, Rc::clone(&voter), Rc::clone(&connections), initial);
+        let started_ms = clock.wall_millis();
         let targets = restored_targets(&settings, &folder, clock.now());
         let (operations, operation_queue) = mpsc::channel(operations::MAX_QUEUED);
         let control = Rc::new(Self {
@@ -147,6 +153,7 @@
             heartbeats_in_flight: RefCell::default(),
             operations,
             changed: Notify::new(),
+            load: LoadSharing::new(load::sender_start(address, started_ms)),
         });
         control
             .record("start", || json!({"settings": control.settings.summary(), "disk": me.disk.0}));
@@ -170,6 +177,7 @@
         tokio::task::spawn_local(Rc::clone(self).run_broadcasts());
         tokio::task::spawn_local(Rc::clone(self).run_repair());
         tokio::task::spawn_local(Rc::clone(self).run_saves());
+        tokio::task::spawn_local(Rc::clone(self).run_load());
         handle
     }
 
@@ -311,6 +319,9 @@
                 FleetResponse::News(Box::new(self.poll_changes(cursor).await))
             }
             FleetRequest::Controls => FleetResponse::Controls(self.live_controls(self.clock.now())),
+            FleetRequest::Load(None) => self.poll_sharing().await,
+            FleetRequest::Load(Some(report)) => self.receive_load_report(*report),
+            FleetRequest::LoadSum(sum) => self.receive_load_sum(*sum),
         }
     }
 }
--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! An entry: receives callers' packets and forwards them to targets.
 
 pub mod controls;
+mod load;
 mod packets;
 pub mod view;
 mod waiting;
@@ -17,6 +18,7 @@
 use comfreyhold_types::clock::Clock;
 use comfreyhold_types::keys::DomainName;
 use controls::ControlSelector;
+use load::LoadExchange;
 use packets::ReceiveState;
 use serde_json::json;
 use std::cell::{Cell, RefCell};
@@ -90,6 +92,7 @@
     readiness: Readiness,
     /// Wakes the sources that wait until the first one has received the routes.
     first_routes: Notify,
+    load: LoadExchange,
 }
 
 impl<C: PacketCodec> Entry<C> {
@@ -110,7 +113,7 @@
             .remote_penalty(REMOTE_PENALTY)
             .restore_period(settings.announce_interval() * RESTORED_COLD_INTERVALS)
             .build();
-        let now = clock.now();
+        let (now, started_ms) = (clock.now(), clock.wall_millis());
         let controls = ControlSelector::new(
             settings.exchange_address(),
             domain,
@@ -136,6 +139,7 @@
             last_update: Cell::new(now),
             readiness: Readiness::default(),
             first_routes: Notify::new(),
+            load: LoadExchange::new(settings.exchange_address(), started_ms),
         });
         entry.record("start", || json!({"settings": settings.summary()}));
         for source in 0..WATCHED_CONTROLS {
@@ -144,6 +148,7 @@
         tokio::task::spawn_local(Rc::clone(&entry).run_ticks());
         tokio::task::spawn_local(Rc::clone(&entry).run_packets());
         tokio::task::spawn_local(Rc::clone(&entry).run_deferred());
+        tokio::task::spawn_local(Rc::clone(&entry).run_load());
         Ok(entry)
     }
 
--- a/crates/fleet/src/entry/watch.rs
+++ b/crates/fleet/src/entry/watch.rs
@@ -35,7 +35,7 @@
 const POLLS_PER_CONTROLS_QUERY: u32 = 20;
 
 /// Index of the source that watches a control daemon of the local domain if there is one.
-const LOCAL_SOURCE: usize = 0;
+pub(super) const LOCAL_SOURCE: usize = 0;
 
 /// Reason for abandoning a daemon that violates the protocol.
 const UNEXPECTED_RESPONSE: &str = "unexpected type of response";
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! control daemons and forwards packets as [`comfreyhold_flow::cookie`] decides. Every process runs on one
 //! thread, with a second one for the disk in control daemons, since instances have a fraction of one core.
 
+pub mod backoff;
 pub mod connections;
 pub mod control;
 pub mod decisions;
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -4,6 +4,7 @@
 use comfreyhold_consensus::register::{
     AddressedRequest, Ballot, RegisterResponse, RegisterValue, Replica,
 };
+use comfreyhold_load::{LoadReport, LoadSum, LoadTotals};
 use comfreyhold_membership::announcements::{Repetition, TargetDigests, TargetReport};
 use comfreyhold_types::announcement::Announcement;
 use comfreyhold_types::keys::{DomainName, TargetId};
@@ -72,6 +73,10 @@
     Watch(WatchCursor),
     /// An entry's query for the live control daemons.
     Controls,
+    /// An entry's report of its load, or its long poll for the time from which load is shared.
+    Load(Option<Box<LoadReport>>),
+    /// Another control daemon's sum over the load reports of its own entries.
+    LoadSum(Box<LoadSum>),
 }
 
 /// A response of a control daemon, with one variant for each kind of result.
@@ -91,6 +96,9 @@
     News(Box<EntryUpdate>),
     /// Response to `Controls`: the live control daemons with their failure domains.
     Controls(Vec<(SocketAddr, DomainName)>),
+    /// Response to `Load`, and to a refused `LoadSum`: the totals, or the code of a
+    /// [`LoadError`](comfreyhold_load::LoadError).
+    Load(Result<Box<LoadTotals>, u8>),
 }
 
 /// Position up to which an entry has received changes from one control daemon.
--- a/crates/fleet/tests/fleet/early_packets.rs
+++ b/crates/fleet/tests/fleet/early_packets.rs
@@ -27,7 +27,7 @@
 }
 
 /// Codec for datagrams of one byte: the sequence number of an opening. All flows go to one service address.
-struct OneByteCodec;
+pub struct OneByteCodec;
 
 impl PacketCodec for OneByteCodec {
     fn decode(&self, datagram: &[u8]) -> Result<CallerPacket, PacketError> {
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod early_packets;
 mod feed;
 mod late_orders;
+mod load;
 mod peers;
 mod saves;
 mod settings;
