Hand the answers through other entries on by target

Change: totals are handed on through record_others_answers; the spill-over domain is a field beside the local domain in PlacementContext, so that trials of slow targets keep the local one.

--- a/crates/flow/src/cookie/balancer.rs
+++ b/crates/flow/src/cookie/balancer.rs
@@ -230,11 +230,10 @@
                 Admission::Refused => return Verdict::Reset(ResetReason::Overloaded),
             }
         }
-        let preferred = self.shared.spill_domain(service, flow_hash, now);
-        let preferred = preferred.unwrap_or(&self.settings.domain);
         let cx = PlacementContext {
             service,
-            preferred_domain: preferred,
+            local_domain: &self.settings.domain,
+            spill_domain: self.shared.spill_domain(service, flow_hash, now),
             withdrawn: &self.routing.withdrawn,
             restored: &self.restored,
             tried: &tried,
--- a/crates/flow/src/cookie/balancer/load.rs
+++ b/crates/flow/src/cookie/balancer/load.rs
@@ -1,10 +1,10 @@
 //! Reports of this entry's load, and totals over all entries.
 
 use super::{Balancer, hash_opening};
-use crate::cookie::CallerPacket;
 use crate::cookie::directory::AnswerCounts;
 use crate::cookie::shared::{OthersLoad, ServiceShare};
 use crate::cookie::spill::DomainLoad;
+use crate::cookie::{CallerPacket, Cookie};
 use comfreyhold_load::book::check_totals;
 use comfreyhold_load::messages::{IN_FLIGHT_UNITS, MAX_COUNT, MAX_SERVICES, RATIO_UNITS, VERSION};
 use comfreyhold_load::sums::busiest;
@@ -103,14 +103,14 @@
         let own = self.shared.own_share(totals.own_number)?;
         let loads: BTreeMap<TargetMark, &TargetLoad> =
             totals.targets.iter().map(|load| (load.mark, load)).collect();
+        let mut elsewhere = Vec::new();
         for target in self.directory.iter_mut().filter(|target| !target.has_ambiguous_cookie) {
             let mark = TargetMark(target.cookie.0);
             let (in_flight, answered) = own.others(mark, loads.get(&mark).copied());
             target.others = Some(OthersLoad::new(in_flight, now));
-            let elsewhere = &mut target.answered_elsewhere;
-            elsewhere.answers = elsewhere.answers.saturating_add(answered.answers);
-            elsewhere.ratio_sum += answered.ratio_sum;
-            elsewhere.failures = elsewhere.failures.saturating_add(answered.failures);
+            if answered != AnswerCounts::default() {
+                elsewhere.push((target.cookie, answered));
+            }
         }
         let mut services = Vec::new();
         for name in self.top_priorities.keys() {
@@ -128,10 +128,23 @@
             self.shared.set_service(name, share);
             self.shared.update_spill(name, &self.settings.domain, &domains, busy);
         }
+        for (cookie, answered) in elsewhere {
+            self.record_others_answers(cookie, answered, now);
+        }
         self.shared.set_received(now);
         Ok(())
     }
 
+    /// Records answers and failures of a target through other entries.
+    fn record_others_answers(&mut self, cookie: Cookie, answered: AnswerCounts, _now: Instant) {
+        let key = self.directory.find(cookie);
+        let Some(target) = key.and_then(|key| self.directory.get_mut(key)) else { return };
+        let elsewhere = &mut target.answered_elsewhere;
+        elsewhere.answers = elsewhere.answers.saturating_add(answered.answers);
+        elsewhere.ratio_sum += answered.ratio_sum;
+        elsewhere.failures = elsewhere.failures.saturating_add(answered.failures);
+    }
+
     /// Demand and usable slots of each domain for a service, and the number of slots in use.
     fn domain_loads(
         &self,
--- a/crates/flow/src/cookie/directory.rs
+++ b/crates/flow/src/cookie/directory.rs
@@ -65,12 +65,12 @@
     pub load: f64,
     /// Load from flows through other entries, as far as it is known.
     pub others: Option<OthersLoad>,
-    /// Answers and failures since the last load report.
-    pub answered: AnswerCounts,
-    /// Answers and failures through other entries, as far as they are known, since this was last taken.
-    pub answered_elsewhere: AnswerCounts,
     /// Integral of `load` over the interval of the next load report.
     pub load_integral: LoadIntegral,
+    /// Answers and failures through other entries, as far as they are known, since this was last taken.
+    pub answered_elsewhere: AnswerCounts,
+    /// Answers and failures since the last load report.
+    pub answered: AnswerCounts,
     /// Health by its answers to openings.
     pub health: Health,
     /// Whether an older target has the same cookie, so that packets to this one would go there.
@@ -138,9 +138,9 @@
             cookie,
             load: 0.0,
             others: None,
-            answered: AnswerCounts::default(),
-            answered_elsewhere: AnswerCounts::default(),
             load_integral: LoadIntegral::default(),
+            answered_elsewhere: AnswerCounts::default(),
+            answered: AnswerCounts::default(),
             health: Health::default(),
             has_ambiguous_cookie: false,
             ended_at: None,
@@ -236,6 +236,11 @@
         self.targets.get_mut(key)
     }
 
+    /// Iterates over all targets, to change their load and health.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Target> {
+        self.targets.values_mut()
+    }
+
     /// Sets the time at which loads change until the next call.
     pub fn set_now(&mut self, now: Instant) {
         self.now = Some(now);
@@ -250,11 +255,6 @@
         target.load = (target.load + load).max(0.0);
     }
 
-    /// Iterates over all targets, to change their loads.
-    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Target> {
-        self.targets.values_mut()
-    }
-
     /// Returns the oldest target with a cookie.
     #[must_use]
     pub fn find(&self, cookie: Cookie) -> Option<TargetKey> {
--- a/crates/flow/src/cookie/flows.rs
+++ b/crates/flow/src/cookie/flows.rs
@@ -60,12 +60,12 @@
     pub is_opened_here: bool,
     /// Set until the first request is answered, if this entry has forwarded the opening.
     pub admitted: Option<Admitted>,
+    /// Arrival of the first packet.
+    pub first_seen: Instant,
     /// Stage of the flow.
     pub stage: FlowStage,
     /// Arrival of the last packet.
     pub last_seen: Instant,
-    /// Arrival of the first packet.
-    pub first_seen: Instant,
     /// Acknowledgement number of the packet that carried the running request.
     request_ack: u32,
     /// Sequence number after the caller's last data byte; 0 before the first data.
@@ -96,9 +96,9 @@
             requests: 0,
             is_opened_here: stage == FlowStage::Opening,
             admitted: None,
+            first_seen: now,
             stage,
             last_seen: now,
-            first_seen: now,
             request_ack,
             data_end,
             request_start: now,
--- a/crates/flow/src/cookie/placement.rs
+++ b/crates/flow/src/cookie/placement.rs
@@ -17,8 +17,10 @@
 pub struct PlacementContext<'a> {
     /// Name of the flow's service.
     pub service: &'a str,
-    /// Failure domain whose targets come first: that of this entry, unless the flow spills over to another one.
-    pub preferred_domain: &'a DomainName,
+    /// Failure domain of this entry.
+    pub local_domain: &'a DomainName,
+    /// Failure domain that the flow spills over to; `None` if it stays in the local one.
+    pub spill_domain: Option<&'a DomainName>,
     /// Failure domains that take no new flows.
     pub withdrawn: &'a BTreeSet<DomainName>,
     /// Restored failure domains. Until the given time their targets may be cold without having announced
@@ -26,7 +28,7 @@
     pub restored: &'a BTreeMap<DomainName, Instant>,
     /// Targets that have left this opening unanswered.
     pub tried: &'a [TargetKey],
-    /// Added to the score of a target outside the preferred failure domain, in requests per slot.
+    /// Added to the score of a target outside the failure domain that the flow belongs to, in requests per slot.
     pub remote_penalty: f64,
     /// Hash of the flow, which breaks ties differently for each flow.
     pub flow_hash: u64,
@@ -84,7 +86,8 @@
 /// that were least loaded a while ago.
 fn score(target: &Target, cx: &PlacementContext<'_>) -> f64 {
     let slots = target.effective_slots(cx.now);
-    let penalty = if target.spec.domain == *cx.preferred_domain { 0.0 } else { cx.remote_penalty };
+    let domain = cx.spill_domain.unwrap_or(cx.local_domain);
+    let penalty = if target.spec.domain == *domain { 0.0 } else { cx.remote_penalty };
     (target.load + 1.0) / slots + penalty
 }
 
--- a/crates/flow/tests/shared_load/arithmetic.rs
+++ b/crates/flow/tests/shared_load/arithmetic.rs
@@ -201,3 +201,18 @@
         assert!(!fixture.balancer.is_under_pressure(later));
     }
 }
+
+/// Guards against answers through this entry that count twice in what is learned about a target.
+#[test]
+fn answers_through_others_are_kept_for_each_target() {
+    let mut fixture = Fixture::new(1);
+    let mut all = totals(None, 0);
+    let load = &mut all.targets[0];
+    (load.answers, load.ratio_sum, load.failures) = (8, 160, 2);
+    let now = fixture.now;
+    fixture.balancer.apply_load_totals(&all, now).unwrap();
+    fixture.balancer.apply_load_totals(&all, now + ms(250)).unwrap();
+    let (_, target) = fixture.balancer.directory().iter().next().unwrap();
+    let elsewhere = target.answered_elsewhere;
+    assert_eq!((elsewhere.answers, elsewhere.ratio_sum, elsewhere.failures), (16, 20.0, 4));
+}
