Test the loss of a control daemon while load is shared

Cause: no test showed what entries do when their totals end in the middle of a burst. Change: a play of shared_load cuts one daemon off for 3.5 s. Its entries spill over by the last totals for two seconds, then place flows as without shared load, and spill over again when it is back.

--- a/crates/flow/tests/shared_load/main.rs
+++ b/crates/flow/tests/shared_load/main.rs
@@ -17,10 +17,16 @@
 fn run(deployment: (usize, usize), shares: bool, demand: Demand) -> Outcomes {
     let (entries, domains) = deployment;
     let length = Duration::from_secs(8);
-    let setup = Setup { entries, domains, targets: TARGETS, shares, length, demand };
+    let setup = Setup { entries, domains, targets: TARGETS, shares, length, cut: None, demand };
     Play::new(setup, 1).run()
 }
 
+/// Domain 0 needs 1.6 times its slots for three seconds.
+fn burst_of_one_domain(domain: usize, at: Duration) -> f64 {
+    let is_burst = (2.0..5.0).contains(&at.as_secs_f64());
+    if domain == 0 && is_burst { 1.6 } else { 0.4 }
+}
+
 /// Guards against entries that all choose the same targets by the same totals: the loads of the targets swing no more
 /// than without shared load, and no more requests are refused. With the load of others in the score of each target,
 /// the swing was 3 to 4 times as large in these plays, and up to a third of the requests were refused.
@@ -49,14 +55,9 @@
 /// requests that swings, and against requests that stay remote when the domain has room again.
 #[test]
 fn a_full_domain_spills_over_and_returns() {
-    // Domain 0 needs 1.6 times its slots for three seconds.
-    fn demand(domain: usize, at: Duration) -> f64 {
-        let is_burst = (2.0..5.0).contains(&at.as_secs_f64());
-        if domain == 0 && is_burst { 1.6 } else { 0.4 }
-    }
     for deployment in DEPLOYMENTS {
-        let alone = run(deployment, false, demand);
-        let shared = run(deployment, true, demand);
+        let alone = run(deployment, false, burst_of_one_domain);
+        let shared = run(deployment, true, burst_of_one_domain);
         let shares = shared.remote_shares();
         let steady = &shares[12..20];
         let mean = steady.iter().sum::<f64>() / steady.len() as f64;
@@ -89,3 +90,39 @@
     let ratio = stated / present;
     assert!((1.0..1.3).contains(&ratio), "the totals state {ratio:.2} of the true load");
 }
+
+/// Guards against entries that go on by old totals when their control daemon is lost, or that don't return to them:
+/// without totals they decide as without shared load, and a second after the daemon is back flows spill over again.
+#[test]
+fn a_lost_control_daemon_costs_its_entries_the_spill_over_only() {
+    for (entries, domains) in DEPLOYMENTS {
+        let second = Duration::from_secs(1);
+        let setup = Setup {
+            entries,
+            domains,
+            targets: TARGETS,
+            shares: true,
+            length: second * 9,
+            cut: Some(second * 3..second * 13 / 2),
+            demand: |domain, at| {
+                let is_burst = at.as_secs_f64() < 8.0;
+                if domain == 0 && is_burst { 1.6 } else { 0.4 }
+            },
+        };
+        let alone = Play::new(Setup { shares: false, cut: None, ..setup.clone() }, 1).run();
+        let cut = Play::new(setup, 1).run();
+        let shares = cut.remote_shares();
+        let context = format!(
+            "({entries}, {domains}): refused {} alone, {} cut; {shares:.2?}",
+            alone.refused, cut.refused
+        );
+        println!("{context}");
+        assert!(cut.refused <= alone.refused, "{context}");
+        assert!(shares[8..12].iter().all(|share| *share > 0.3), "{context}");
+        // The last totals count for two seconds. Without them the flows go where they go without shared load.
+        let own_view = alone.remote_shares()[22..25].iter().sum::<f64>();
+        let in_cut = shares[22..25].iter().sum::<f64>();
+        assert!((own_view - in_cut).abs() < 0.3, "{context}");
+        assert!(shares[29..32].iter().all(|share| *share > 0.3), "{context}");
+    }
+}
--- a/crates/flow/tests/shared_load/play.rs
+++ b/crates/flow/tests/shared_load/play.rs
@@ -14,6 +14,7 @@
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -47,6 +48,8 @@
     pub targets: usize,
     pub shares: bool,
     pub length: Duration,
+    /// Time in which the control daemon of domain 0 is cut off from all others.
+    pub cut: Option<Range<Duration>>,
     pub demand: Demand,
 }
 
@@ -192,6 +195,12 @@
         self.outcomes
     }
 
+    /// Whether messages to and from the control daemon of a domain are lost now.
+    fn is_cut(&self, domain: usize) -> bool {
+        let elapsed = self.now - Duration::from_secs(1);
+        domain == 0 && self.setup.cut.as_ref().is_some_and(|cut| cut.contains(&elapsed))
+    }
+
     fn at(&self) -> Instant {
         self.start + self.now
     }
@@ -211,7 +220,10 @@
             Event::SendSums { book } => {
                 let at = self.at();
                 if let Some(sum) = self.books[book].own_sum(at) {
-                    for other in (0..self.books.len()).filter(|other| *other != book) {
+                    for other in 0..self.books.len() {
+                        if other == book || self.is_cut(other) || self.is_cut(book) {
+                            continue;
+                        }
                         let sum = Box::new(sum.clone());
                         self.schedule(Duration::from_millis(1), Event::Sum { book: other, sum });
                     }
@@ -310,6 +322,9 @@
     }
 
     fn receive_report(&mut self, entry: usize, report: LoadReport) {
+        if self.is_cut(entry % self.setup.domains) {
+            return;
+        }
         let at = self.at();
         let from = report.from;
         let book = &mut self.books[entry % self.setup.domains];
