--- a/crates/flow/tests/shared_load/main.rs
+++ b/crates/flow/tests/shared_load/main.rs
@@ -62,12 +62,14 @@
         let steady = &shares[12..20];
         let mean = steady.iter().sum::<f64>() / steady.len() as f64;
         let context = format!(
-            "{deployment:?}: refused {} of {} alone, {} of {} shared; remote part {mean:.2}, deviation {:.3}",
+            "{deployment:?}: refused {} of {} alone, {} of {} shared; remote part {mean:.2}, deviation {:.3}, \
+             refused by step {:?}",
             alone.refused,
             alone.begun,
             shared.refused,
             shared.begun,
-            deviation(steady)
+            deviation(steady),
+            shared.refused_by_step
         );
         println!("{context}");
         assert!(shared.refused * 4 <= alone.refused.max(4), "{context}");
--- a/crates/flow/tests/shared_load/play.rs
+++ b/crates/flow/tests/shared_load/play.rs
@@ -58,6 +58,8 @@
 pub struct Outcomes {
     pub begun: usize,
     pub refused: usize,
+    /// Refused requests by time, in steps of 250 ms.
+    pub refused_by_step: BTreeMap<u128, usize>,
     /// Requests sent to another domain, and all, by the time at which they began in steps of 250 ms. Of domain 0.
     pub remote: Vec<(usize, usize)>,
     /// Requests at each target, by sample.
@@ -293,6 +295,8 @@
             self.targets[target].queue.push_back(flow);
         } else {
             self.outcomes.refused += 1;
+            let step = (self.now - Duration::from_secs(1)).as_millis() / 250;
+            *self.outcomes.refused_by_step.entry(step).or_default() += 1;
             self.schedule(ROUND_TRIP, Event::Finish { flow });
         }
     }
