--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod feed;
 mod late_orders;
 mod link;
+mod load;
 mod peers;
 mod saves;
 mod settings;
--- a/crates/flow/src/cookie/flows.rs
+++ b/crates/flow/src/cookie/flows.rs
@@ -60,6 +60,8 @@
     pub is_opened_here: bool,
     /// Set until the first request is answered, if this entry has forwarded the opening.
     pub admitted: Option<Admitted>,
+    /// Arrival of the first packet.
+    pub first_seen: Instant,
     /// Stage of the flow.
     pub stage: FlowStage,
     /// Arrival of the last packet.
@@ -94,6 +96,7 @@
             requests: 0,
             is_opened_here: stage == FlowStage::Opening,
             admitted: None,
+            first_seen: now,
             stage,
             last_seen: now,
             request_ack,
@@ -158,14 +161,14 @@
         if self.flows.len() >= MAX_FLOWS {
             return;
         }
-        add_load(directory, flow.target, flow.load());
+        directory.add_load(flow.target, flow.load());
         self.flows.insert(key, flow);
     }
 
     /// Removes a flow and its load.
     pub fn remove(&mut self, key: &FlowKey, directory: &mut Directory) {
         if let Some(flow) = self.flows.remove(key) {
-            add_load(directory, flow.target, -flow.load());
+            directory.add_load(flow.target, -flow.load());
         }
     }
 
@@ -180,10 +183,10 @@
         let (target, before) = (flow.target, flow.load());
         change(flow);
         if flow.target == target {
-            add_load(directory, target, flow.load() - before);
+            directory.add_load(target, flow.load() - before);
         } else {
-            add_load(directory, target, -before);
-            add_load(directory, flow.target, flow.load());
+            directory.add_load(target, -before);
+            directory.add_load(flow.target, flow.load());
         }
     }
 
@@ -278,9 +281,3 @@
         });
     }
 }
-
-fn add_load(directory: &mut Directory, target: TargetKey, load: f64) {
-    if let Some(target) = directory.get_mut(target) {
-        target.load = (target.load + load).max(0.0);
-    }
-}
