Give each entry a share of a service, and order what waits

Cause: an entry limited openings by its own late answers alone. On a burst, full targets refused half of what arrived, and a caller with many flows or a burst of one domain took the places of others.

With fresh totals, share.rs limits the requests in flight to the entry's part of the service (max-min fair over failure domains), and order.rs with callers.rs decide who goes next. Log fields state which limit decided.

--- a/crates/fleet/src/entry/packets.rs
+++ b/crates/fleet/src/entry/packets.rs
@@ -228,8 +228,14 @@
     /// State of the limit that an opening is decided by, for its log line.
     pub(super) fn limit_fields(&self, packet: &CallerPacket, now: Instant) -> serde_json::Value {
         let status = self.balancer.borrow().limit_status(packet, now);
+        let kind: Option<&'static str> = status.map(|status| status.kind.into());
+        let totals_age = status.and_then(|status| status.totals_age);
         json!({
+            "limit_kind": kind,
             "limit": status.and_then(|status| status.limit),
+            "share": status.and_then(|status| status.share),
+            "in_flight": status.and_then(|status| status.in_flight),
+            "totals_age_ms": totals_age.map(|age| age.as_millis()),
             "unanswered": status.map(|status| status.unanswered),
             "limit_age_ms": status.map(|status| status.age.as_millis()),
         })
--- a/crates/flow/src/cookie/admission.rs
+++ b/crates/flow/src/cookie/admission/late.rs
@@ -1,28 +1,16 @@
-//! Admission of openings under overload: more requests than the targets can serve in time.
+//! The limit by late answers, for an entry that knows nothing of the others.
 //!
-//! Patterns: callers come in a burst, targets or a failure domain are lost, and all callers come back at once
-//! after a loss of power. Without a limit, the targets' queues fill up, and every request misses its latency
-//! objective because of requests that have missed it before. With one, the queues stay short: openings beyond
-//! the limit wait in the entry, and those whose requests can still be in time go first.
-//!
-//! An entry knows neither the other entries nor the targets' queues. It measures the time from an opening to the
-//! answer of its first request. While most answers come late, the limit on openings without an answer shrinks;
-//! while they come in time, it grows. Without signs of overload there is no limit. Only openings are limited:
-//! open flows are never held up.
-
-use super::FlowKey;
-use super::openings::{is_last, retransmission_timeout, send_time};
-use comfreyhold_types::routes::{Route, RouteTable};
-use slotmap::SlotMap;
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddrV4;
+//! The entry measures the time from an opening to the answer of its first request. While most answers come late,
+//! the limit on openings without an answer shrinks; while they come in time, it grows. Without signs of overload
+//! there is no limit.
+
+use super::{Admission, OpeningAge};
+use crate::cookie::FlowKey;
+use crate::cookie::openings::{is_last, retransmission_timeout, send_time};
+use comfreyhold_types::routes::Route;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-slotmap::new_key_type! {
-    /// Key of a service's limit.
-    pub struct ServiceKey;
-}
-
 /// Lowest limit. It keeps the slots in use where an entry has few of them to itself.
 const MIN_LIMIT: f64 = 4.0;
 
@@ -63,7 +51,7 @@
 const SHARE_OF_LOWER_PRIORITY: f64 = 0.87;
 
 /// Interval at which a waiting opening is decided on again.
-const HOLD_STEP: Duration = Duration::from_millis(20);
+pub(super) const HOLD_STEP: Duration = Duration::from_millis(20);
 
 /// Openings that may wait are as many as are answered in this time, which is about what an attempt leaves them.
 /// Further ones are refused at once: they would wait until their attempts end.
@@ -76,10 +64,10 @@
 const RATE_DECAY: f64 = 0.98;
 
 /// Time after which an opening that is no longer decided on does not count as waiting.
-const WAITING_TIMEOUT: Duration = Duration::from_millis(200);
+pub(super) const WAITING_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Part of an attempt that is reserved for the target's answer: several round trips between failure domains.
-const ANSWER_RESERVE: Duration = Duration::from_millis(200);
+pub(super) const ANSWER_RESERVE: Duration = Duration::from_millis(200);
 
 /// Answers of a route from which its usual answer is known.
 const MIN_USUAL_ANSWERS: u32 = 16;
@@ -87,65 +75,13 @@
 /// Weight of the newest answer in the usual one.
 const USUAL_WEIGHT: f64 = 0.05;
 
+/// Weight of the newest answer in the unloaded answer time. The queues of an overload that begins must not change it
+/// before openings wait.
+const UNLOADED_WEIGHT: f64 = 0.002;
+
 /// An answer with less than this share of the usual time and of the usual size is the refusal of a full target.
 const REFUSAL_SHARE: f64 = 0.4;
 
-/// Maximum number of routes whose usual answers are kept.
-const MAX_ROUTES: usize = 4_096;
-
-/// Proof that an opening counts against its service's limit, until the answer is recorded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Admitted {
-    service: ServiceKey,
-    number: u64,
-}
-
-/// What to do with an opening.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Admission {
-    /// Forward it.
-    Now,
-    /// Decide on it again after this time.
-    After(Duration),
-    /// Drop it: the caller's next retransmission takes its place.
-    AtRetransmission,
-    /// Refuse it: the attempt ends before there is room.
-    Refused,
-}
-
-/// An opening to decide on.
-#[derive(Clone, Copy, Debug)]
-pub struct OpeningAge {
-    /// Flow that it opens.
-    pub flow: FlowKey,
-    /// Number of the retransmission.
-    pub copy: u32,
-    /// Time for which it has waited in this entry.
-    pub waited: Duration,
-}
-
-/// The answer to a flow's first request.
-#[derive(Clone, Copy, Debug)]
-pub struct FirstAnswer {
-    /// Service address of the flow.
-    pub address: SocketAddrV4,
-    /// Latency objective of its route.
-    pub objective: Duration,
-    /// Bytes that the caller has received.
-    pub bytes: u32,
-}
-
-/// State of a service's limit, for logs.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LimitStatus {
-    /// Limit on openings without an answer; `None` without one.
-    pub limit: Option<f64>,
-    /// Openings without an answer.
-    pub unanswered: usize,
-    /// Age of the answers that the limit was adjusted by.
-    pub age: Duration,
-}
-
 #[derive(Debug)]
 struct Window {
     start: Instant,
@@ -157,8 +93,9 @@
     peak: usize,
 }
 
+/// Limit of one service by late answers.
 #[derive(Debug)]
-struct ServiceLimit {
+pub(super) struct LateLimit {
     limit: Option<f64>,
     last_number: u64,
     /// Last opening forwarded before the limit shrank. Answers to it and to earlier ones don't count: they waited
@@ -179,143 +116,123 @@
 
 /// Usual answer of a route while it is not overloaded.
 #[derive(Clone, Copy, Debug, Default)]
-struct UsualAnswer {
+pub(super) struct UsualAnswer {
     answers: u32,
     seconds: f64,
     bytes: f64,
+    /// Mean over many answers while no opening waits.
+    unloaded_seconds: f64,
 }
 
-/// Limits of all services at one entry.
-#[derive(Debug, Default)]
-pub struct AdmissionControl {
-    services: SlotMap<ServiceKey, ServiceLimit>,
-    by_name: BTreeMap<String, ServiceKey>,
-    usual: BTreeMap<SocketAddrV4, UsualAnswer>,
+impl Window {
+    fn starting_at(start: Instant, unanswered: usize) -> Self {
+        Self { start, answers: 0, in_time: 0, late: 0, peak: unanswered }
+    }
 }
 
-impl AdmissionControl {
-    /// Decides on an opening to a service. `is_top_priority` says whether no route to the service has a higher
-    /// priority. Routes without a latency objective are not limited.
-    pub fn decide(
+/// How an answer came, for the limits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AnswerKind {
+    InTime,
+    Late,
+    /// The refusal of a full target.
+    Refusal,
+}
+
+impl LateLimit {
+    /// Creates the state of a service without a limit.
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            limit: None,
+            last_number: 0,
+            last_before_decrease: 0,
+            unanswered: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            answers_per_s: 0.0,
+            window: Window::starting_at(now, 0),
+            late_since: None,
+            unused_since: None,
+        }
+    }
+
+    /// Current limit on openings without an answer; `None` without one.
+    pub(super) fn limit(&self) -> Option<f64> {
+        self.limit
+    }
+
+    /// Number of openings without an answer.
+    pub(super) fn unanswered(&self) -> usize {
+        self.unanswered.len()
+    }
+
+    /// Age of the answers that the limit was adjusted by.
+    pub(super) fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.window.start)
+    }
+
+    /// Takes over from the limit by shares, which held the openings without an answer at about this many.
+    pub(super) fn resume(&mut self, limit: f64, now: Instant) {
+        self.limit = Some(limit.max(MIN_LIMIT));
+        self.last_before_decrease = self.last_number;
+        self.late_since = None;
+        self.unused_since = None;
+        self.window = Window::starting_at(now, self.unanswered.len());
+    }
+
+    /// Decides on an opening. `usual` is the usual answer time of its route.
+    pub(super) fn decide(
         &mut self,
-        service: &str,
         route: &Route,
+        usual: Duration,
         is_top_priority: bool,
         opening: OpeningAge,
         now: Instant,
     ) -> Admission {
-        let usual = self.usual.get(&route.address).map_or(0.0, |usual| usual.seconds);
-        let key = self.service_key(service, now);
-        let Some(state) = self.services.get_mut(key) else { return Admission::Now };
-        state.adjust(now);
+        self.adjust(now);
         let age = send_time(opening.copy) + opening.waited;
-        let is_late = age + Duration::from_secs_f64(usual) > route.objective();
-        let share = match (is_late, is_top_priority) {
+        let share = match (age + usual > route.objective(), is_top_priority) {
             (true, _) => SHARE_OF_LATE,
             (false, true) => 1.0,
             (false, false) => SHARE_OF_LOWER_PRIORITY,
         };
-        let decision = match state.limit.filter(|_| route.objective_ms > 0) {
-            Some(limit) if state.unanswered.len() as f64 >= (limit * share).max(1.0) => {
-                state.decide_beyond_limit(opening)
+        let decision = match self.limit.filter(|_| route.objective_ms > 0) {
+            Some(limit) if self.unanswered.len() as f64 >= (limit * share).max(1.0) => {
+                self.decide_beyond_limit(opening)
             }
             _ => Admission::Now,
         };
         if matches!(decision, Admission::After(_)) {
-            state.waiting.insert(opening.flow, now);
+            self.waiting.insert(opening.flow, now);
         } else {
-            state.waiting.remove(&opening.flow);
+            self.waiting.remove(&opening.flow);
         }
         decision
     }
 
-    /// Forgets services and routes that the declarations no longer name.
-    pub fn forget_removed(&mut self, table: &RouteTable) {
-        let destinations = table.routes.values().flat_map(|route| &route.destinations);
-        let names: BTreeSet<&str> = destinations.map(|d| d.service.as_str()).collect();
-        self.by_name.retain(|name, _| names.contains(name.as_str()));
-        let kept: BTreeSet<ServiceKey> = self.by_name.values().copied().collect();
-        self.services.retain(|key, _| kept.contains(&key));
-        self.usual.retain(|address, _| table.routes.contains_key(address));
-    }
-
-    /// Counts an opening that is forwarded.
-    pub fn record_forwarded(&mut self, service: &str, now: Instant) -> Option<Admitted> {
-        let service = self.service_key(service, now);
-        let state = self.services.get_mut(service)?;
-        state.last_number += 1;
-        state.unanswered.insert(state.last_number, now);
-        state.window.peak = state.window.peak.max(state.unanswered.len());
-        Some(Admitted { service, number: state.last_number })
-    }
-
-    /// Records the answer to the first request of a flow.
-    pub fn record_answer(&mut self, admitted: Admitted, answer: FirstAnswer, now: Instant) {
-        let Some(state) = self.services.get_mut(admitted.service) else { return };
-        let Some(start) = state.unanswered.remove(&admitted.number) else { return };
-        let took = now.saturating_duration_since(start);
-        let is_late = took > answer.objective.mul_f64(LATE_SHARE_OF_OBJECTIVE);
-        let may_add = self.usual.len() < MAX_ROUTES || self.usual.contains_key(&answer.address);
-        let mut unknown = UsualAnswer::default();
-        let usual =
-            if may_add { self.usual.entry(answer.address).or_default() } else { &mut unknown };
-        let is_refusal = usual.is_refusal(took, answer.bytes);
-        let counts = admitted.number > state.last_before_decrease;
-        state.window.answers += 1;
-        if is_late || is_refusal {
-            state.window.late += u32::from(counts);
-        } else {
-            state.window.in_time += u32::from(counts);
-            usual.record(took, answer.bytes);
-        }
-        state.adjust(now);
-    }
-
-    /// Stops counting an opening whose flow has ended without an answer.
-    pub fn record_ended(&mut self, admitted: Admitted) {
-        if let Some(state) = self.services.get_mut(admitted.service) {
-            state.unanswered.remove(&admitted.number);
-        }
+    /// Counts an opening that is forwarded. Returns its number.
+    pub(super) fn record_forwarded(&mut self, now: Instant) -> u64 {
+        self.last_number += 1;
+        self.unanswered.insert(self.last_number, now);
+        self.window.peak = self.window.peak.max(self.unanswered.len());
+        self.last_number
     }
 
-    /// State of a service's limit; `None` for a service without openings.
-    #[must_use]
-    pub fn status(&self, service: &str, now: Instant) -> Option<LimitStatus> {
-        let state = self.services.get(*self.by_name.get(service)?)?;
-        Some(LimitStatus {
-            limit: state.limit,
-            unanswered: state.unanswered.len(),
-            age: now.saturating_duration_since(state.window.start),
-        })
+    /// Stops counting an opening. Returns when it was forwarded if it still counted.
+    pub(super) fn remove(&mut self, number: u64) -> Option<Instant> {
+        self.unanswered.remove(&number)
     }
 
-    fn service_key(&mut self, service: &str, now: Instant) -> ServiceKey {
-        if let Some(key) = self.by_name.get(service) {
-            return *key;
+    /// Records the answer to an opening that has been removed.
+    pub(super) fn record_answer(&mut self, number: u64, kind: AnswerKind, now: Instant) {
+        let counts = u32::from(number > self.last_before_decrease);
+        self.window.answers += 1;
+        match kind {
+            AnswerKind::InTime => self.window.in_time += counts,
+            AnswerKind::Late | AnswerKind::Refusal => self.window.late += counts,
         }
-        let key = self.services.insert(ServiceLimit {
-            limit: None,
-            last_number: 0,
-            last_before_decrease: 0,
-            unanswered: BTreeMap::new(),
-            waiting: BTreeMap::new(),
-            answers_per_s: 0.0,
-            window: Window::starting_at(now, 0),
-            late_since: None,
-            unused_since: None,
-        });
-        self.by_name.insert(service.to_owned(), key);
-        key
-    }
-}
-
-impl Window {
-    fn starting_at(start: Instant, unanswered: usize) -> Self {
-        Self { start, answers: 0, in_time: 0, late: 0, peak: unanswered }
+        self.adjust(now);
     }
-}
 
-impl ServiceLimit {
     /// Decides on an opening for which there is no room now.
     fn decide_beyond_limit(&self, opening: OpeningAge) -> Admission {
         let answered = self.answers_per_s * LONGEST_WAIT.as_secs_f64();
@@ -383,16 +300,44 @@
 }
 
 impl UsualAnswer {
-    fn is_refusal(&self, took: Duration, bytes: u32) -> bool {
-        self.answers >= MIN_USUAL_ANSWERS
-            && took.as_secs_f64() < self.seconds * REFUSAL_SHARE
-            && f64::from(bytes) < self.bytes * REFUSAL_SHARE
+    /// Usual answer time; 0 while it is unknown.
+    pub(super) fn time(&self) -> Duration {
+        Duration::from_secs_f64(self.seconds)
+    }
+
+    /// Answer time while no limit by shares applied; 0 while it is unknown.
+    pub(super) fn unloaded_time(&self) -> Duration {
+        Duration::from_secs_f64(self.unloaded_seconds)
     }
 
-    fn record(&mut self, took: Duration, bytes: u32) {
+    /// Tells how an answer came, and learns from it if it came in time. `is_loaded` says whether openings wait
+    /// for the service, so that answers show its queues too.
+    pub(super) fn record(
+        &mut self,
+        (took, objective): (Duration, Duration),
+        bytes: u32,
+        is_loaded: bool,
+    ) -> AnswerKind {
+        if self.is_refusal(took, bytes) {
+            return AnswerKind::Refusal;
+        }
+        if took > objective.mul_f64(LATE_SHARE_OF_OBJECTIVE) {
+            return AnswerKind::Late;
+        }
         self.answers = self.answers.saturating_add(1);
         let weight = (1.0 / f64::from(self.answers)).max(USUAL_WEIGHT);
         self.seconds += (took.as_secs_f64() - self.seconds) * weight;
         self.bytes += (f64::from(bytes) - self.bytes) * weight;
+        if !is_loaded {
+            let weight = (1.0 / f64::from(self.answers)).max(UNLOADED_WEIGHT);
+            self.unloaded_seconds += (took.as_secs_f64() - self.unloaded_seconds) * weight;
+        }
+        AnswerKind::InTime
+    }
+
+    fn is_refusal(&self, took: Duration, bytes: u32) -> bool {
+        self.answers >= MIN_USUAL_ANSWERS
+            && took.as_secs_f64() < self.seconds * REFUSAL_SHARE
+            && f64::from(bytes) < self.bytes * REFUSAL_SHARE
     }
 }
--- a/crates/flow/src/cookie/balancer.rs
+++ b/crates/flow/src/cookie/balancer.rs
@@ -1,6 +1,8 @@
 //! Decides on each packet of a caller by the flow cookie, the routes and the load of the targets.
 
-use super::admission::{Admission, AdmissionControl, FirstAnswer, LimitStatus, OpeningAge};
+use super::admission::{
+    Admission, AdmissionControl, FirstAnswer, LimitStatus, OpeningAge, ShareInput,
+};
 use super::directory::{Directory, Target, TargetKey, TargetSpec};
 use super::flows::{Flow, FlowStage, Flows};
 use super::habits::Habits;
@@ -98,6 +100,11 @@
         &self.directory
     }
 
+    /// Returns the directory of targets, to update what is known of their load through other entries.
+    pub fn directory_mut(&mut self) -> &mut Directory {
+        &mut self.directory
+    }
+
     /// Returns what is known of the load of all entries, to update it.
     pub fn shared_mut(&mut self) -> &mut SharedLoad {
         &mut self.shared
@@ -213,6 +220,14 @@
         if known.is_none() && self.settings.limits_openings {
             let top = self.top_priorities.get(service);
             let is_top = top.is_none_or(|top| route.priority <= *top);
+            let input = ShareInput {
+                service,
+                totals: self.shared.service(service, now),
+                directory: &self.directory,
+                domain: &self.settings.domain,
+                withdrawn: &self.routing.withdrawn,
+            };
+            self.admission.update_share(&input, route, now);
             match self.admission.decide(service, route, is_top, opening, now) {
                 Admission::Now => {}
                 Admission::After(delay) => return Verdict::Defer(delay),
