--- a/crates/flow/benches/cookie.rs
+++ b/crates/flow/benches/cookie.rs
@@ -4,6 +4,7 @@
 
 use comfreyhold_flow::cookie::balancer::Routing;
 use comfreyhold_flow::cookie::directory::TargetSpec;
+use comfreyhold_flow::cookie::shared::ServiceShare;
 use comfreyhold_flow::cookie::{
     Balancer, BalancerSettings, CallerPacket, Cookie, FlowKey, PacketKind,
 };
@@ -11,6 +12,7 @@
 use comfreyhold_types::keys::{DomainName, TargetId};
 use comfreyhold_types::routes::{Destination, RequestClass, Route, RouteList, RoutedService};
 use criterion::{Criterion, criterion_group, criterion_main};
+use std::collections::BTreeMap;
 use std::hint::black_box;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
@@ -98,5 +100,31 @@
     }
 }
 
-criterion_group!(benches, decisions);
+/// Openings of a service whose entries share their load: beside idle targets, and beside full ones.
+fn shared_decisions(c: &mut Criterion) {
+    let now = Instant::now();
+    let domains_per_s = (0..4).map(|d| (DomainName::from(d.to_string().as_str()), 1_000.0));
+    let share = ServiceShare {
+        own_per_s: 150.0,
+        domain_per_s: 1_000.0,
+        domain_entries: 6,
+        domains_per_s: domains_per_s.collect::<BTreeMap<_, _>>(),
+        in_flight: 300.0,
+        received: now,
+    };
+    for (name, callers) in [("idle", 5), ("full", 10_000)] {
+        let mut entry = balancer(150, now);
+        entry.shared_mut().set_service(SERVICE, share.clone());
+        let mut flow = 0;
+        c.bench_function(&format!("opening by share, 150 targets, {name}"), |b| {
+            b.iter(|| {
+                flow = (flow + 1) % callers;
+                let opening = packet(flow, PacketKind::Open { copy: 0 }, Cookie::default());
+                black_box(entry.route_packet(&opening, false, Duration::ZERO, now))
+            });
+        });
+    }
+}
+
+criterion_group!(benches, decisions, shared_decisions);
 criterion_main!(benches);
