Refuse dropped openings only of flows that were never forwarded

A first opening that a full queue drops is answered by a reset. If the network had delivered it twice, the first one may have been sent, and the reset would end a flow that a target serves. The entry now notes whether the balancer knew the flow before it routed the opening, and sends no such reset in the last 50 ms before the caller's copy is due.

--- a/crates/fleet/src/entry/link.rs
+++ b/crates/fleet/src/entry/link.rs
@@ -48,6 +48,17 @@
     }
 }
 
+/// What is known of a packet before it is routed.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum Screening {
+    /// First opening of a flow that this entry has not forwarded.
+    New,
+    /// Any other packet.
+    Known,
+    /// The packet was dropped or refused.
+    Stopped,
+}
+
 /// What the task that sends queued datagrams waits for.
 enum Pause {
     UntilQueued,
@@ -56,46 +67,42 @@
 }
 
 impl<C: PacketCodec> Entry<C> {
-    /// Whether an opening may be routed. One that repeats a queued opening is dropped, and a new one that the link
-    /// can't carry in time is refused. Both stay unknown to the balancer.
-    pub(super) fn is_opening_sendable(&self, pending: &PendingPacket<'_>, now: Instant) -> bool {
+    /// Decides on a packet before it is routed. An opening that repeats a queued one is dropped, and a new one that
+    /// the link can't carry in time is refused. Both stay unknown to the balancer.
+    pub(super) fn screen(&self, pending: &PendingPacket<'_>, now: Instant) -> Screening {
         let packet = pending.packet;
-        let PacketKind::Open { copy } = packet.kind else { return true };
+        let PacketKind::Open { copy } = packet.kind else { return Screening::Known };
         if pending.is_late || self.link.scheduler.borrow().is_none() {
-            return true;
+            return Screening::Known;
         }
         let repeats_queued =
             self.with_link(now, |link| link.repeats_queued(packet, now)) == Some(true);
         if repeats_queued {
             self.record_link_drop(DropReason::Retransmission);
-            return false;
+            return Screening::Stopped;
+        }
+        let is_known = self.balancer.borrow().opening_route(packet).is_none_or(|o| o.is_known);
+        if copy > 0 || is_known {
+            return Screening::Known;
         }
         // The caller of an opening that has waited here may have sent a copy to another entry.
-        if copy > 0 || pending.received != now || self.is_admitted_by_link(packet, now) {
-            return true;
+        let terms = self.route_terms(packet);
+        let route = packet.flow.service;
+        let is_admitted = pending.received != now
+            || self.with_link(now, |link| link.admits(route, terms, now)) != Some(false);
+        if is_admitted {
+            return Screening::New;
         }
         self.refuse_for_link(packet, now);
-        false
+        Screening::Stopped
     }
 
-    fn is_admitted_by_link(&self, packet: &CallerPacket, now: Instant) -> bool {
-        let terms = {
-            let balancer = self.balancer.borrow();
-            let Some(opening) = balancer.opening_route(packet).filter(|opening| !opening.is_known)
-            else {
-                return true;
-            };
-            RouteTerms { priority: opening.route.priority, objective: opening.route.objective() }
-        };
-        self.with_link(now, |link| link.admits(packet.flow.service, terms, now)) != Some(false)
-    }
-
-    /// Sends a datagram, or queues it. `forwards` is the time at which the packet that it forwards was received;
-    /// `None` for a reset that answers the packet. Returns false if the datagram was dropped.
+    /// Sends a datagram, or queues it. `forwards` is the time at which the packet that it forwards was received, and
+    /// how it was screened; `None` for a reset that answers the packet. Returns false if the datagram was dropped.
     pub(super) fn transmit(
         &self,
         packet: &CallerPacket,
-        forwards: Option<Instant>,
+        forwards: Option<(Instant, Screening)>,
         (to, datagram): (SocketAddrV4, &[u8]),
         now: Instant,
     ) -> bool {
@@ -106,7 +113,11 @@
             return true;
         }
         let meta = match forwards {
-            Some(received) => PacketMeta::forward(packet, self.route_terms(packet), to, received),
+            Some((received, screening)) => {
+                let mut meta = PacketMeta::forward(packet, self.route_terms(packet), to, received);
+                meta.is_first &= screening == Screening::New;
+                meta
+            }
             None => PacketMeta::reset(packet, to),
         };
         match self.with_link(now, |link| link.offer(meta, datagram, now)) {
--- a/crates/fleet/src/entry/packets.rs
+++ b/crates/fleet/src/entry/packets.rs
@@ -1,5 +1,6 @@
 //! Receives packets from the fabric and forwards them, in batches.
 
+use super::link::Screening;
 use super::{Entry, MAX_TICK_DELAY, TICK_INTERVAL};
 use comfreyhold_flow::cookie::{
     CallerPacket, Cookie, DiscardReason, FlowKey, PacketKind, ResetReason, Verdict,
@@ -168,7 +169,8 @@
         now: Instant,
     ) {
         let PendingPacket { packet, datagram, received, is_late, .. } = *pending;
-        if !self.is_opening_sendable(pending, now) {
+        let screening = self.screen(pending, now);
+        if screening == Screening::Stopped {
             return;
         }
         let waited = now.saturating_duration_since(received);
@@ -180,7 +182,7 @@
                     metrics::histogram!("opening_answered_seconds").record(answered);
                 }
                 self.codec.encode_forward(datagram, target, cookie, out);
-                (address, Some(received))
+                (address, Some((received, screening)))
             }
             Verdict::Reset(_) => (self.codec.encode_reset(packet, out), None),
             Verdict::Defer(wait) => return self.defer_opening(pending, wait, now),
--- a/crates/fleet/tests/fleet/link.rs
+++ b/crates/fleet/tests/fleet/link.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tempfile::TempDir;
 use tokio::net::UdpSocket;
@@ -241,6 +241,80 @@
     assert_eq!(openings, BTreeSet::from([(OPEN, 0), (OPEN, 30)]));
 }
 
+/// Guards against openings that a full queue drops without an answer, and against resets of flows that were forwarded.
+#[tokio::test]
+async fn openings_that_a_full_queue_drops_are_refused() {
+    LocalSet::new().run_until(check_full_queue()).await;
+}
+
+async fn check_full_queue() {
+    let deployment = Deployment::start(51, LINK_MBPS).await;
+    // Two large openings pass at once, and half a second of the link's rate is 86 more.
+    for number in 0..150 {
+        deployment.send(OPEN, number, 0, BODY_BYTES).await;
+    }
+    assert_eq!(deployment.forwarded(2).await, [(OPEN, 0), (OPEN, 1)]);
+    for number in [0, 1] {
+        deployment.send(OPEN, number, 0, BODY_BYTES).await;
+    }
+    deployment.assert_target_is_quiet().await;
+    // At most a burst is sent at one time.
+    for _ in 0..30 {
+        deployment.clock.advance(Duration::from_millis(5));
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let refused: BTreeSet<u8> = (88..150).collect();
+    assert_eq!(deployment.resets(refused.len()).await, refused);
+}
+
+/// Lines of the log about links.
+static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+struct LineLog;
+
+impl log::Log for LineLog {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        let line = record.args().to_string();
+        if line.contains("\"kind\":\"link\"") || line.contains("\"reason\":\"link-full\"") {
+            LINES.lock().unwrap().push(line);
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+/// Guards against a full link that operators can't see.
+#[tokio::test]
+async fn a_used_queue_and_refusals_are_logged() {
+    log::set_logger(&LineLog).unwrap();
+    log::set_max_level(log::LevelFilter::Info);
+    LocalSet::new().run_until(check_log()).await;
+}
+
+async fn check_log() {
+    let deployment = Deployment::start(61, LINK_MBPS).await;
+    deployment.run_whole_flows().await;
+    deployment.send_burst().await;
+    deployment.forwarded(usize::from(ADMITTED - 1)).await;
+    deployment.assert_target_is_quiet().await;
+    let lines = LINES.lock().unwrap().clone();
+    let find = |parts: &[&str]| {
+        let found = lines.iter().any(|line| parts.iter().all(|part| line.contains(part)));
+        assert!(found, "no line with {parts:?} in {lines:?}");
+    };
+    find(&["\"kind\":\"link\"", "\"state\":\"queueing\"", "\"rate_mbps\":1.5", "\"queued\":1"]);
+    find(&[
+        "\"kind\":\"reset\"",
+        "\"link_mbps\":1.5",
+        "\"queued_bytes\":",
+        "\"expected_wait_ms\":",
+    ]);
+}
+
 /// Guards against a change of behaviour where no rate is stated.
 #[tokio::test]
 async fn without_a_stated_rate_everything_is_sent_at_once() {
--- a/crates/link/src/packet.rs
+++ b/crates/link/src/packet.rs
@@ -8,6 +8,10 @@
 /// Bytes of the IP and UDP headers, which the link carries with each datagram.
 pub const HEADER_BYTES: usize = 28;
 
+/// Time before the caller's copy in which an opening is no longer refused. The reset has to reach the caller before the
+/// copy is sent, and the opening took as long; 25 ms one way covers callers on the same continent.
+const REFUSAL_MARGIN: Duration = Duration::from_millis(50);
+
 /// Class of a packet. The first one is sent first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Class {
@@ -35,6 +39,9 @@
     pub packet: CallerPacket,
     /// Whether the datagram is a reset to the caller.
     pub is_reset: bool,
+    /// Whether the datagram is the first opening of its flow. Set it to false if the entry has forwarded a packet of
+    /// the flow before.
+    pub is_first: bool,
     /// Terms of the flow's route.
     pub terms: RouteTerms,
     /// Address to send to.
@@ -56,14 +63,15 @@
             PacketKind::Open { copy } => Some(received + openings::retransmission_timeout(copy)),
             _ => None,
         };
-        Self { packet: *packet, is_reset: false, terms, to, expires }
+        let is_first = packet.kind == PacketKind::Open { copy: 0 };
+        Self { packet: *packet, is_reset: false, is_first, terms, to, expires }
     }
 
     /// Describes a reset that answers a caller's packet.
     #[must_use]
     pub fn reset(packet: &CallerPacket, to: SocketAddrV4) -> Self {
         let terms = RouteTerms::default();
-        Self { packet: *packet, is_reset: true, terms, to, expires: None }
+        Self { packet: *packet, is_reset: true, is_first: false, terms, to, expires: None }
     }
 
     /// Class that determines when the packet is sent.
@@ -80,8 +88,7 @@
     /// target can run its request if the datagram is not sent.
     #[must_use]
     pub fn is_refusable(&self, now: Instant) -> bool {
-        let is_first = self.packet.kind == PacketKind::Open { copy: 0 };
-        is_first && !self.is_reset && self.expires.is_some_and(|expires| now < expires)
+        self.is_first && self.expires.is_some_and(|expires| now + REFUSAL_MARGIN < expires)
     }
 
     pub(crate) fn is_expired(&self, now: Instant) -> bool {
--- a/crates/link/src/queue.rs
+++ b/crates/link/src/queue.rs
@@ -148,6 +148,7 @@
                 self.expiries.insert((expires, number));
                 meta.expires = Some(expires);
                 meta.packet = *packet;
+                meta.is_first = false;
             }
         }
         true
