Learn the cost of long flows only if the link was not full

A flow that is open for over 3 s was learned if nothing was queued when it was counted, even if the link had been full during its life. It is learned now only if nothing was queued since its opening.

--- a/crates/link/src/costs.rs
+++ b/crates/link/src/costs.rs
@@ -137,8 +137,8 @@
 
     /// Stops counting flows that are older than [`FLOW_WINDOW`]. Those that are still open then have several
     /// requests; of their bytes, the mean includes what falls into one objective. They are learned only if
-    /// `learns`, since a full link makes short flows long as well.
-    pub(crate) fn expire(&mut self, learns: bool, now: Instant) {
+    /// nothing was queued since their opening, since a full link makes short flows long as well.
+    pub(crate) fn expire(&mut self, last_queued: Option<Instant>, now: Instant) {
         while let Some((opened, key)) =
             self.opened.pop_front_if(|(opened, _)| now >= *opened + FLOW_WINDOW)
         {
@@ -146,7 +146,8 @@
                 continue;
             }
             let Some(flow) = self.close(&key) else { continue };
-            if let Some(route) = self.routes.get_mut(&key.service).filter(|_| learns) {
+            let is_undisturbed = last_queued.is_none_or(|last| last < opened);
+            if let Some(route) = self.routes.get_mut(&key.service).filter(|_| is_undisturbed) {
                 let part = flow.objective.as_secs_f64() / FLOW_WINDOW.as_secs_f64();
                 route.learn(flow.bytes * part.min(1.0));
             }
--- a/crates/link/src/queue.rs
+++ b/crates/link/src/queue.rs
@@ -254,8 +254,8 @@
         self.remove(number)
     }
 
-    /// Removes a packet if there are more than allowed, resets aside: in the lowest class, the newest one of the caller with
-    /// the most bytes. Returns its number as well.
+    /// Removes a packet if there are more than allowed, resets aside: in the lowest class, the newest one of the
+    /// caller with the most bytes. Returns its number as well.
     pub(crate) fn evict(&mut self, max_bytes: usize) -> Option<(u64, Outgoing)> {
         let (bytes, packets) = (self.bytes - self.reset_bytes, self.packets.len() - self.resets);
         if bytes <= max_bytes && packets <= MAX_QUEUED_PACKETS {
--- a/crates/link/src/scheduler.rs
+++ b/crates/link/src/scheduler.rs
@@ -13,9 +13,9 @@
 /// estimate of what flows will cost alone refuses nothing.
 const FULL_PERIOD: Duration = Duration::from_secs(1);
 
-/// The link may take one of this many parts of a request's objective. Two are for the target, and one is for the inbound
-/// link, which carries the same packets. With the whole objective for the link, most admitted requests are late
-/// (docs/design/link.md).
+/// The link may take one of this many parts of a request's objective. Two are for the target, and one is for the
+/// inbound link, which carries the same packets. With the whole objective for the link, most admitted requests are
+/// late (docs/design/link.md).
 pub const OBJECTIVE_PARTS: u32 = 4;
 
 /// Least capacity of the queue in bytes: two full packets, since the thinnest links could queue none otherwise.
@@ -216,8 +216,7 @@
         while let Some(outgoing) = self.queue.pop_expired(now) {
             self.drops.push(DroppedPacket::expired(&outgoing));
         }
-        let is_clear = self.is_empty();
-        self.costs.expire(is_clear, now);
+        self.costs.expire(self.last_queued, now);
     }
 
     /// Drops what the queue has no room for. Returns whether the packet `added` was dropped, which is not added to
--- a/crates/link/tests/link/admission.rs
+++ b/crates/link/tests/link/admission.rs
@@ -171,6 +171,26 @@
     assert!((500.0..1_100.0).contains(&bytes_each), "about one request: {bytes_each}");
 }
 
+/// Guards against a cost that is learned too low from flows that a full link has held up.
+#[test]
+fn long_flows_are_not_learned_on_a_full_link() {
+    for is_full in [true, false] {
+        let (mut link, mut now) = (scheduler(), Instant::now());
+        for number in 0..MIN_SAMPLES {
+            offer_open(&mut link, flow(number, 1), 1, now);
+        }
+        if is_full {
+            fill(&mut link, now);
+        }
+        now += FLOW_WINDOW;
+        fill(&mut link, now);
+        for number in 0..1_000 {
+            offer_open(&mut link, flow(1_000 + number, 1), 1, now);
+        }
+        assert_eq!(admits(&mut link, 1, now), is_full, "refused only if the cost was learned");
+    }
+}
+
 /// Guards against refusals of openings that may have been sent, or whose caller has gone on.
 #[test]
 fn only_first_openings_before_their_copy_are_refusable() {
