Count cold targets if there are no others, and bound the count of waiting openings

Cause: with all targets cold or silent, as after a loss of power, no slots were counted and each entry admitted one request at a time. With thousands of waiting openings, each decision counted all of them. The benchmark of openings decides on flows that are known already, which admission is not asked about.

Change: without ready targets the slots of all serving ones count, restored domains count as cold, at most 256 waiting openings are counted, and a benchmark calls the decision itself.

--- a/crates/flow/benches/cookie.rs
+++ b/crates/flow/benches/cookie.rs
@@ -2,6 +2,7 @@
 
 #![allow(missing_docs, reason = "the macros of criterion create undocumented items")]
 
+use comfreyhold_flow::cookie::admission::{AdmissionControl, OpeningAge, ShareInput};
 use comfreyhold_flow::cookie::balancer::Routing;
 use comfreyhold_flow::cookie::directory::TargetSpec;
 use comfreyhold_flow::cookie::shared::ServiceShare;
@@ -12,7 +13,7 @@
 use comfreyhold_types::keys::{DomainName, TargetId};
 use comfreyhold_types::routes::{Destination, RequestClass, Route, RouteList, RoutedService};
 use criterion::{Criterion, criterion_group, criterion_main};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hint::black_box;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
@@ -100,31 +101,71 @@
     }
 }
 
-/// Openings of a service whose entries share their load: beside idle targets, and beside full ones.
-fn shared_decisions(c: &mut Criterion) {
-    let now = Instant::now();
-    let domains_per_s = (0..4).map(|d| (DomainName::from(d.to_string().as_str()), 1_000.0));
-    let share = ServiceShare {
-        own_per_s: 150.0,
-        domain_per_s: 1_000.0,
-        domain_entries: 6,
-        domains_per_s: domains_per_s.collect::<BTreeMap<_, _>>(),
-        in_flight: 300.0,
-        received: now,
-    };
-    for (name, callers) in [("idle", 5), ("full", 10_000)] {
+/// Interval between openings: 10,000 a second.
+const GAP: Duration = Duration::from_micros(100);
+
+fn opening(flow: u32) -> OpeningAge {
+    let flow = packet(flow, PacketKind::Open { copy: 0 }, Cookie::default()).flow;
+    OpeningAge { flow, copy: 0, waited: Duration::ZERO }
+}
+
+/// The decision whether an opening is forwarded, without totals of other entries.
+fn admission(c: &mut Criterion) {
+    let mut now = Instant::now();
+    let table = balancer(1, now).routing().table.clone();
+    let Some(route) = table.and_then(|t| t.routes.get(&service_address()).cloned()) else { return };
+    let (mut control, mut flow) = (AdmissionControl::default(), 0);
+    c.bench_function("admission, no totals", |b| {
+        b.iter(|| {
+            (flow, now) = (flow + 1, now + GAP);
+            black_box(control.decide(SERVICE, &route, true, opening(flow), now))
+        });
+    });
+}
+
+/// The same with totals, while there is room and while none is left.
+fn shared_admission(c: &mut Criterion) {
+    let domain = DomainName::from("0");
+    let (withdrawn, restored) = (BTreeSet::new(), BTreeMap::new());
+    for (name, load) in [("room", 0.5), ("no room", 6.0)] {
+        let mut now = Instant::now();
         let mut entry = balancer(150, now);
-        entry.shared_mut().set_service(SERVICE, share.clone());
-        let mut flow = 0;
-        c.bench_function(&format!("opening by share, 150 targets, {name}"), |b| {
+        let keys: Vec<_> = entry.directory().iter().map(|(key, _)| key).collect();
+        for target in keys {
+            if let Some(target) = entry.directory_mut().get_mut(target) {
+                target.load = load;
+            }
+        }
+        let table = entry.routing().table.clone();
+        let route = table.and_then(|table| table.routes.get(&service_address()).cloned());
+        let Some(route) = route else { return };
+        let domains_per_s = (0..4).map(|d| (DomainName::from(d.to_string().as_str()), 1_000.0));
+        let totals = ServiceShare {
+            own_per_s: 1_000.0,
+            domain_per_s: 1_000.0,
+            domain_entries: 1,
+            domains_per_s: domains_per_s.collect(),
+            in_flight: 900.0,
+            received: now,
+        };
+        let (mut control, mut flow) = (AdmissionControl::default(), 0);
+        c.bench_function(&format!("admission by share, {name}"), |b| {
             b.iter(|| {
-                flow = (flow + 1) % callers;
-                let opening = packet(flow, PacketKind::Open { copy: 0 }, Cookie::default());
-                black_box(entry.route_packet(&opening, false, Duration::ZERO, now))
+                (flow, now) = (flow + 1, now + GAP);
+                let input = ShareInput {
+                    service: SERVICE,
+                    totals: Some(&totals),
+                    directory: entry.directory(),
+                    domain: &domain,
+                    withdrawn: &withdrawn,
+                    restored: &restored,
+                };
+                control.update_share(&input, &route, now);
+                black_box(control.decide(SERVICE, &route, true, opening(flow), now))
             });
         });
     }
 }
 
-criterion_group!(benches, decisions, shared_decisions);
+criterion_group!(benches, decisions, admission, shared_admission);
 criterion_main!(benches);
--- a/crates/flow/src/cookie/admission/callers.rs
+++ b/crates/flow/src/cookie/admission/callers.rs
@@ -36,8 +36,13 @@
 
     /// Gives a turn back that was not used.
     pub(super) fn return_turn(&mut self, caller: Ipv4Addr) {
-        let next = self.turns.get_mut(&caller).unwrap_or(&mut self.others);
-        *next = next.saturating_sub(1);
+        let is_full = self.turns.len() >= MAX_CALLERS;
+        match self.turns.get_mut(&caller) {
+            Some(next) => *next = next.saturating_sub(1),
+            None if is_full => self.others = self.others.saturating_sub(1),
+            // Its turn lay in the past and was forgotten.
+            None => {}
+        }
     }
 
     /// Records that an opening with this turn was admitted.
--- a/crates/flow/src/cookie/admission/mod.rs
+++ b/crates/flow/src/cookie/admission/mod.rs
@@ -91,6 +91,8 @@
     pub domain: &'a DomainName,
     /// Failure domains that take no new flows.
     pub withdrawn: &'a BTreeSet<DomainName>,
+    /// Restored failure domains, with the time until which their targets may be cold.
+    pub restored: &'a BTreeMap<DomainName, Instant>,
 }
 
 /// What limits the openings to a service.
--- a/crates/flow/src/cookie/admission/order.rs
+++ b/crates/flow/src/cookie/admission/order.rs
@@ -24,6 +24,10 @@
 /// Time by which a decision may be overdue before the opening no longer holds its place.
 const OVERDUE: Duration = Duration::from_millis(10);
 
+/// Maximum number of openings that are counted for the expected wait of one, which bounds the time for a decision. With
+/// more of them, a wait is underestimated and ends with the attempt.
+const MAX_COUNTED: usize = 256;
+
 /// Rank of an opening; the lowest value goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
@@ -210,7 +214,8 @@
         let first_rank = self.holding(now).next().map(|first| first.0)?;
         let before = self.places.range(..place).filter(|(_, w)| now < w.holds_until);
         let (mut ahead, mut lower_ahead) = (0, 0);
-        for (place, _) in before.take(enough * ADMISSIONS_PER_LOWER as usize) {
+        let counted = (enough * ADMISSIONS_PER_LOWER as usize).min(MAX_COUNTED);
+        for (place, _) in before.take(counted) {
             ahead += 1;
             lower_ahead += usize::from(place.0 > first_rank);
         }
--- a/crates/flow/src/cookie/admission/share.rs
+++ b/crates/flow/src/cookie/admission/share.rs
@@ -216,13 +216,18 @@
     }
 
     fn scan(&mut self, input: &ShareInput<'_>, now: Instant) {
-        (self.slots, self.in_flight, self.forwarded) = (0.0, 0.0, 0.0);
+        (self.in_flight, self.forwarded) = (0.0, 0.0);
+        let (mut ready, mut all) = (0.0, 0.0);
         for (_, target) in input.directory.iter_service(input.service) {
             self.in_flight += target.load;
-            if is_usable(target, input, now) {
-                self.slots += target.effective_slots(now);
+            if takes_flows(target, input) {
+                let slots = target.effective_slots(now);
+                all += slots;
+                ready += if is_ready(target, input, now) { slots } else { 0.0 };
             }
         }
+        // As for placement, cold and silent targets are used if there are no others.
+        self.slots = if ready > 0.0 { ready } else { all };
         self.scanned = now;
         self.hold.in_flight_sum += self.in_flight;
         self.hold.scans += 1;
@@ -314,12 +319,17 @@
     (1.0 + queue_time / usual.as_secs_f64()).min(allowed)
 }
 
-/// Whether the target's slots can take new flows.
-fn is_usable(target: &Target, input: &ShareInput<'_>, now: Instant) -> bool {
+/// Whether the target takes new flows at all.
+fn takes_flows(target: &Target, input: &ShareInput<'_>) -> bool {
     let spec = &target.spec;
     spec.availability == Availability::Serving
         && !target.has_ambiguous_cookie
-        && !spec.silent
-        && now >= spec.cold_until
         && !input.withdrawn.contains(&spec.domain)
 }
+
+/// Whether the target is neither cold nor silent.
+fn is_ready(target: &Target, input: &ShareInput<'_>, now: Instant) -> bool {
+    let spec = &target.spec;
+    let is_restored = input.restored.get(&spec.domain).is_some_and(|until| now < *until);
+    !spec.silent && now >= spec.cold_until && !is_restored
+}
--- a/crates/flow/src/cookie/balancer.rs
+++ b/crates/flow/src/cookie/balancer.rs
@@ -226,6 +226,7 @@
                 directory: &self.directory,
                 domain: &self.settings.domain,
                 withdrawn: &self.routing.withdrawn,
+                restored: &self.restored,
             };
             self.admission.update_share(&input, route, now);
             match self.admission.decide(service, route, is_top, opening, now) {
--- a/crates/flow/tests/admission_order.rs
+++ b/crates/flow/tests/admission_order.rs
@@ -103,6 +103,7 @@
             directory: &self.directory,
             domain: &domain,
             withdrawn: &BTreeSet::new(),
+            restored: &BTreeMap::new(),
         };
         self.control.update_share(&input, route, self.now);
         let opening = OpeningAge { flow, copy, waited };
@@ -270,6 +271,32 @@
     assert_eq!(status.limit, Some(LIMIT), "it starts with what the share allowed");
 }
 
+/// Guards against a service that stands still because all its targets are cold or silent, as after a loss of power.
+#[test]
+fn cold_and_silent_targets_count_if_there_are_no_others() {
+    let mut fixture = Fixture::full();
+    let mut spec = fixture.directory.get(fixture.target).unwrap().spec.clone();
+    spec.cold_until = fixture.now + Duration::from_secs(60);
+    spec.silent = true;
+    fixture.directory.upsert(spec.clone(), fixture.now);
+    fixture.set_load(LIMIT - 1.0);
+    assert_eq!(fixture.decide(flow(1, 1), &patient(1), 0, millis(1)), Admission::Now);
+    assert_eq!(fixture.status().limit, Some(LIMIT));
+    // A target that is ready takes all flows, so that the slots of the cold one don't count.
+    let ready = TargetSpec {
+        id: TargetId(2),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 2), 80),
+        slots: 1,
+        cold_until: fixture.now,
+        silent: false,
+        ..spec
+    };
+    fixture.directory.upsert(ready, fixture.now);
+    fixture.set_load(LIMIT - 1.0);
+    assert!(matches!(fixture.decide(flow(2, 1), &patient(1), 0, millis(1)), Admission::After(_)));
+    assert_eq!(fixture.status().limit, Some(LIMIT / 2.0));
+}
+
 /// Guards against domains that pay for the demand of another.
 #[test]
 fn domains_share_a_service_by_max_min_fairness() {
