Spill over by complete totals, and not by chance

And domains whose entries had not reported yet seemed idle. Change: above 0.8 the level has a margin of 1.1, up to 0.95 of all slots. The plan changes only with totals over about as many entries as the last ones, and leaves out domains without entries that report.

--- a/crates/flow/src/cookie/balancer/load.rs
+++ b/crates/flow/src/cookie/balancer/load.rs
@@ -124,9 +124,12 @@
             let share = ServiceShare::from_total(total, own_per_s, domain, last, now);
             services.push((name, share, self.domain_loads(name, total, &loads, now)));
         }
+        let is_complete = self.shared.is_complete(totals.entries, now);
         for (name, share, (domains, busy)) in services {
             self.shared.set_service(name, share);
-            self.shared.update_spill(name, &self.settings.domain, &domains, busy);
+            if is_complete {
+                self.shared.update_spill(name, &self.settings.domain, &domains, busy);
+            }
         }
         for (cookie, answered) in elsewhere {
             self.record_others_answers(cookie, answered, now);
@@ -145,7 +148,8 @@
         elsewhere.failures = elsewhere.failures.saturating_add(answered.failures);
     }
 
-    /// Demand and usable slots of each domain for a service, and the number of slots in use.
+    /// Demand and usable slots of each domain for a service, and the number of slots in use. Domains without entries
+    /// that report are left out, since their demand is unknown.
     fn domain_loads(
         &self,
         service: &str,
@@ -154,7 +158,7 @@
         now: Instant,
     ) -> (BTreeMap<DomainName, DomainLoad>, f64) {
         let mut domains: BTreeMap<DomainName, DomainLoad> = BTreeMap::new();
-        for demand in &total.domains {
+        for demand in total.domains.iter().filter(|demand| demand.entries > 0) {
             let openings_per_s = f64::from(demand.openings_per_s);
             domains.insert(demand.domain.clone(), DomainLoad { openings_per_s, slots: 0.0 });
         }
@@ -168,8 +172,8 @@
                 && !target.has_ambiguous_cookie
                 && !self.routing.withdrawn.contains(&spec.domain)
                 && now >= spec.cold_until;
-            if is_usable {
-                domains.entry(spec.domain.clone()).or_default().slots += slots;
+            if let Some(domain) = domains.get_mut(&spec.domain).filter(|_| is_usable) {
+                domain.slots += slots;
             }
         }
         (domains, busy)
--- a/crates/flow/src/cookie/shared.rs
+++ b/crates/flow/src/cookie/shared.rs
@@ -34,6 +34,9 @@
 /// interval, so that a single interval says little about its share.
 const SMOOTHING: Duration = Duration::from_millis(500);
 
+/// Entries for each one by whose reports the totals may differ from the last ones to count as complete.
+const ENTRIES_PER_CHANGE: u32 = 10;
+
 /// Rate below which the demand of a failure domain that is no longer named is forgotten, in openings a second.
 const MIN_RATE: f64 = 0.5;
 
@@ -124,6 +127,8 @@
     sent: VecDeque<SentReport>,
     /// When totals over all entries were last received.
     received: Option<Instant>,
+    /// Number of entries that the last totals included.
+    entries: u32,
     pressure: PressureWindow,
 }
 
@@ -158,6 +163,14 @@
         plan.map_or(0.0, SpillPlan::remote_part)
     }
 
+    /// Whether totals include about as many entries as the last ones. While sharing begins, or after a cut, some domains
+    /// seem idle because not all of their entries have reported yet, and must not get flows for that.
+    pub(super) fn is_complete(&mut self, entries: u32, now: Instant) -> bool {
+        let is_known = self.is_fresh(now);
+        let last = std::mem::replace(&mut self.entries, entries);
+        is_known && entries.abs_diff(last) * ENTRIES_PER_CHANGE <= last
+    }
+
     /// Adjusts the spill-over of a service to the demand and slots of all domains.
     pub(super) fn update_spill(
         &mut self,
--- a/crates/flow/src/cookie/spill.rs
+++ b/crates/flow/src/cookie/spill.rs
@@ -11,6 +11,14 @@
 /// arrivals, targets with two slots and a queue of eight refuse almost nothing up to it.
 const FILLED_SHARE: f64 = 0.8;
 
+/// Factor from the share of all slots that is needed to the level up to which domains are filled, where that is above
+/// [`FILLED_SHARE`]. The demand of a domain varies by chance by about a twentieth from one interval to the next, and
+/// flows that follow it back and forth make the loads of the targets less even.
+const LEVEL_MARGIN: f64 = 1.1;
+
+/// Highest level with a margin. Above it queues grow, and even a full domain must not get more than the others.
+const MAX_LEVEL_WITH_MARGIN: f64 = 0.95;
+
 /// Weight of the newest value in the work of an opening. It belongs to the service and changes slowly.
 const WORK_WEIGHT: f64 = 0.2;
 
@@ -49,8 +57,10 @@
         let work = busy / per_s;
         let work = self.work.map_or(work, |known| known + (work - known) * WORK_WEIGHT);
         self.work = Some(work);
-        // Beyond the filled share of all slots, all domains are filled to the same level.
-        let level = FILLED_SHARE.max(per_s * work / slots);
+        // Beyond the filled share of all slots, all domains are filled to about the same level.
+        let needed = per_s * work / slots;
+        let with_margin = (needed * LEVEL_MARGIN).min(MAX_LEVEL_WITH_MARGIN);
+        let level = FILLED_SHARE.max(needed).max(with_margin);
         let excess = |load: &DomainLoad| load.openings_per_s * work - level * load.slots;
         let Some(own) = domains.get(local) else { return };
         let own_excess = excess(own);
