Keep slow targets and refusing targets from using up an entry's share

Causes: requests that pile up at slow targets counted against the slots of all; a refusal of a target with free slots, which fails a part of its requests, counted as a sign of a full service; and the urgent kind, which needs an opening for each request, got what requests on open flows left of the share. Load beyond what a target serves at the pace of the others no longer counts; a refusal counts if the target's slots are in use; the highest priority of a service with several has half as much again, and waits as long as its attempt lasts.

--- a/crates/flow/src/cookie/admission/mod.rs
+++ b/crates/flow/src/cookie/admission/mod.rs
@@ -77,6 +77,9 @@
     pub objective: Duration,
     /// Bytes that the caller has received.
     pub bytes: u32,
+    /// Whether all slots of the target are in use, as far as is known. Only then does a refusal show that the service
+    /// is full.
+    pub is_target_busy: bool,
 }
 
 /// What the share of a service follows from.
@@ -133,6 +136,8 @@
     late: LateLimit,
     share: Option<Share>,
     queue: Queue,
+    /// Whether openings of a lower priority than the highest have come.
+    has_lower_priority: bool,
     /// First opening at this entry.
     first_seen: Instant,
     /// Limit by the share at the last decision, and when an opening was last held by it.
@@ -154,6 +159,11 @@
 const WAIT_SHARE: f64 = 0.25;
 const WAIT_SHARE_OF_REPEATABLE: f64 = 0.16;
 
+/// Factor on the limit for the highest priority of a service with several. Requests on open flows are never held up and
+/// may use the whole share, while a request of the highest priority often needs an opening. At 4.5 requests for each slot the
+/// targets' queues have room left.
+const TOP_PRIORITY_HEADROOM: f64 = 1.5;
+
 /// Time after the last held opening for which the service counts as loaded.
 const LOADED_PERIOD: Duration = Duration::from_secs(2);
 
@@ -189,13 +199,14 @@
         let usual = self.usual.get(&route.address).copied().unwrap_or_default();
         let key = self.service_key(service, now);
         let Some(state) = self.services.get_mut(key) else { return Admission::Now };
+        state.has_lower_priority |= !is_top_priority;
         if state.share.is_none() {
             return state.late.decide(route, usual.time(), is_top_priority, opening, now);
         }
         if route.objective_ms == 0 {
             Admission::Now
         } else {
-            state.decide(route, usual, opening, now)
+            state.decide(route, is_top_priority, usual, opening, now)
         }
     }
 
@@ -230,7 +241,7 @@
             if may_add { self.usual.entry(answer.address).or_default() } else { &mut unknown };
         let kind = usual.record((took, answer.objective), answer.bytes, state.is_loaded(now));
         if let Some(share) = &mut state.share {
-            share.record_answer(kind == AnswerKind::Refusal, now);
+            share.record_answer(kind == AnswerKind::Refusal && answer.is_target_busy, now);
         }
         state.late.record_answer(admitted.number, kind, now);
     }
@@ -272,6 +283,7 @@
             late: LateLimit::new(now),
             share: None,
             queue: Queue::default(),
+            has_lower_priority: false,
             first_seen: now,
             last_limit: 0.0,
             last_held: None,
@@ -286,12 +298,16 @@
     fn decide(
         &mut self,
         route: &Route,
+        is_top_priority: bool,
         usual: UsualAnswer,
         opening: OpeningAge,
         now: Instant,
     ) -> Admission {
         let Some(share) = &self.share else { return Admission::Now };
-        let limit = share.limit(route.objective(), usual.unloaded_time());
+        let mut limit = share.limit(route.objective(), usual.unloaded_time());
+        if is_top_priority && self.has_lower_priority {
+            limit *= TOP_PRIORITY_HEADROOM;
+        }
         self.last_limit = limit;
         let needed = send_time(opening.copy) + opening.waited + usual.time();
         let in_time_left = route.objective().checked_sub(needed);
@@ -299,7 +315,11 @@
             .saturating_sub(opening.waited)
             .saturating_sub(ANSWER_RESERVE);
         let is_repeatable = route.class != RequestClass::NonIdempotent;
-        let wait_share = if is_repeatable { WAIT_SHARE_OF_REPEATABLE } else { WAIT_SHARE };
+        let wait_share = match (is_top_priority && self.has_lower_priority, is_repeatable) {
+            (true, _) => 1.0,
+            (false, true) => WAIT_SHARE_OF_REPEATABLE,
+            (false, false) => WAIT_SHARE,
+        };
         let room = Room {
             free: limit - share.in_flight(),
             per_s: share.admissions_per_s(limit, usual.time()),
--- a/crates/flow/src/cookie/admission/share.rs
+++ b/crates/flow/src/cookie/admission/share.rs
@@ -219,7 +219,7 @@
         (self.in_flight, self.forwarded) = (0.0, 0.0);
         let (mut ready, mut all) = (0.0, 0.0);
         for (_, target) in input.directory.iter_service(input.service) {
-            self.in_flight += target.load;
+            self.in_flight += target.load * served_part(target, now);
             if takes_flows(target, input) {
                 let slots = target.effective_slots(now);
                 all += slots;
@@ -327,6 +327,14 @@
         && !input.withdrawn.contains(&spec.domain)
 }
 
+/// Part of a target's load that it serves at the pace of the others. Requests that pile up at a target that has turned
+/// slow take no place elsewhere, so that they don't count against the slots of the others.
+fn served_part(target: &Target, now: Instant) -> f64 {
+    let allowed = target.effective_slots(now) * ALLOWED_PER_SLOT;
+    let load = target.total_load(now);
+    if load > allowed { allowed / load } else { 1.0 }
+}
+
 /// Whether the target is neither cold nor silent.
 fn is_ready(target: &Target, input: &ShareInput<'_>, now: Instant) -> bool {
     let spec = &target.spec;
--- a/crates/flow/tests/admission.rs
+++ b/crates/flow/tests/admission.rs
@@ -75,7 +75,8 @@
     }
 
     fn answer(&mut self, admitted: Admitted, bytes: u32) {
-        let answer = FirstAnswer { address: address(), objective: OBJECTIVE, bytes };
+        let answer =
+            FirstAnswer { address: address(), objective: OBJECTIVE, bytes, is_target_busy: true };
         self.control.record_answer(admitted, answer, self.now);
     }
 
