Learn the capacity of targets from their answers

Cause: placement counts announced slots only. Change: an entry samples answer times from callers' packets less the round trip of the handshake, as multiples of the usual time of the route, adds the answers of other entries, and compares each target with the median of its service. Effective slots follow; targets over four times slower get trials only. A `capacity` log line and the metric `target_effective_slots` show it. `BalancerSettings::learns_capacity` switches it off.

--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! An entry: receives callers' packets and forwards them to targets.
 
+mod capacity;
 pub mod controls;
 mod packets;
 pub mod view;
@@ -12,6 +13,7 @@
 use crate::decisions::DecisionLog;
 use crate::settings::FleetSettings;
 use anyhow::Context;
+use capacity::PublishedSlots;
 use comfreyhold_flow::cookie::startup_buffer::{BufferedPacket, StartupBuffer};
 use comfreyhold_flow::cookie::{Balancer, BalancerSettings, FlowKey};
 use comfreyhold_types::clock::Clock;
@@ -81,6 +83,7 @@
     deferred: RefCell<BTreeMap<(Instant, FlowKey), BufferedPacket>>,
     /// Wakes the task that forwards deferred openings.
     deferred_added: Notify,
+    published_slots: RefCell<PublishedSlots>,
     /// Time by which each target has announced itself since the start. If no target is known by then, there
     /// is none.
     all_announced_at: Instant,
@@ -130,6 +133,7 @@
             startup_buffer: RefCell::new(Some(StartupBuffer::default())),
             deferred: RefCell::default(),
             deferred_added: Notify::new(),
+            published_slots: RefCell::default(),
             all_announced_at: now + settings.announce_interval() * ALL_ANNOUNCED_INTERVALS,
             stopping: Cell::new(false),
             last_tick: Cell::new(now),
--- a/crates/fleet/src/entry/packets.rs
+++ b/crates/fleet/src/entry/packets.rs
@@ -87,6 +87,7 @@
             let now = self.clock.now();
             self.detect_stall(now);
             self.last_tick.set(now);
+            self.report_capacity(now);
         }
     }
 
--- a/crates/flow/src/cookie/balancer.rs
+++ b/crates/flow/src/cookie/balancer.rs
@@ -1,6 +1,7 @@
 //! Decides on each packet of a caller by the flow cookie, the routes and the load of the targets.
 
 use super::admission::{Admission, AdmissionControl, FirstAnswer, LimitStatus, OpeningAge};
+use super::capacity::Capacity;
 use super::directory::{Directory, Target, TargetKey, TargetSpec};
 use super::flows::{Flow, FlowStage, Flows};
 use super::habits::Habits;
@@ -38,6 +39,9 @@
     /// Whether openings are limited under overload. Without it, the targets alone refuse what they can't queue.
     #[builder(default = true)]
     pub limits_openings: bool,
+    /// Whether the capacity of targets is learned from their answers. Without it, the announced slots count.
+    #[builder(default = true)]
+    pub learns_capacity: bool,
 }
 
 /// The part of the operators' declarations that packet decisions depend on.
@@ -55,12 +59,13 @@
 
 /// Routes the packets of one entry, with its directory of targets and its flow cache.
 pub struct Balancer {
-    settings: BalancerSettings,
+    pub(super) settings: BalancerSettings,
     routing: Routing,
     restored: BTreeMap<DomainName, Instant>,
-    directory: Directory,
-    flows: Flows,
-    habits: Habits,
+    pub(super) directory: Directory,
+    pub(super) flows: Flows,
+    pub(super) habits: Habits,
+    pub(super) capacity: Capacity,
     admission: AdmissionControl,
     shared: SharedLoad,
     /// Highest priority of the routes to each service; 0 is the highest.
@@ -79,6 +84,7 @@
             directory: Directory::default(),
             flows: Flows::default(),
             habits: Habits::default(),
+            capacity: Capacity::default(),
             admission: AdmissionControl::default(),
             shared: SharedLoad::default(),
             top_priorities: BTreeMap::new(),
@@ -131,6 +137,7 @@
             self.top_priorities = top_priorities(table);
             self.admission.forget_removed(table);
             self.habits.forget_removed(table);
+            self.capacity.forget_removed(table);
         }
         self.routing = routing;
         true
@@ -145,6 +152,7 @@
     pub fn sweep(&mut self, now: Instant) {
         let idle = self.routing.table.as_ref().map(|table| table.idle_timeout());
         self.flows.sweep(idle.unwrap_or_default(), &mut self.directory, now);
+        self.sweep_capacity(now);
         self.directory.remove_ended(now);
     }
 
@@ -228,6 +236,7 @@
             tried: &tried,
             remote_penalty: self.settings.remote_penalty,
             flow_hash,
+            is_uneven: self.capacity.is_uneven(service),
             now,
         };
         let Some(key) = choose(&self.directory, &cx) else {
@@ -236,6 +245,7 @@
         };
         if let Some(target) = self.directory.get_mut(key) {
             target.health.record_attempt(now);
+            target.learned.record_opening(now);
         }
         let mut flow = Flow::opening(key, route.class, now);
         flow.tried = tried;
@@ -309,6 +319,7 @@
             let flow = Flow::placed_elsewhere(key, class, now);
             self.flows.insert(packet.flow, flow, &mut self.directory);
         }
+        self.observe(packet, now);
         if known.is_none() || answered.is_some() {
             self.flows.update(&packet.flow, &mut self.directory, |flow| flow.target = key);
             if let Some(target) = self.directory.get_mut(key) {
--- a/crates/flow/src/cookie/directory.rs
+++ b/crates/flow/src/cookie/directory.rs
@@ -1,6 +1,7 @@
 //! Directory of the targets of all services, with the load and health that this entry has observed.
 
 use super::Cookie;
+use super::capacity::Learned;
 use super::health::Health;
 use super::shared::OthersLoad;
 use comfreyhold_types::announcement::Availability;
@@ -67,6 +68,8 @@
     pub others: Option<OthersLoad>,
     /// Answers and failures since the last load report.
     pub answered: AnswerCounts,
+    /// What is learned about its capacity.
+    pub learned: Learned,
     /// Health by its answers to openings.
     pub health: Health,
     /// Whether an older target has the same cookie, so that packets to this one would go there.
@@ -78,10 +81,11 @@
 }
 
 impl Target {
-    /// Number of requests that the target handles well at once.
+    /// Number of requests that the target handles well at once: the announced slots, less where it answers more
+    /// slowly than the median target of its service, and more where it answers faster.
     #[must_use]
-    pub fn effective_slots(&self, _now: Instant) -> f64 {
-        f64::from(self.spec.slots.max(1))
+    pub fn effective_slots(&self, now: Instant) -> f64 {
+        f64::from(self.spec.slots.max(1)) / self.learned.slowness(now)
     }
 
     /// Requests in flight at the target through all entries, as far as this entry knows.
@@ -133,6 +137,7 @@
             load: 0.0,
             others: None,
             answered: AnswerCounts::default(),
+            learned: Learned::default(),
             health: Health::default(),
             has_ambiguous_cookie: false,
             ended_at: None,
@@ -228,6 +233,11 @@
         self.targets.get_mut(key)
     }
 
+    /// Iterates over all targets, to change their load and health.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Target> {
+        self.targets.values_mut()
+    }
+
     /// Returns the oldest target with a cookie.
     #[must_use]
     pub fn find(&self, cookie: Cookie) -> Option<TargetKey> {
--- a/crates/flow/src/cookie/flows.rs
+++ b/crates/flow/src/cookie/flows.rs
@@ -64,6 +64,10 @@
     pub stage: FlowStage,
     /// Arrival of the last packet.
     pub last_seen: Instant,
+    /// Time from the opening to the caller's next packet: one round trip, if this entry has forwarded the opening.
+    pub handshake: Duration,
+    /// Arrival of the first data packet of the last request, until its answer is sampled.
+    pub sample_start: Option<Instant>,
     /// Acknowledgement number of the packet that carried the running request.
     request_ack: u32,
     /// Sequence number after the caller's last data byte; 0 before the first data.
@@ -96,6 +100,8 @@
             admitted: None,
             stage,
             last_seen: now,
+            handshake: Duration::ZERO,
+            sample_start: None,
             request_ack,
             data_end,
             request_start: now,
@@ -129,6 +135,8 @@
     running_requests: VecDeque<(Instant, FlowKey)>,
     /// Those that have run for [`MAX_REQUEST_TIME`] on flows with one request, the oldest first.
     long_requests: VecDeque<(Instant, FlowKey)>,
+    /// Flows with one request that has run for [`MAX_REQUEST_TIME`] or [`MAX_SINGLE_REQUEST_TIME`] without an answer.
+    overdue: Vec<FlowKey>,
     /// Last flow checked by the previous sweep.
     sweep_cursor: Option<FlowKey>,
 }
@@ -140,6 +148,16 @@
         self.flows.get(key)
     }
 
+    /// Returns a cached flow, to change what its load does not depend on.
+    pub fn get_mut(&mut self, key: &FlowKey) -> Option<&mut Flow> {
+        self.flows.get_mut(key)
+    }
+
+    /// Takes the flows with one request that has run for long without an answer since the last call.
+    pub fn take_overdue(&mut self) -> Vec<FlowKey> {
+        std::mem::take(&mut self.overdue)
+    }
+
     /// Returns the number of cached flows.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -208,6 +226,7 @@
                 // Packets of one request carry the same acknowledgement.
                 if flow.requests == 0 || ack != flow.request_ack {
                     flow.requests = flow.requests.saturating_add(1).min(2);
+                    flow.sample_start = flow.is_opened_here.then_some(now);
                 }
                 flow.data_end = end;
                 flow.request_ack = ack;
@@ -251,7 +270,8 @@
         while let Some((start, key)) =
             self.running_requests.pop_front_if(|(at, _)| now >= *at + MAX_REQUEST_TIME)
         {
-            if self.flows.get(&key).is_some_and(|flow| flow.is_single) {
+            if let Some(flow) = self.flows.get(&key).filter(|flow| flow.is_single) {
+                self.overdue.extend(flow.sample_start.map(|_| key));
                 self.long_requests.push_back((start, key));
             } else {
                 self.end_request(&key, MAX_REQUEST_TIME, directory, now);
@@ -260,6 +280,9 @@
         while let Some((_, key)) =
             self.long_requests.pop_front_if(|(at, _)| now >= *at + MAX_SINGLE_REQUEST_TIME)
         {
+            let is_unanswered =
+                self.flows.get(&key).is_some_and(|flow| flow.sample_start.is_some());
+            self.overdue.extend(is_unanswered.then_some(key));
             self.end_request(&key, MAX_SINGLE_REQUEST_TIME, directory, now);
         }
     }
--- a/crates/flow/src/cookie/mod.rs
+++ b/crates/flow/src/cookie/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod balancer;
+pub mod capacity;
 pub mod directory;
 pub mod flows;
 pub mod habits;
--- a/crates/flow/src/cookie/placement.rs
+++ b/crates/flow/src/cookie/placement.rs
@@ -5,6 +5,7 @@
 //! their next request goes to the same target. Targets of other failure domains add latency and paid
 //! traffic, so they are used only when those of the local domain have more load.
 
+use super::capacity::{choose_trial, fraction};
 use super::directory::{Directory, Target, TargetKey};
 use comfreyhold_types::announcement::Availability;
 use comfreyhold_types::keys::DomainName;
@@ -30,6 +31,8 @@
     pub remote_penalty: f64,
     /// Hash of the flow, which breaks ties differently for each flow.
     pub flow_hash: u64,
+    /// Whether targets of the service count as slower or faster than others.
+    pub is_uneven: bool,
     /// Current time.
     pub now: Instant,
 }
@@ -38,6 +41,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Tier {
     Healthy,
+    /// It answers so slowly, or refuses so much, that it gets trials only.
+    Slow,
     /// Its announcements are overdue, or it left an opening unanswered.
     Suspect,
     /// It left this opening unanswered.
@@ -46,13 +51,16 @@
     Cold,
 }
 
-/// Chooses the target for a new flow: by tier, then by score, then by hash. `None` if no target of the
-/// service takes new flows.
+/// Chooses the target for a new flow: a trial if one is due, otherwise by tier, then by score, then by hash. `None`
+/// if no target of the service takes new flows.
 #[must_use]
 pub fn choose(directory: &Directory, cx: &PlacementContext<'_>) -> Option<TargetKey> {
+    if let Some(key) = trial(directory, cx) {
+        return Some(key);
+    }
     let targets = directory.iter_service(cx.service);
     let usable = targets.filter_map(|(key, target)| Some((tier(key, target, cx)?, key, target)));
-    let scored = usable.map(|(tier, key, target)| (tier, score(target, cx), key));
+    let scored = usable.map(|(tier, key, target)| (tier, score(key, target, cx), key));
     scored
         .min_by(|a, b| {
             let by_score = a.1.total_cmp(&b.1);
@@ -62,6 +70,21 @@
         .map(|(_, _, key)| key)
 }
 
+/// Chooses a slow target of the local domain to try. Remote ones are tried by the entries of their domain.
+fn trial(directory: &Directory, cx: &PlacementContext<'_>) -> Option<TargetKey> {
+    if !cx.is_uneven || !cx.tried.is_empty() {
+        return None;
+    }
+    let is_local = |target: &Target| target.spec.domain == *cx.local_domain;
+    let takes_flows = |target: &Target| target.spec.availability == Availability::Serving;
+    let local = directory.iter_service(cx.service).filter(|(_, t)| is_local(t) && takes_flows(t));
+    choose_trial(directory, cx.service, local.count(), cx.flow_hash, |key, target| {
+        is_local(target)
+            && target.learned.is_trial_due(cx.now)
+            && tier(key, target, cx) == Some(Tier::Slow)
+    })
+}
+
 fn tier(key: TargetKey, target: &Target, cx: &PlacementContext<'_>) -> Option<Tier> {
     let spec = &target.spec;
     let takes_flows = spec.availability == Availability::Serving && !target.has_ambiguous_cookie;
@@ -76,14 +99,22 @@
         return Some(Tier::Tried);
     }
     let is_suspect = spec.silent || target.health.is_suspect(cx.now);
-    Some(if is_suspect { Tier::Suspect } else { Tier::Healthy })
+    Some(if is_suspect {
+        Tier::Suspect
+    } else if target.learned.needs_trials(cx.now) {
+        Tier::Slow
+    } else {
+        Tier::Healthy
+    })
 }
 
-/// Load per slot if the target takes the flow, in requests.
-fn score(target: &Target, cx: &PlacementContext<'_>) -> f64 {
+/// Load per slot if the target takes the flow, in requests. Among uneven targets the flow itself counts as a random
+/// part of a request, so that entries without load prefer fast targets in proportion and not all at once.
+fn score(key: TargetKey, target: &Target, cx: &PlacementContext<'_>) -> f64 {
     let slots = target.effective_slots(cx.now);
     let penalty = if target.spec.domain == *cx.local_domain { 0.0 } else { cx.remote_penalty };
-    (target.total_load(cx.now) + 1.0) / slots + penalty
+    let added = if cx.is_uneven { fraction(key, cx.flow_hash) } else { 1.0 };
+    (target.total_load(cx.now) + added) / slots + penalty
 }
 
 fn rank(key: TargetKey, flow_hash: u64) -> u64 {
