--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! An entry: receives callers' packets and forwards them to targets.
 
+mod capacity;
 pub mod controls;
 mod link;
 mod load;
@@ -14,6 +15,7 @@
 use crate::decisions::DecisionLog;
 use crate::settings::FleetSettings;
 use anyhow::Context;
+use capacity::PublishedSlots;
 use comfreyhold_flow::cookie::startup_buffer::{BufferedPacket, StartupBuffer};
 use comfreyhold_flow::cookie::{Balancer, BalancerSettings, FlowKey};
 use comfreyhold_types::clock::Clock;
@@ -86,6 +88,7 @@
     deferred: RefCell<BTreeMap<(Instant, FlowKey), BufferedPacket>>,
     /// Wakes the task that forwards deferred openings.
     deferred_added: Notify,
+    published_slots: RefCell<PublishedSlots>,
     /// Time by which each target has announced itself since the start. If no target is known by then, there
     /// is none.
     all_announced_at: Instant,
@@ -137,6 +140,7 @@
             startup_buffer: RefCell::new(Some(StartupBuffer::default())),
             deferred: RefCell::default(),
             deferred_added: Notify::new(),
+            published_slots: RefCell::default(),
             all_announced_at: now + settings.announce_interval() * ALL_ANNOUNCED_INTERVALS,
             stopping: Cell::new(false),
             last_tick: Cell::new(now),
--- a/crates/fleet/src/entry/packets.rs
+++ b/crates/fleet/src/entry/packets.rs
@@ -89,6 +89,7 @@
             self.detect_stall(now);
             self.last_tick.set(now);
             self.record_link_use(now);
+            self.report_capacity(now);
         }
     }
 
--- a/crates/flow/src/cookie/admission/share.rs
+++ b/crates/flow/src/cookie/admission/share.rs
@@ -13,6 +13,10 @@
 /// Requests in flight for each effective slot: one runs, and two wait or are on their way.
 const ALLOWED_PER_SLOT: f64 = 3.0;
 
+/// Highest factor on a target's slots for its speed. A fast target queues no more requests than others: with 5 requests
+/// in flight for each announced slot, the queue of a target with two slots is full.
+const MAX_SPEED: f64 = 5.0 / ALLOWED_PER_SLOT;
+
 /// Share of the latency objective that the wait in a target's queue may take.
 const QUEUE_SHARE_OF_OBJECTIVE: f64 = 0.5;
 
@@ -221,7 +225,7 @@
         for (_, target) in input.directory.iter_service(input.service) {
             self.in_flight += target.load * served_part(target, now);
             if takes_flows(target, input) {
-                let slots = target.effective_slots(now);
+                let slots = admission_slots(target, now);
                 all += slots;
                 ready += if is_ready(target, input, now) { slots } else { 0.0 };
             }
@@ -327,10 +331,15 @@
         && !input.withdrawn.contains(&spec.domain)
 }
 
+/// Effective slots, as far as the target's queue allows.
+fn admission_slots(target: &Target, now: Instant) -> f64 {
+    target.effective_slots(now).min(target.announced_slots() * MAX_SPEED)
+}
+
 /// Part of a target's load that it serves at the pace of the others. Requests that pile up at a target that has turned
 /// slow take no place elsewhere, so that they don't count against the slots of the others.
 fn served_part(target: &Target, now: Instant) -> f64 {
-    let allowed = target.effective_slots(now) * ALLOWED_PER_SLOT;
+    let allowed = admission_slots(target, now) * ALLOWED_PER_SLOT;
     let load = target.total_load(now);
     if load > allowed { allowed / load } else { 1.0 }
 }
--- a/crates/flow/src/cookie/balancer.rs
+++ b/crates/flow/src/cookie/balancer.rs
@@ -8,6 +8,7 @@
 use super::admission::{
     Admission, AdmissionControl, FirstAnswer, LimitStatus, OpeningAge, ShareInput,
 };
+use super::capacity::Capacity;
 use super::directory::{Directory, Target, TargetKey, TargetSpec};
 use super::flows::{Flow, FlowStage, Flows};
 use super::habits::Habits;
@@ -45,6 +46,9 @@
     /// Whether openings are limited under overload. Without it, the targets alone refuse what they can't queue.
     #[builder(default = true)]
     pub limits_openings: bool,
+    /// Whether the capacity of targets is learned from their answers. Without it, the announced slots count.
+    #[builder(default = true)]
+    pub learns_capacity: bool,
 }
 
 /// The part of the operators' declarations that packet decisions depend on.
@@ -62,12 +66,13 @@
 
 /// Routes the packets of one entry, with its directory of targets and its flow cache.
 pub struct Balancer {
-    settings: BalancerSettings,
+    pub(super) settings: BalancerSettings,
     routing: Routing,
     restored: BTreeMap<DomainName, Instant>,
-    directory: Directory,
-    flows: Flows,
-    habits: Habits,
+    pub(super) directory: Directory,
+    pub(super) flows: Flows,
+    pub(super) habits: Habits,
+    pub(super) capacity: Capacity,
     admission: AdmissionControl,
     shared: SharedLoad,
     /// Highest priority of the routes to each service; 0 is the highest.
@@ -86,6 +91,7 @@
             directory: Directory::default(),
             flows: Flows::default(),
             habits: Habits::default(),
+            capacity: Capacity::default(),
             admission: AdmissionControl::default(),
             shared: SharedLoad::default(),
             top_priorities: BTreeMap::new(),
@@ -143,6 +149,7 @@
             self.top_priorities = top_priorities(table);
             self.admission.forget_removed(table);
             self.habits.forget_removed(table);
+            self.capacity.forget_removed(table);
         }
         self.routing = routing;
         true
@@ -158,6 +165,7 @@
         let idle = self.routing.table.as_ref().map(|table| table.idle_timeout());
         self.directory.set_now(now);
         self.flows.sweep(idle.unwrap_or_default(), &mut self.directory, now);
+        self.sweep_capacity(now);
         self.directory.remove_ended(now);
     }
 
@@ -195,7 +203,7 @@
                     Deferral::UntilRetransmission => Verdict::Discard(DiscardReason::Surge),
                 }
             }
-            (_, Some(route)) => self.route_established(packet, route, now),
+            (_, Some(route)) => self.route_established(packet, route, late, now),
             (_, None) if self.routing.former.contains_key(&packet.flow.service) => {
                 self.flows.remove(&packet.flow, &mut self.directory);
                 Verdict::Reset(ResetReason::RouteRemoved)
@@ -258,6 +266,7 @@
             tried: &tried,
             remote_penalty: self.settings.remote_penalty,
             flow_hash,
+            is_uneven: self.capacity.is_uneven(service),
             now,
         };
         let Some(key) = choose(&self.directory, &cx) else {
@@ -266,6 +275,7 @@
         };
         if let Some(target) = self.directory.get_mut(key) {
             target.health.record_attempt(now);
+            target.learned.record_opening(now);
         }
         let mut flow = Flow::opening(key, route.class, now);
         flow.tried = tried;
@@ -276,11 +286,18 @@
         self.forward_to(key, None)
     }
 
-    fn route_established(&mut self, packet: &CallerPacket, route: &Route, now: Instant) -> Verdict {
+    fn route_established(
+        &mut self,
+        packet: &CallerPacket,
+        route: &Route,
+        late: bool,
+        now: Instant,
+    ) -> Verdict {
         let key = match self.find_flow_target(packet, route) {
             Ok(key) => key,
             Err(reason) => return Verdict::Discard(reason),
         };
+        self.observe(packet, late, now);
         let answered = self.record_packet(packet, key, route, now);
         if self.directory.get(key).is_some_and(|target| has_stopped_answering(target, now)) {
             self.flows.remove(&packet.flow, &mut self.directory);
--- a/crates/flow/src/cookie/balancer/load.rs
+++ b/crates/flow/src/cookie/balancer/load.rs
@@ -1,10 +1,10 @@
 //! Reports of this entry's load, and totals over all entries.
 
 use super::{Balancer, hash_opening};
+use crate::cookie::CallerPacket;
 use crate::cookie::directory::AnswerCounts;
 use crate::cookie::shared::{OthersLoad, ServiceShare};
 use crate::cookie::spill::DomainLoad;
-use crate::cookie::{CallerPacket, Cookie};
 use comfreyhold_load::book::check_totals;
 use comfreyhold_load::messages::{IN_FLIGHT_UNITS, MAX_COUNT, MAX_SERVICES, RATIO_UNITS, VERSION};
 use comfreyhold_load::sums::busiest;
@@ -138,16 +138,6 @@
         Ok(())
     }
 
-    /// Records answers and failures of a target through other entries.
-    fn record_others_answers(&mut self, cookie: Cookie, answered: AnswerCounts, _now: Instant) {
-        let key = self.directory.find(cookie);
-        let Some(target) = key.and_then(|key| self.directory.get_mut(key)) else { return };
-        let elsewhere = &mut target.answered_elsewhere;
-        elsewhere.answers = elsewhere.answers.saturating_add(answered.answers);
-        elsewhere.ratio_sum += answered.ratio_sum;
-        elsewhere.failures = elsewhere.failures.saturating_add(answered.failures);
-    }
-
     /// Demand and usable slots of each domain for a service, and the number of slots in use. Domains without entries
     /// that report are left out, since their demand is unknown.
     fn domain_loads(
--- a/crates/flow/src/cookie/directory.rs
+++ b/crates/flow/src/cookie/directory.rs
@@ -1,6 +1,7 @@
 //! Directory of the targets of all services, with the load and health that this entry has observed.
 
 use super::Cookie;
+use super::capacity::Learned;
 use super::health::Health;
 use super::shared::{LoadIntegral, OthersLoad};
 use comfreyhold_types::announcement::Availability;
@@ -67,10 +68,10 @@
     pub others: Option<OthersLoad>,
     /// Integral of `load` over the interval of the next load report.
     pub load_integral: LoadIntegral,
-    /// Answers and failures through other entries, as far as they are known, since this was last taken.
-    pub answered_elsewhere: AnswerCounts,
     /// Answers and failures since the last load report.
     pub answered: AnswerCounts,
+    /// What is learned about its capacity.
+    pub learned: Box<Learned>,
     /// Health by its answers to openings.
     pub health: Health,
     /// Whether an older target has the same cookie, so that packets to this one would go there.
@@ -82,9 +83,16 @@
 }
 
 impl Target {
-    /// Number of requests that the target handles well at once.
+    /// Number of requests that the target handles well at once: the announced slots, less where it answers more
+    /// slowly than the median target of its service, and more where it answers faster.
     #[must_use]
-    pub fn effective_slots(&self, _now: Instant) -> f64 {
+    pub fn effective_slots(&self, now: Instant) -> f64 {
+        self.announced_slots() / self.learned.slowness(now)
+    }
+
+    /// Number of requests that the target can run at once, by its announcement; at least 1.
+    #[must_use]
+    pub fn announced_slots(&self) -> f64 {
         f64::from(self.spec.slots.max(1))
     }
 
@@ -139,8 +147,8 @@
             load: 0.0,
             others: None,
             load_integral: LoadIntegral::default(),
-            answered_elsewhere: AnswerCounts::default(),
             answered: AnswerCounts::default(),
+            learned: Box::default(),
             health: Health::default(),
             has_ambiguous_cookie: false,
             ended_at: None,
