Take refusals for a full service only where the service is in use

Cause: each refusal lowers the requests in flight that are allowed for each slot. A refusal counts now if all entries together have two requests or more in flight for each slot, which is the state that the limit is for.

--- a/crates/flow/src/cookie/admission/mod.rs
+++ b/crates/flow/src/cookie/admission/mod.rs
@@ -77,9 +77,6 @@
     pub objective: Duration,
     /// Bytes that the caller has received.
     pub bytes: u32,
-    /// Whether all slots of the target are in use, as far as is known. Only then does a refusal show that the service
-    /// is full.
-    pub is_target_busy: bool,
 }
 
 /// What the share of a service follows from.
@@ -241,7 +238,7 @@
             if may_add { self.usual.entry(answer.address).or_default() } else { &mut unknown };
         let kind = usual.record((took, answer.objective), answer.bytes, state.is_loaded(now));
         if let Some(share) = &mut state.share {
-            share.record_answer(kind == AnswerKind::Refusal && answer.is_target_busy, now);
+            share.record_answer(kind == AnswerKind::Refusal, now);
         }
         state.late.record_answer(admitted.number, kind, now);
     }
--- a/crates/flow/src/cookie/admission/share.rs
+++ b/crates/flow/src/cookie/admission/share.rs
@@ -56,6 +56,9 @@
 const FILL_INCREASE: f64 = 1.002;
 const FILL_DECREASE: f64 = 0.88;
 
+/// Requests in flight for each slot, over all entries, from which a service is in use: one runs and one waits.
+const IN_USE_PER_SLOT: f64 = 2.0;
+
 /// Time after a decrease in which further refusals follow from the load before it.
 const FILL_SETTLING_TIME: Duration = Duration::from_millis(100);
 
@@ -77,6 +80,8 @@
     own_part: f64,
     /// Factor on the limit while the service has more capacity than is asked for.
     slack: f64,
+    /// Requests in flight through all entries, by the totals.
+    total_in_flight: f64,
     /// Effective slots of the usable targets.
     slots: f64,
     /// Requests in flight through this entry at `scanned`, and openings forwarded since.
@@ -119,6 +124,7 @@
             domain_part: 1.0,
             own_part: mean_part(totals),
             slack: 1.0,
+            total_in_flight: totals.in_flight,
             slots: 0.0,
             in_flight: 0.0,
             forwarded: 0.0,
@@ -158,6 +164,7 @@
             };
             self.own_part += (part - self.own_part) * PART_WEIGHT;
             self.received = totals.received;
+            self.total_in_flight = totals.in_flight;
         }
         if is_new || is_due {
             self.update_domain_part(input, totals, usual);
@@ -214,9 +221,13 @@
         self.hold.forwarded += 1;
     }
 
-    /// Counts an answer to an opening.
+    /// Counts an answer to an opening. A refusal shows a full service only if the service is in use: a target that fails
+    /// a part of its requests refuses at any load.
     pub(super) fn record_answer(&mut self, is_refusal: bool, now: Instant) {
-        self.fill.record(is_refusal, now);
+        let is_in_use = self.total_in_flight >= self.slots * IN_USE_PER_SLOT;
+        if !is_refusal || is_in_use {
+            self.fill.record(is_refusal, now);
+        }
     }
 
     fn scan(&mut self, input: &ShareInput<'_>, now: Instant) {
--- a/crates/flow/src/cookie/balancer.rs
+++ b/crates/flow/src/cookie/balancer.rs
@@ -404,10 +404,7 @@
         }
         if is_answered && packet.kind != PacketKind::Abort {
             let (address, objective) = (route.address, route.objective());
-            let target = self.directory.get(flow.target);
-            let is_target_busy =
-                target.is_some_and(|t| t.total_load(now) >= f64::from(t.spec.slots.max(1)));
-            let answer = FirstAnswer { address, objective, bytes, is_target_busy };
+            let answer = FirstAnswer { address, objective, bytes };
             let took = now.saturating_duration_since(flow.first_seen);
             self.shared.record_first_answer(took, objective, now);
             self.admission.record_answer(admitted, answer, now);
