--- a/crates/flow/tests/admission.rs
+++ b/crates/flow/tests/admission.rs
@@ -75,8 +75,7 @@
     }
 
     fn answer(&mut self, admitted: Admitted, bytes: u32) {
-        let answer =
-            FirstAnswer { address: address(), objective: OBJECTIVE, bytes, is_target_busy: true };
+        let answer = FirstAnswer { address: address(), objective: OBJECTIVE, bytes };
         self.control.record_answer(admitted, answer, self.now);
     }
 
