--- a/crates/flow/src/cookie/admission/share.rs
+++ b/crates/flow/src/cookie/admission/share.rs
@@ -347,8 +347,9 @@
     target.effective_slots(now).min(target.announced_slots() * MAX_SPEED)
 }
 
-/// Part of a target's load that it serves at the pace of the others. Requests that pile up at a target that has turned
-/// slow take no place elsewhere, so that they don't count against the slots of the others.
+/// Part of a target's load that counts against the share. Requests that pile up at a slow target take no place elsewhere.
+/// In a burst all targets may have more than is allowed, by requests on open flows, which are never held up. Openings of
+/// the highest priority would then find no room; targets refuse more requests for that (docs/design/admission.md).
 fn served_part(target: &Target, now: Instant) -> f64 {
     let allowed = admission_slots(target, now) * ALLOWED_PER_SLOT;
     let load = target.total_load(now);
