--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -1,6 +1,9 @@
 //! An entry: receives callers' packets and forwards them to targets.
 
+mod capacity;
 pub mod controls;
+mod link;
+mod load;
 mod packets;
 pub mod view;
 mod waiting;
@@ -12,11 +15,14 @@
 use crate::decisions::DecisionLog;
 use crate::settings::FleetSettings;
 use anyhow::Context;
+use capacity::PublishedSlots;
 use comfreyhold_flow::cookie::startup_buffer::{BufferedPacket, StartupBuffer};
 use comfreyhold_flow::cookie::{Balancer, BalancerSettings, FlowKey};
 use comfreyhold_types::clock::Clock;
 use comfreyhold_types::keys::DomainName;
 use controls::ControlSelector;
+use link::EntryLink;
+use load::LoadExchange;
 use packets::ReceiveState;
 use serde_json::json;
 use std::cell::{Cell, RefCell};
@@ -75,12 +81,14 @@
     /// Control daemon that each source watches at the moment.
     watched: RefCell<[Option<SocketAddr>; WATCHED_CONTROLS]>,
     receive_state: RefCell<ReceiveState>,
+    link: EntryLink,
     /// Packets received before the entry is ready for the first time; `None` from then on.
     startup_buffer: RefCell<Option<StartupBuffer>>,
     /// Openings deferred behind others, by the time at which they are due.
     deferred: RefCell<BTreeMap<(Instant, FlowKey), BufferedPacket>>,
     /// Wakes the task that forwards deferred openings.
     deferred_added: Notify,
+    published_slots: RefCell<PublishedSlots>,
     /// Time by which each target has announced itself since the start. If no target is known by then, there
     /// is none.
     all_announced_at: Instant,
@@ -90,6 +98,7 @@
     readiness: Readiness,
     /// Wakes the sources that wait until the first one has received the routes.
     first_routes: Notify,
+    load: LoadExchange,
 }
 
 impl<C: PacketCodec> Entry<C> {
@@ -110,7 +119,7 @@
             .remote_penalty(REMOTE_PENALTY)
             .restore_period(settings.announce_interval() * RESTORED_COLD_INTERVALS)
             .build();
-        let now = clock.now();
+        let (now, started_ms) = (clock.now(), clock.wall_millis());
         let controls = ControlSelector::new(
             settings.exchange_address(),
             domain,
@@ -127,15 +136,18 @@
             balancer: RefCell::new(Balancer::new(balancer)),
             watched: RefCell::new([None; WATCHED_CONTROLS]),
             receive_state: RefCell::new(ReceiveState::default()),
+            link: EntryLink::new(settings.link()),
             startup_buffer: RefCell::new(Some(StartupBuffer::default())),
             deferred: RefCell::default(),
             deferred_added: Notify::new(),
+            published_slots: RefCell::default(),
             all_announced_at: now + settings.announce_interval() * ALL_ANNOUNCED_INTERVALS,
             stopping: Cell::new(false),
             last_tick: Cell::new(now),
             last_update: Cell::new(now),
             readiness: Readiness::default(),
             first_routes: Notify::new(),
+            load: LoadExchange::new(settings.exchange_address(), started_ms),
         });
         entry.record("start", || json!({"settings": settings.summary()}));
         for source in 0..WATCHED_CONTROLS {
@@ -144,6 +156,8 @@
         tokio::task::spawn_local(Rc::clone(&entry).run_ticks());
         tokio::task::spawn_local(Rc::clone(&entry).run_packets());
         tokio::task::spawn_local(Rc::clone(&entry).run_deferred());
+        tokio::task::spawn_local(Rc::clone(&entry).run_link());
+        tokio::task::spawn_local(Rc::clone(&entry).run_load());
         Ok(entry)
     }
 
@@ -153,11 +167,13 @@
         self.readiness.clone()
     }
 
-    /// Applies the settings that may change while the process runs: the seeds.
+    /// Applies the settings that may change while the process runs: the seeds and the rate of the link.
     pub fn reload(&self, settings: &FleetSettings) {
         let seeds = settings.seed_exchange_addresses();
         self.controls.borrow_mut().set_seeds(&seeds);
-        self.record("reload", || json!({"seeds": seeds}));
+        self.set_link(settings.link());
+        let link_mbps = settings.link().map(|link| link.mbps());
+        self.record("reload", || json!({"seeds": seeds, "link_mbps": link_mbps}));
     }
 
     /// Marks the entry as not ready from now on. It continues to forward packets.
--- a/crates/fleet/src/entry/packets.rs
+++ b/crates/fleet/src/entry/packets.rs
@@ -1,5 +1,6 @@
 //! Receives packets from the fabric and forwards them, in batches.
 
+use super::link::Screening;
 use super::{Entry, MAX_TICK_DELAY, TICK_INTERVAL};
 use comfreyhold_flow::cookie::{
     CallerPacket, Cookie, DiscardReason, FlowKey, PacketKind, ResetReason, Verdict,
@@ -18,7 +19,7 @@
 pub(super) const MAX_DATAGRAM_BYTES: usize = 2_048;
 
 /// Maximum number of packets handled before other tasks run.
-const BATCH_PACKETS: usize = 64;
+pub(super) const BATCH_PACKETS: usize = 64;
 
 /// Size of the socket's receive buffer, in bytes: the packets that may wait for a busy process. Further ones
 /// are dropped.
@@ -87,6 +88,8 @@
             let now = self.clock.now();
             self.detect_stall(now);
             self.last_tick.set(now);
+            self.record_link_use(now);
+            self.report_capacity(now);
         }
     }
 
@@ -167,27 +170,27 @@
         now: Instant,
     ) {
         let PendingPacket { packet, datagram, received, is_late, .. } = *pending;
+        let screening = self.screen(pending, now);
+        if screening == Screening::Stopped {
+            return;
+        }
         let waited = now.saturating_duration_since(received);
         let verdict = self.balancer.borrow_mut().route_packet(packet, is_late, waited, now);
         out.clear();
-        let to = match verdict {
+        let (to, forwards) = match verdict {
             Verdict::Forward { target, address, cookie, answered } => {
                 if let Some(answered) = answered {
                     metrics::histogram!("opening_answered_seconds").record(answered);
                 }
                 self.codec.encode_forward(datagram, target, cookie, out);
-                address
+                (address, Some((received, screening)))
             }
-            Verdict::Reset(_) => self.codec.encode_reset(packet, out),
+            Verdict::Reset(_) => (self.codec.encode_reset(packet, out), None),
             Verdict::Defer(wait) => return self.defer_opening(pending, wait, now),
             Verdict::Discard(reason) => return self.record_discard(packet, reason),
         };
-        if let Err(error) = self.socket.try_send_to(out, to.into()) {
-            metrics::counter!("packets_unsent").increment(1);
-            self.record(
-                "unsent",
-                || json!({"flow": flow_label(&packet.flow), "error": error.to_string()}),
-            );
+        if !self.transmit(packet, forwards, (to, out), now) {
+            return;
         }
         match verdict {
             Verdict::Reset(reason) => self.record_reset(packet, reason, now),
@@ -228,19 +231,26 @@
     /// State of the limit that an opening is decided by, for its log line.
     pub(super) fn limit_fields(&self, packet: &CallerPacket, now: Instant) -> serde_json::Value {
         let status = self.balancer.borrow().limit_status(packet, now);
+        let kind: Option<&'static str> = status.map(|status| status.kind.into());
+        let totals_age = status.and_then(|status| status.totals_age);
         json!({
+            "limit_kind": kind,
             "limit": status.and_then(|status| status.limit),
+            "share": status.and_then(|status| status.share),
+            "in_flight": status.and_then(|status| status.in_flight),
+            "totals_age_ms": totals_age.map(|age| age.as_millis()),
             "unanswered": status.map(|status| status.unanswered),
             "limit_age_ms": status.map(|status| status.age.as_millis()),
         })
     }
 
-    fn record_reset(&self, packet: &CallerPacket, reason: ResetReason, now: Instant) {
+    pub(super) fn record_reset(&self, packet: &CallerPacket, reason: ResetReason, now: Instant) {
         let name: &'static str = reason.into();
         metrics::counter!("resets", "reason" => name).increment(1);
         self.record("reset", || {
             let mut fields = match reason {
                 ResetReason::Overloaded => self.limit_fields(packet, now),
+                ResetReason::LinkFull => self.link_fields(packet),
                 _ => json!({}),
             };
             fields["flow"] = json!(flow_label(&packet.flow));
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -7,6 +7,8 @@
 mod early_packets;
 mod feed;
 mod late_orders;
+mod link;
+mod load;
 mod peers;
 mod saves;
 mod settings;
--- a/crates/flow/src/cookie/balancer.rs
+++ b/crates/flow/src/cookie/balancer.rs
@@ -1,11 +1,20 @@
 //! Decides on each packet of a caller by the flow cookie, the routes and the load of the targets.
 
-use super::admission::{Admission, AdmissionControl, FirstAnswer, LimitStatus, OpeningAge};
+mod load;
+mod unsent;
+
+pub use unsent::OpeningRoute;
+
+use super::admission::{
+    Admission, AdmissionControl, FirstAnswer, LimitStatus, OpeningAge, ShareInput,
+};
+use super::capacity::Capacity;
 use super::directory::{Directory, Target, TargetKey, TargetSpec};
 use super::flows::{Flow, FlowStage, Flows};
 use super::habits::Habits;
 use super::openings::{Deferral, Surge};
 use super::placement::{PlacementContext, choose};
+use super::shared::SharedLoad;
 use super::{CallerPacket, Cookie, DiscardReason, FlowKey, PacketKind, ResetReason, Verdict};
 use bon::Builder;
 use comfreyhold_types::keys::DomainName;
@@ -37,6 +46,9 @@
     /// Whether openings are limited under overload. Without it, the targets alone refuse what they can't queue.
     #[builder(default = true)]
     pub limits_openings: bool,
+    /// Whether the capacity of targets is learned from their answers. Without it, the announced slots count.
+    #[builder(default = true)]
+    pub learns_capacity: bool,
 }
 
 /// The part of the operators' declarations that packet decisions depend on.
@@ -54,13 +66,15 @@
 
 /// Routes the packets of one entry, with its directory of targets and its flow cache.
 pub struct Balancer {
-    settings: BalancerSettings,
+    pub(super) settings: BalancerSettings,
     routing: Routing,
     restored: BTreeMap<DomainName, Instant>,
-    directory: Directory,
-    flows: Flows,
-    habits: Habits,
+    pub(super) directory: Directory,
+    pub(super) flows: Flows,
+    pub(super) habits: Habits,
+    pub(super) capacity: Capacity,
     admission: AdmissionControl,
+    shared: SharedLoad,
     /// Highest priority of the routes to each service; 0 is the highest.
     top_priorities: BTreeMap<String, u8>,
     surge: Surge,
@@ -77,7 +91,9 @@
             directory: Directory::default(),
             flows: Flows::default(),
             habits: Habits::default(),
+            capacity: Capacity::default(),
             admission: AdmissionControl::default(),
+            shared: SharedLoad::default(),
             top_priorities: BTreeMap::new(),
             surge: Surge::default(),
         }
@@ -95,6 +111,16 @@
         &self.directory
     }
 
+    /// Returns the directory of targets, to update what is known of their load through other entries.
+    pub fn directory_mut(&mut self) -> &mut Directory {
+        &mut self.directory
+    }
+
+    /// Returns what is known of the load of all entries, to update it.
+    pub fn shared_mut(&mut self) -> &mut SharedLoad {
+        &mut self.shared
+    }
+
     /// Returns the number of cached flows.
     #[must_use]
     pub fn flow_count(&self) -> usize {
@@ -123,6 +149,7 @@
             self.top_priorities = top_priorities(table);
             self.admission.forget_removed(table);
             self.habits.forget_removed(table);
+            self.capacity.forget_removed(table);
         }
         self.routing = routing;
         true
@@ -136,7 +163,9 @@
     /// Ends requests that have run for too long, and removes expired flows and targets. Call it periodically.
     pub fn sweep(&mut self, now: Instant) {
         let idle = self.routing.table.as_ref().map(|table| table.idle_timeout());
+        self.directory.set_now(now);
         self.flows.sweep(idle.unwrap_or_default(), &mut self.directory, now);
+        self.sweep_capacity(now);
         self.directory.remove_ended(now);
     }
 
@@ -152,6 +181,7 @@
         let Some(table) = self.routing.table.clone() else {
             return Verdict::Discard(DiscardReason::NotReady);
         };
+        self.directory.set_now(now);
         let route = table.routes.get(&packet.flow.service);
         match (packet.kind, route) {
             (PacketKind::Open { .. }, None) => Verdict::Reset(ResetReason::NoRoute),
@@ -159,16 +189,21 @@
                 Verdict::Discard(DiscardReason::LateOpening)
             }
             (PacketKind::Open { copy }, Some(route)) => {
+                if copy == 0 && waited.is_zero() {
+                    self.count_opening(packet, route);
+                }
                 match self.surge.defer(copy, route.objective(), waited, now) {
                     Deferral::None => {
                         let opening = OpeningAge { flow: packet.flow, copy, waited };
-                        self.route_opening(packet, opening, route, now)
+                        let verdict = self.route_opening(packet, opening, route, now);
+                        self.shared.record_verdict(&verdict, now);
+                        verdict
                     }
                     Deferral::For(delay) => Verdict::Defer(delay),
                     Deferral::UntilRetransmission => Verdict::Discard(DiscardReason::Surge),
                 }
             }
-            (_, Some(route)) => self.route_established(packet, route, now),
+            (_, Some(route)) => self.route_established(packet, route, late, now),
             (_, None) if self.routing.former.contains_key(&packet.flow.service) => {
                 self.flows.remove(&packet.flow, &mut self.directory);
                 Verdict::Reset(ResetReason::RouteRemoved)
@@ -192,6 +227,7 @@
         }
         let mut tried = known.map(|flow| flow.tried.clone()).unwrap_or_default();
         let admitted = known.and_then(|flow| flow.admitted);
+        let first_seen = known.map(|flow| flow.first_seen);
         if let Some(target) = known.map(|flow| flow.target).filter(|_| copy > 0) {
             tried.push(target);
             if let Some(target) = self.directory.get_mut(target) {
@@ -205,6 +241,15 @@
         if known.is_none() && self.settings.limits_openings {
             let top = self.top_priorities.get(service);
             let is_top = top.is_none_or(|top| route.priority <= *top);
+            let input = ShareInput {
+                service,
+                totals: self.shared.service(service, now),
+                directory: &self.directory,
+                domain: &self.settings.domain,
+                withdrawn: &self.routing.withdrawn,
+                restored: &self.restored,
+            };
+            self.admission.update_share(&input, route, now);
             match self.admission.decide(service, route, is_top, opening, now) {
                 Admission::Now => {}
                 Admission::After(delay) => return Verdict::Defer(delay),
@@ -215,11 +260,13 @@
         let cx = PlacementContext {
             service,
             local_domain: &self.settings.domain,
+            spill_domain: self.shared.spill_domain(service, flow_hash, now),
             withdrawn: &self.routing.withdrawn,
             restored: &self.restored,
             tried: &tried,
             remote_penalty: self.settings.remote_penalty,
             flow_hash,
+            is_uneven: self.capacity.is_uneven(service),
             now,
         };
         let Some(key) = choose(&self.directory, &cx) else {
@@ -228,20 +275,29 @@
         };
         if let Some(target) = self.directory.get_mut(key) {
             target.health.record_attempt(now);
+            target.learned.record_opening(now);
         }
         let mut flow = Flow::opening(key, route.class, now);
         flow.tried = tried;
+        flow.first_seen = first_seen.unwrap_or(now);
         flow.is_single = self.habits.is_single(packet.flow.service);
         flow.admitted = admitted.or_else(|| self.admission.record_forwarded(service, now));
         self.flows.insert(packet.flow, flow, &mut self.directory);
         self.forward_to(key, None)
     }
 
-    fn route_established(&mut self, packet: &CallerPacket, route: &Route, now: Instant) -> Verdict {
+    fn route_established(
+        &mut self,
+        packet: &CallerPacket,
+        route: &Route,
+        late: bool,
+        now: Instant,
+    ) -> Verdict {
         let key = match self.find_flow_target(packet, route) {
             Ok(key) => key,
             Err(reason) => return Verdict::Discard(reason),
         };
+        self.observe(packet, late, now);
         let answered = self.record_packet(packet, key, route, now);
         if self.directory.get(key).is_some_and(|target| has_stopped_answering(target, now)) {
             self.flows.remove(&packet.flow, &mut self.directory);
@@ -349,6 +405,8 @@
         if is_answered && packet.kind != PacketKind::Abort {
             let (address, objective) = (route.address, route.objective());
             let answer = FirstAnswer { address, objective, bytes };
+            let took = now.saturating_duration_since(flow.first_seen);
+            self.shared.record_first_answer(took, objective, now);
             self.admission.record_answer(admitted, answer, now);
         } else {
             self.admission.record_ended(admitted);
--- a/crates/flow/src/cookie/directory.rs
+++ b/crates/flow/src/cookie/directory.rs
@@ -1,7 +1,9 @@
 //! Directory of the targets of all services, with the load and health that this entry has observed.
 
 use super::Cookie;
+use super::capacity::Learned;
 use super::health::Health;
+use super::shared::{LoadIntegral, OthersLoad};
 use comfreyhold_types::announcement::Availability;
 use comfreyhold_types::keys::{DomainName, TargetId};
 use slotmap::SlotMap;
@@ -42,6 +44,17 @@
     pub silent: bool,
 }
 
+/// Answers and failures of a target that this entry has seen in an interval.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct AnswerCounts {
+    /// Requests that were answered.
+    pub answers: u32,
+    /// Sum of their answer times, each as a multiple of the usual one of its route.
+    pub ratio_sum: f64,
+    /// Requests that the target refused, failed, or left without an answer.
+    pub failures: u32,
+}
+
 /// A target with the state that this entry keeps about it.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -51,6 +64,14 @@
     pub cookie: Cookie,
     /// Load from flows through this entry, in requests.
     pub load: f64,
+    /// Load from flows through other entries, as far as it is known.
+    pub others: Option<OthersLoad>,
+    /// Integral of `load` over the interval of the next load report.
+    pub load_integral: LoadIntegral,
+    /// Answers and failures since the last load report.
+    pub answered: AnswerCounts,
+    /// What is learned about its capacity.
+    pub learned: Box<Learned>,
     /// Health by its answers to openings.
     pub health: Health,
     /// Whether an older target has the same cookie, so that packets to this one would go there.
@@ -61,6 +82,27 @@
     pub is_replaced: bool,
 }
 
+impl Target {
+    /// Number of requests that the target handles well at once: the announced slots, less where it answers more
+    /// slowly than the median target of its service, and more where it answers faster.
+    #[must_use]
+    pub fn effective_slots(&self, now: Instant) -> f64 {
+        self.announced_slots() / self.learned.slowness(now)
+    }
+
+    /// Number of requests that the target can run at once, by its announcement; at least 1.
+    #[must_use]
+    pub fn announced_slots(&self) -> f64 {
+        f64::from(self.spec.slots.max(1))
+    }
+
+    /// Requests in flight at the target through all entries, as far as this entry knows.
+    #[must_use]
+    pub fn total_load(&self, now: Instant) -> f64 {
+        self.load + self.others.map_or(0.0, |others| others.in_flight(now))
+    }
+}
+
 /// Targets of all services, by incarnation, cookie and service.
 #[derive(Default)]
 pub struct Directory {
@@ -68,6 +110,8 @@
     by_incarnation: BTreeMap<(TargetId, u64), TargetKey>,
     by_cookie: BTreeMap<Cookie, Vec<TargetKey>>,
     by_service: BTreeMap<String, BTreeSet<TargetKey>>,
+    /// Current time, to which loads are attributed.
+    now: Option<Instant>,
 }
 
 impl Directory {
@@ -101,6 +145,10 @@
             spec,
             cookie,
             load: 0.0,
+            others: None,
+            load_integral: LoadIntegral::default(),
+            answered: AnswerCounts::default(),
+            learned: Box::default(),
             health: Health::default(),
             has_ambiguous_cookie: false,
             ended_at: None,
@@ -196,6 +244,25 @@
         self.targets.get_mut(key)
     }
 
+    /// Iterates over all targets, to change their load and health.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Target> {
+        self.targets.values_mut()
+    }
+
+    /// Sets the time at which loads change until the next call.
+    pub fn set_now(&mut self, now: Instant) {
+        self.now = Some(now);
+    }
+
+    /// Adds to the load of a target from flows through this entry, in requests.
+    pub fn add_load(&mut self, key: TargetKey, load: f64) {
+        let Some(target) = self.targets.get_mut(key) else { return };
+        if let Some(now) = self.now {
+            target.load_integral.advance(target.load, now);
+        }
+        target.load = (target.load + load).max(0.0);
+    }
+
     /// Returns the oldest target with a cookie.
     #[must_use]
     pub fn find(&self, cookie: Cookie) -> Option<TargetKey> {
--- a/crates/flow/src/cookie/mod.rs
+++ b/crates/flow/src/cookie/mod.rs
@@ -6,12 +6,16 @@
 
 pub mod admission;
 pub mod balancer;
+pub mod capacity;
 pub mod directory;
 pub mod flows;
 pub mod habits;
 pub mod health;
 pub mod openings;
 pub mod placement;
+mod pressure;
+pub mod shared;
+pub mod spill;
 pub mod startup_buffer;
 
 pub use balancer::{Balancer, BalancerSettings};
@@ -122,6 +126,8 @@
     TargetEnded,
     /// The targets can't serve the opening before its attempt ends.
     Overloaded,
+    /// The entry's own link can't carry the flow in time.
+    LinkFull,
 }
 
 /// Why a packet is dropped.
--- a/crates/flow/src/cookie/placement.rs
+++ b/crates/flow/src/cookie/placement.rs
@@ -5,6 +5,7 @@
 //! their next request goes to the same target. Targets of other failure domains add latency and paid
 //! traffic, so they are used only when those of the local domain have more load.
 
+use super::capacity::{choose_trial, fraction};
 use super::directory::{Directory, Target, TargetKey};
 use comfreyhold_types::announcement::Availability;
 use comfreyhold_types::keys::DomainName;
@@ -19,6 +20,8 @@
     pub service: &'a str,
     /// Failure domain of this entry.
     pub local_domain: &'a DomainName,
+    /// Failure domain that the flow spills over to; `None` if it stays in the local one.
+    pub spill_domain: Option<&'a DomainName>,
     /// Failure domains that take no new flows.
     pub withdrawn: &'a BTreeSet<DomainName>,
     /// Restored failure domains. Until the given time their targets may be cold without having announced
@@ -26,10 +29,12 @@
     pub restored: &'a BTreeMap<DomainName, Instant>,
     /// Targets that have left this opening unanswered.
     pub tried: &'a [TargetKey],
-    /// Added to the score of a target in another failure domain, in requests per slot.
+    /// Added to the score of a target outside the failure domain that the flow belongs to, in requests per slot.
     pub remote_penalty: f64,
     /// Hash of the flow, which breaks ties differently for each flow.
     pub flow_hash: u64,
+    /// Whether targets of the service count as slower or faster than others.
+    pub is_uneven: bool,
     /// Current time.
     pub now: Instant,
 }
@@ -38,6 +43,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Tier {
     Healthy,
+    /// It answers so slowly, or refuses so much, that it gets trials only.
+    Slow,
     /// Its announcements are overdue, or it left an opening unanswered.
     Suspect,
     /// It left this opening unanswered.
@@ -46,13 +53,16 @@
     Cold,
 }
 
-/// Chooses the target for a new flow: by tier, then by score, then by hash. `None` if no target of the
-/// service takes new flows.
+/// Chooses the target for a new flow: a trial if one is due, otherwise by tier, then by score, then by hash. `None`
+/// if no target of the service takes new flows.
 #[must_use]
 pub fn choose(directory: &Directory, cx: &PlacementContext<'_>) -> Option<TargetKey> {
+    if let Some(key) = trial(directory, cx) {
+        return Some(key);
+    }
     let targets = directory.iter_service(cx.service);
     let usable = targets.filter_map(|(key, target)| Some((tier(key, target, cx)?, key, target)));
-    let scored = usable.map(|(tier, key, target)| (tier, score(target, cx), key));
+    let scored = usable.map(|(tier, key, target)| (tier, score(key, target, cx), key));
     scored
         .min_by(|a, b| {
             let by_score = a.1.total_cmp(&b.1);
@@ -62,6 +72,21 @@
         .map(|(_, _, key)| key)
 }
 
+/// Chooses a slow target of the local domain to try. Remote ones are tried by the entries of their domain.
+fn trial(directory: &Directory, cx: &PlacementContext<'_>) -> Option<TargetKey> {
+    if !cx.is_uneven || !cx.tried.is_empty() {
+        return None;
+    }
+    let is_local = |target: &Target| target.spec.domain == *cx.local_domain;
+    let takes_flows = |target: &Target| target.spec.availability == Availability::Serving;
+    let local = directory.iter_service(cx.service).filter(|(_, t)| is_local(t) && takes_flows(t));
+    choose_trial(directory, cx.service, local.count(), cx.flow_hash, |key, target| {
+        is_local(target)
+            && target.learned.is_trial_due(cx.now)
+            && tier(key, target, cx) == Some(Tier::Slow)
+    })
+}
+
 fn tier(key: TargetKey, target: &Target, cx: &PlacementContext<'_>) -> Option<Tier> {
     let spec = &target.spec;
     let takes_flows = spec.availability == Availability::Serving && !target.has_ambiguous_cookie;
@@ -76,14 +101,35 @@
         return Some(Tier::Tried);
     }
     let is_suspect = spec.silent || target.health.is_suspect(cx.now);
-    Some(if is_suspect { Tier::Suspect } else { Tier::Healthy })
+    Some(if is_suspect {
+        Tier::Suspect
+    } else if cx.is_uneven && target.learned.needs_trials(cx.now) {
+        Tier::Slow
+    } else {
+        Tier::Healthy
+    })
+}
+
+/// Load per slot if the target takes the flow, in requests. It depends on the load through this entry only, which is
+/// known exactly and at once. Entries know the load through others alike and late, and would all choose the targets
+/// that were least loaded a while ago.
+fn score(key: TargetKey, target: &Target, cx: &PlacementContext<'_>) -> f64 {
+    let domain = cx.spill_domain.unwrap_or(cx.local_domain);
+    let penalty = if target.spec.domain == *domain { 0.0 } else { cx.remote_penalty };
+    let load_per_slot = if cx.is_uneven {
+        uneven_load(key, target, cx)
+    } else {
+        (target.load + 1.0) / target.announced_slots()
+    };
+    load_per_slot + penalty
 }
 
-/// Load per slot if the target takes the flow, in requests.
-fn score(target: &Target, cx: &PlacementContext<'_>) -> f64 {
-    let slots = f64::from(target.spec.slots.max(1));
-    let penalty = if target.spec.domain == *cx.local_domain { 0.0 } else { cx.remote_penalty };
-    (target.load + 1.0) / slots + penalty
+/// Load per effective slot. The flow itself counts as a random part of a request, so that entries without load prefer
+/// fast targets in proportion and not all at once. Kept out of the loop over even targets, which it would slow down.
+#[inline(never)]
+fn uneven_load(key: TargetKey, target: &Target, cx: &PlacementContext<'_>) -> f64 {
+    let added = fraction(key, cx.flow_hash);
+    (target.load + added) / target.effective_slots(cx.now)
 }
 
 fn rank(key: TargetKey, flow_hash: u64) -> u64 {
