Leave deployments with few entries to their own late answers

Cause: with five entries a share is a handful of requests, and an entry that refuses by it knows less than by its own late answers, which show a fifth of all load. Shares apply from twelve reporting entries on; the entry's settings hold the number, so that the decisions are tested at all sizes as before.

--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -44,6 +44,11 @@
 /// slot.
 pub const REMOTE_PENALTY: f64 = 1.0;
 
+/// Number of entries from which each has a share of a service. With fewer, an entry sees a good part of the load of each
+/// target, and a share refuses openings that the targets could have served late: at 5 entries, 616 attempts on a day on
+/// which none has to be refused.
+const MIN_ENTRIES_FOR_SHARES: u32 = 12;
+
 /// Announcement intervals for which the targets of a restored failure domain count as cold. Each target has
 /// announced itself by then.
 const RESTORED_COLD_INTERVALS: u32 = 2;
@@ -117,6 +122,7 @@
         let balancer = BalancerSettings::builder()
             .domain(domain.clone())
             .remote_penalty(REMOTE_PENALTY)
+            .min_entries_for_shares(MIN_ENTRIES_FOR_SHARES)
             .restore_period(settings.announce_interval() * RESTORED_COLD_INTERVALS)
             .build();
         let (now, started_ms) = (clock.now(), clock.wall_millis());
--- a/crates/flow/src/cookie/balancer.rs
+++ b/crates/flow/src/cookie/balancer.rs
@@ -43,6 +43,10 @@
     /// Time after a failure domain is restored in which its targets count as cold. It allows each of them to
     /// announce whether it is.
     pub restore_period: Duration,
+    /// Number of reporting entries from which each of them has a share of a service. With fewer entries, the limit by
+    /// late answers decides.
+    #[builder(default)]
+    pub min_entries_for_shares: u32,
     /// Whether openings are limited under overload. Without it, the targets alone refuse what they can't queue.
     #[builder(default = true)]
     pub limits_openings: bool,
@@ -243,7 +247,10 @@
             let is_top = top.is_none_or(|top| route.priority <= *top);
             let input = ShareInput {
                 service,
-                totals: self.shared.service(service, now),
+                totals: self
+                    .shared
+                    .service(service, now)
+                    .filter(|_| self.shared.entries() >= self.settings.min_entries_for_shares),
                 directory: &self.directory,
                 domain: &self.settings.domain,
                 withdrawn: &self.routing.withdrawn,
--- a/crates/flow/src/cookie/balancer/load.rs
+++ b/crates/flow/src/cookie/balancer/load.rs
@@ -134,7 +134,7 @@
         for (cookie, answered) in elsewhere {
             self.record_others_answers(cookie, answered, now);
         }
-        self.shared.set_received(now);
+        self.shared.set_received(totals.entries, now);
         Ok(())
     }
 
--- a/crates/flow/src/cookie/shared.rs
+++ b/crates/flow/src/cookie/shared.rs
@@ -188,6 +188,12 @@
         self.received.is_some_and(|at| now.saturating_duration_since(at) < NO_WEIGHT)
     }
 
+    /// Number of entries in the newest totals; 0 without any.
+    #[must_use]
+    pub fn entries(&self) -> u32 {
+        self.entries
+    }
+
     /// Time since totals were last received; `None` if there were none.
     #[must_use]
     pub fn age(&self, now: Instant) -> Option<Duration> {
@@ -279,9 +285,10 @@
         sent.map(|sent| OwnShare(Some(sent))).ok_or(LoadError::Late)
     }
 
-    /// Records that totals were received.
-    pub(super) fn set_received(&mut self, now: Instant) {
+    /// Records that totals over a number of entries were received.
+    pub(super) fn set_received(&mut self, entries: u32, now: Instant) {
         self.received = Some(now);
+        self.entries = entries;
         let is_known =
             |share: &ServiceShare| now.saturating_duration_since(share.received) < NO_WEIGHT;
         self.services.retain(|_, share| is_known(share));
