--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -45,8 +45,8 @@
 pub const REMOTE_PENALTY: f64 = 1.0;
 
 /// Number of entries from which each has a share of a service. With fewer, an entry sees a good part of the load of each
-/// target, and a share refuses openings that the targets could have served late: at 5 entries, 616 attempts on a day on
-/// which none has to be refused.
+/// target, and a share refuses openings that the targets could have served late: at 5 entries, 616 attempts were reset on a
+/// day on which 5 were without shares.
 const MIN_ENTRIES_FOR_SHARES: u32 = 12;
 
 /// Announcement intervals for which the targets of a restored failure domain count as cold. Each target has
