Find slow targets by running requests and sudden changes

A request that has run for 4 times the usual time now counts as an answer of that ratio, raised at 8 and 16 times, on routes whose answers show at once. A cumulative sum of the logarithms of a target's ratios finds a handful of slow answers in a row. Ruled out: more trials (slow targets get 2% of the openings), and open flows that move (an open flow stays on its target; on the deployment with long flows they are most of the late requests that remain).

--- a/crates/flow/src/cookie/balancer.rs
+++ b/crates/flow/src/cookie/balancer.rs
@@ -390,6 +390,7 @@
             _ => {
                 let progress = (packet.seq, packet.ack, packet.data);
                 self.flows.record_packet(&packet.flow, progress, &mut self.directory, now);
+                self.watch_request(packet, now);
                 let after = self.flows.get(&packet.flow).map(|flow| flow.requests);
                 if requests == Some(1) && after == Some(2) {
                     self.habits.record(packet.flow.service, false);
--- a/crates/flow/src/cookie/capacity/learned.rs
+++ b/crates/flow/src/cookie/capacity/learned.rs
@@ -1,5 +1,6 @@
 //! What is learned about one target, and its slowness relative to the median of its service.
 
+use super::drift::Drift;
 use std::time::{Duration, Instant};
 
 /// Half-life of the sums that follow a change.
@@ -118,6 +119,7 @@
     /// Slowness when its last change was reported.
     reported: f64,
     last_trial: Option<Instant>,
+    drift: Drift,
 }
 
 impl Default for Learned {
@@ -131,12 +133,14 @@
             slowness: 1.0,
             reported: 1.0,
             last_trial: None,
+            drift: Drift::default(),
         }
     }
 }
 
 impl Learned {
-    /// Records answers with the sum of their ratios, and failures.
+    /// Records answers with the sum of their ratios, and failures. A sum without answers raises the ratio of a request
+    /// that was recorded before.
     pub fn record(&mut self, answers: u32, ratio_sum: f64, failures: u32, now: Instant) {
         self.decay(now);
         let (answers, failures) = (f64::from(answers), f64::from(failures));
@@ -144,8 +148,10 @@
         let weight = if self.slowness > TRIAL_SLOWNESS { TRIAL_WEIGHT } else { RECENT_WEIGHT };
         self.recent.scale((1.0 - weight).powf(new.samples()));
         self.recent.add(new);
+        self.recent.ratio_sum = self.recent.ratio_sum.min(self.recent.answers * MAX_RATIO);
         self.fast.add(new);
         self.slow.add(new);
+        self.drift.add(new.samples(), new.mean(self.drift.base()));
         self.last_sample = Some(now);
     }
 
@@ -194,7 +200,7 @@
         let samples = self.fast.samples();
         let has_changed = samples >= MIN_SAMPLES
             && (fast / slow).ln().abs() > DEAD_BAND.ln().max(noise(spread, samples));
-        if has_changed || self.slowness > SLOW {
+        if has_changed || self.slowness > SLOW || self.drift.is_over_limit() {
             (self.fast, self.slow) = (self.recent, self.recent);
         }
         self.slow.mean(base)
@@ -203,8 +209,10 @@
     /// Updates the relative slowness.
     pub fn compare(&mut self, reference: &Reference) {
         let Reference { base, median, spread } = *reference;
-        if !self.is_known() || median <= 0.0 {
+        let has_drifted = self.drift.is_over_limit();
+        if !(self.is_known() || has_drifted) || median <= 0.0 {
             self.slowness = 1.0;
+            self.drift.follow(reference, false);
             return;
         }
         let samples = self.slow.samples();
@@ -212,6 +220,7 @@
             (self.slow.mean(base) * samples + median * MEDIAN_WEIGHT) / (samples + MEDIAN_WEIGHT);
         let slowness = (mean / median).clamp(MIN_SLOWNESS, MAX_SLOWNESS);
         let share = match self.slowness {
+            _ if has_drifted => 0.0,
             1.0 => 1.0,
             // A slow target has few samples, and even one that is not slow counts.
             slowness if slowness > SLOW => 0.0,
@@ -221,6 +230,7 @@
         let chance = noise(spread, samples) * share * overload;
         let is_even = slowness.ln().abs() <= DEAD_BAND.ln().max(chance);
         self.slowness = if is_even { 1.0 } else { slowness };
+        self.drift.follow(reference, self.slowness > SLOW);
     }
 
     /// Slowness relative to the median of the service; 1 where nothing is learned.
--- a/crates/flow/src/cookie/capacity/mod.rs
+++ b/crates/flow/src/cookie/capacity/mod.rs
@@ -9,8 +9,10 @@
 //! uneven targets, which placement depends on, and the changes to log. Sums decay, so that nothing is known 10 s
 //! after the last sample. No sockets, threads or clocks; time is passed in.
 
+mod drift;
 mod learned;
 mod observe;
+mod pending;
 mod sample;
 mod trials;
 mod usual;
@@ -20,10 +22,13 @@
 pub use trials::{choose_trial, fraction};
 pub use usual::{AnswerKind, UsualAnswer, UsualAnswers};
 
+use super::FlowKey;
 use super::directory::{AnswerCounts, Directory, TargetKey};
+use super::flows::Flow;
 use comfreyhold_types::announcement::Availability;
 use comfreyhold_types::keys::TargetId;
 use comfreyhold_types::routes::RouteTable;
+use pending::{FIRST_RATIO, MIN_WORK, PendingRequests};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
@@ -93,6 +98,7 @@
     services: BTreeMap<String, Service>,
     refreshed: Option<Instant>,
     swept: Option<Instant>,
+    pending: PendingRequests,
     changes: Vec<CapacityChange>,
 }
 
@@ -118,13 +124,18 @@
                 let kind = usual.classify(work, sample.bytes);
                 if kind != Some(AnswerKind::Refused) {
                     usual.record(work, sample.bytes, now);
+                    usual.record_visibility(true);
                 }
-                kind.map(counts_of)
+                kind.map(|kind| counts_of(kind, sample.counted_ratio))
             }
             AnswerTime::AtMost(took) => {
                 let work = usual.work_time(took, sample.handshake);
                 let kind = usual.classify(work, sample.bytes);
-                kind.filter(|kind| *kind == AnswerKind::Refused).map(counts_of)
+                let is_refused = kind == Some(AnswerKind::Refused);
+                if !is_refused {
+                    usual.record_visibility(false);
+                }
+                is_refused.then_some(FAILURE)
             }
             AnswerTime::Missing(took) => {
                 let work = usual.work_time(took, sample.handshake);
@@ -137,6 +148,52 @@
         }
     }
 
+    /// Watches the request that has begun on a flow, if answers on its route show at once.
+    pub(super) fn watch(&mut self, key: FlowKey, flow: &Flow) {
+        let Some(start) = flow.sample_start.filter(|_| !flow.handshake.is_zero()) else { return };
+        if let Some(wait) = self.time_until(key.service, flow, FIRST_RATIO) {
+            self.pending.watch(key, start, start + wait);
+        }
+    }
+
+    /// Takes the watched requests that are due. They may have been answered since.
+    pub(super) fn take_due(&mut self, now: Instant) -> Vec<(FlowKey, Instant)> {
+        self.pending.take_due(now)
+    }
+
+    /// Counts a request that runs for long as an answer of the ratio that it has reached, or raises that ratio, and watches
+    /// it further.
+    pub(super) fn record_running(
+        &mut self,
+        key: FlowKey,
+        flow: &mut Flow,
+        directory: &mut Directory,
+        now: Instant,
+    ) {
+        let Some(start) = flow.sample_start else { return };
+        let took = now.saturating_duration_since(start);
+        let Some(usual) = self.usual.get_mut(key.service) else { return };
+        let Some(seconds) = usual.seconds().filter(|_| usual.is_visible()) else { return };
+        let ratio = (usual.work_time(took, flow.handshake) / seconds).min(MAX_RATIO);
+        if ratio >= FIRST_RATIO && ratio > flow.counted_ratio {
+            let counts = counts_of(AnswerKind::Served(ratio), flow.counted_ratio);
+            flow.counted_ratio = ratio;
+            self.record_counts(flow.target, counts, true, directory, now);
+        }
+        let next = flow.counted_ratio.max(FIRST_RATIO / 2.0) * 2.0;
+        if let Some(wait) = self.time_until(key.service, flow, next).filter(|_| next <= MAX_RATIO) {
+            self.pending.watch(key, start, start + wait);
+        }
+    }
+
+    /// Time after which a request has run for a multiple of the usual time; `None` if that is unknown, or if answers
+    /// on the route show late.
+    fn time_until(&mut self, address: SocketAddrV4, flow: &Flow, ratio: f64) -> Option<Duration> {
+        let usual = self.usual.get_mut(address).filter(|usual| usual.is_visible())?;
+        let work = Duration::from_secs_f64(usual.seconds()? * ratio).max(MIN_WORK);
+        Some(work + usual.round_trip(flow.handshake))
+    }
+
     /// Records a sweep. Returns the time since the last one, or zero for the first.
     pub fn record_sweep(&mut self, now: Instant) -> Duration {
         let last = self.swept.replace(now).unwrap_or(now);
@@ -162,7 +219,7 @@
         now: Instant,
     ) {
         let is_valid = counts.ratio_sum.is_finite() && counts.ratio_sum >= 0.0;
-        if is_valid && (counts.answers > 0 || counts.failures > 0) {
+        if is_valid && counts != AnswerCounts::default() {
             self.record_counts(target, counts, false, directory, now);
         }
     }
@@ -177,7 +234,8 @@
     ) {
         let Some(target) = directory.get_mut(key) else { return };
         let AnswerCounts { answers, ratio_sum, failures } = counts;
-        let ratio_sum = ratio_sum.min(f64::from(answers) * MAX_RATIO);
+        // The ratio of a request that was counted before may be raised in an interval without answers.
+        let ratio_sum = ratio_sum.min(f64::from(answers.max(1)) * MAX_RATIO);
         target.learned.record(answers, ratio_sum, failures, now);
         if is_own {
             target.answered.answers = target.answered.answers.saturating_add(answers);
@@ -190,7 +248,7 @@
         };
         service.has_new_samples = true;
         let mean = target.learned.mean_ratio();
-        if is_own && mean > 0.0 {
+        if is_own && mean > 0.0 && answers + failures > 0 {
             let ratio = ratio_sum + f64::from(failures) * FAILURE_RATIO;
             let deviation = (ratio / mean - 1.0).powi(2).min(MAX_DEVIATION);
             service.variance += (deviation - service.variance) * SPREAD_WEIGHT;
@@ -250,9 +308,14 @@
 
 const FAILURE: AnswerCounts = AnswerCounts { answers: 0, ratio_sum: 0.0, failures: 1 };
 
-fn counts_of(kind: AnswerKind) -> AnswerCounts {
+/// Counts of an answer whose request has been counted with a ratio before, or with 0 if it has not.
+fn counts_of(kind: AnswerKind, counted_ratio: f64) -> AnswerCounts {
     match kind {
-        AnswerKind::Served(ratio_sum) => AnswerCounts { answers: 1, ratio_sum, failures: 0 },
+        AnswerKind::Served(ratio) => AnswerCounts {
+            answers: u32::from(counted_ratio == 0.0),
+            ratio_sum: (ratio.min(MAX_RATIO) - counted_ratio).max(0.0),
+            failures: 0,
+        },
         AnswerKind::Refused => FAILURE,
     }
 }
--- a/crates/flow/src/cookie/capacity/observe.rs
+++ b/crates/flow/src/cookie/capacity/observe.rs
@@ -39,9 +39,18 @@
         }
     }
 
+    /// Watches the request that has begun with the last packet of a flow, if one has.
+    pub(in crate::cookie) fn watch_request(&mut self, packet: &CallerPacket, now: Instant) {
+        let flow = self.flows.get(&packet.flow).filter(|_| self.settings.learns_capacity);
+        if let Some(flow) = flow.filter(|flow| flow.sample_start == Some(now)) {
+            self.capacity.watch(packet.flow, flow);
+        }
+    }
+
     /// Records requests without an answer that have run for long, and compares the targets.
     pub(in crate::cookie) fn sweep_capacity(&mut self, now: Instant) {
         let overdue = self.flows.take_overdue();
+        let due = self.capacity.take_due(now);
         let has_paused = self.capacity.record_sweep(now) > MAX_SWEEP_GAP;
         if !self.settings.learns_capacity {
             return;
@@ -54,6 +63,12 @@
                 self.capacity.record(&sample, &mut self.directory, now);
             }
         }
+        for (key, start) in due.into_iter().filter(|_| !has_paused) {
+            let flow = self.flows.get_mut(&key);
+            if let Some(flow) = flow.filter(|flow| flow.sample_start == Some(start)) {
+                self.capacity.record_running(key, flow, &mut self.directory, now);
+            }
+        }
         self.capacity.refresh(&mut self.directory, now);
     }
 
--- a/crates/flow/src/cookie/capacity/sample.rs
+++ b/crates/flow/src/cookie/capacity/sample.rs
@@ -18,7 +18,7 @@
 }
 
 /// An observed request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Sample {
     /// Target of the request.
     pub target: TargetKey,
@@ -30,6 +30,8 @@
     pub handshake: Duration,
     /// Bytes of the answer that the caller has acknowledged.
     pub bytes: u32,
+    /// Ratio with which the request was counted while it ran; 0 if it was not.
+    pub counted_ratio: f64,
 }
 
 impl Sample {
@@ -66,6 +68,7 @@
             time: time?,
             handshake: flow.handshake,
             bytes,
+            counted_ratio: flow.counted_ratio,
         })
     }
 
@@ -74,6 +77,7 @@
     pub fn overdue(flow: &Flow, address: SocketAddrV4, now: Instant) -> Option<Self> {
         let took = now.saturating_duration_since(flow.sample_start?);
         let (target, handshake) = (flow.target, flow.handshake);
-        Some(Self { target, address, time: AnswerTime::Missing(took), handshake, bytes: 0 })
+        let (time, counted_ratio) = (AnswerTime::Missing(took), flow.counted_ratio);
+        Some(Self { target, address, time, handshake, bytes: 0, counted_ratio })
     }
 }
--- a/crates/flow/src/cookie/capacity/usual.rs
+++ b/crates/flow/src/cookie/capacity/usual.rs
@@ -43,6 +43,12 @@
 /// for a caller that had no request yet.
 const MAX_ROUND_TRIP_RATIO: f64 = 2.0;
 
+/// Answers that show only with the next request or the end of the flow, up to which share the others show at once.
+const MAX_HIDDEN_SHARE: f64 = 0.05;
+
+/// Weight of the newest answer in the share of hidden ones.
+const HIDDEN_WEIGHT: f64 = 0.02;
+
 /// Shortest usual work time, in seconds. Below it, the scheduling of processes decides about the ratio.
 const MIN_USUAL_SECONDS: f64 = 0.001;
 
@@ -73,6 +79,8 @@
     quick_share: f64,
     /// Slowly following, low estimate of the round trip, in seconds.
     round_trip: f64,
+    /// Share of answers that showed at once.
+    visible_share: f64,
 }
 
 impl UsualAnswer {
@@ -80,9 +88,25 @@
     /// round trip.
     #[must_use]
     pub fn work_time(&self, took: Duration, handshake: Duration) -> f64 {
-        let limit = self.round_trip * MAX_ROUND_TRIP_RATIO;
-        let round_trip = handshake.as_secs_f64().min(limit);
-        (took.as_secs_f64() - round_trip).max(0.0)
+        took.saturating_sub(self.round_trip(handshake)).as_secs_f64()
+    }
+
+    /// Round trip of a flow with this handshake.
+    #[must_use]
+    pub fn round_trip(&self, handshake: Duration) -> Duration {
+        handshake.min(Duration::from_secs_f64(self.round_trip * MAX_ROUND_TRIP_RATIO))
+    }
+
+    /// Records whether an answer showed as soon as the caller had received it.
+    pub fn record_visibility(&mut self, is_visible: bool) {
+        let visible = if is_visible { 1.0 } else { 0.0 };
+        self.visible_share += (visible - self.visible_share) * HIDDEN_WEIGHT;
+    }
+
+    /// Whether answers show as soon as callers have received them, so that a request without one is still running.
+    #[must_use]
+    pub fn is_visible(&self) -> bool {
+        self.visible_share >= 1.0 - MAX_HIDDEN_SHARE
     }
 
     /// Usual work time, in seconds; `None` while it is unknown.
--- a/crates/flow/src/cookie/flows.rs
+++ b/crates/flow/src/cookie/flows.rs
@@ -70,6 +70,8 @@
     pub handshake: Duration,
     /// Arrival of the first data packet of the last request, until its answer is sampled.
     pub sample_start: Option<Instant>,
+    /// Ratio to the usual answer time with which the last request was counted while it ran; 0 if it was not.
+    pub counted_ratio: f64,
     /// Acknowledgement number of the packet that carried the running request.
     request_ack: u32,
     /// Sequence number after the caller's last data byte; 0 before the first data.
@@ -105,6 +107,7 @@
             last_seen: now,
             handshake: Duration::ZERO,
             sample_start: None,
+            counted_ratio: 0.0,
             request_ack,
             data_end,
             request_start: now,
@@ -230,6 +233,7 @@
                 if flow.requests == 0 || ack != flow.request_ack {
                     flow.requests = flow.requests.saturating_add(1).min(2);
                     flow.sample_start = flow.is_opened_here.then_some(now);
+                    flow.counted_ratio = 0.0;
                 }
                 flow.data_end = end;
                 flow.request_ack = ack;
--- a/crates/flow/tests/capacity_rules.rs
+++ b/crates/flow/tests/capacity_rules.rs
@@ -56,7 +56,7 @@
 
     fn record_at(&mut self, address: SocketAddrV4, target: usize, time: AnswerTime, bytes: u32) {
         let (target, handshake) = (self.keys[target], ROUND_TRIP);
-        let sample = Sample { target, address, time, handshake, bytes };
+        let sample = Sample { target, address, time, handshake, bytes, counted_ratio: 0.0 };
         self.capacity.record(&sample, &mut self.directory, self.now);
     }
 
