Stop counting flows that callers have left as load

Cause, from a trial that logged each entry's load by kind of flow: entries counted 10 to 20 requests in flight each, of which 0.4 were real. The rest were idle flows of requests that are sent once on their flow (6 to 9 not repeatable, 3 to 4 downloads for each entry), left by their callers without a word; such a flow counted as one request until the idle timeout of 15 s. Openings without an answer counted for 3 s. Held openings count as pressure, so that sharing went on. Ruled out: the limit itself (slots and share were right) and the late answers (0.8 unanswered openings for each entry).

--- a/crates/flow/src/cookie/flows.rs
+++ b/crates/flow/src/cookie/flows.rs
@@ -5,7 +5,7 @@
 use super::admission::Admitted;
 use super::directory::{Directory, TargetKey};
 use comfreyhold_types::routes::RequestClass;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 /// Load of an idle flow, in requests. A long flow of the users' feeds sends about one request of 30 ms a
@@ -20,6 +20,16 @@
 /// shows the answer; a request without one has been abandoned by then.
 const MAX_SINGLE_REQUEST_TIME: Duration = Duration::from_secs(3);
 
+/// Time after the last packet for which an opening without an answer counts as load. Its copies come within 800 ms of
+/// each other; after that its caller has given the attempt up.
+const MAX_OPENING_TIME: Duration = Duration::from_secs(1);
+
+/// Time after the last packet for which a flow with one request counts as load between the packets that show it. Its
+/// caller has given the request up by then, or a download would have been acknowledged further. Without it, the flows that
+/// callers left without a word in a loss of power counted until the idle timeout of 15 s, and shares refused openings at
+/// a thirtieth of the slots in use.
+const MAX_SILENT_TIME: Duration = Duration::from_secs(3);
+
 /// Time for which a finished flow is kept, so that its last packets reach the same target.
 const FINISHED_RETENTION: Duration = Duration::from_secs(3);
 
@@ -66,6 +76,10 @@
     pub stage: FlowStage,
     /// Arrival of the last packet.
     pub last_seen: Instant,
+    /// Whether the caller has been silent for so long that it has given up what the flow was opened for.
+    is_silent: bool,
+    /// Whether the cache checks the flow for silence at some time.
+    is_checked: bool,
     /// Time from the opening to the caller's next packet: one round trip, if this entry has forwarded the opening.
     pub handshake: Duration,
     /// Arrival of the first data packet of the last request, until its answer is sampled.
@@ -105,6 +119,8 @@
             first_seen: now,
             stage,
             last_seen: now,
+            is_silent: false,
+            is_checked: false,
             handshake: Duration::ZERO,
             sample_start: None,
             counted_ratio: 0.0,
@@ -124,13 +140,26 @@
     /// Load of the flow on its target, in requests.
     fn load(&self) -> f64 {
         match (self.stage, self.class) {
+            (FlowStage::Opening, _) if self.is_silent => 0.0,
             (FlowStage::Opening | FlowStage::Running, _) => 1.0,
             (FlowStage::Idle, RequestClass::Idempotent) => IDLE_FLOW_LOAD,
+            (FlowStage::Idle, _) if self.is_silent => IDLE_FLOW_LOAD,
             // Flows of other classes carry one request each, which follows the handshake at once.
             (FlowStage::Idle, _) => 1.0,
             (FlowStage::Finished, _) => 0.0,
         }
     }
+
+    /// Time at which the flow no longer counts as load unless its caller sends something; `None` if its stage does not
+    /// depend on that.
+    fn silent_at(&self) -> Option<Instant> {
+        match (self.stage, self.class) {
+            (FlowStage::Opening, _) => Some(self.last_seen + MAX_OPENING_TIME),
+            (FlowStage::Idle, RequestClass::Idempotent) => None,
+            (FlowStage::Idle, _) => Some(self.last_seen + MAX_SILENT_TIME),
+            (FlowStage::Running | FlowStage::Finished, _) => None,
+        }
+    }
 }
 
 /// Cache of flows. Every change of a flow also updates the load of its target.
@@ -143,6 +172,8 @@
     long_requests: VecDeque<(Instant, FlowKey)>,
     /// Flows with one request that has run for [`MAX_REQUEST_TIME`] or [`MAX_SINGLE_REQUEST_TIME`] without an answer.
     overdue: Vec<FlowKey>,
+    /// Flows that may fall silent, by the time at which each is checked.
+    silence_checks: BTreeSet<(Instant, FlowKey)>,
     /// Last flow checked by the previous sweep.
     sweep_cursor: Option<FlowKey>,
 }
@@ -184,6 +215,7 @@
         }
         directory.add_load(flow.target, flow.load());
         self.flows.insert(key, flow);
+        self.schedule_check(&key);
     }
 
     /// Removes a flow and its load.
@@ -202,6 +234,7 @@
     ) {
         let Some(flow) = self.flows.get_mut(key) else { return };
         let (target, before) = (flow.target, flow.load());
+        flow.is_silent = false;
         change(flow);
         if flow.target == target {
             directory.add_load(target, flow.load() - before);
@@ -209,6 +242,7 @@
             directory.add_load(target, -before);
             directory.add_load(flow.target, flow.load());
         }
+        self.schedule_check(key);
     }
 
     /// Records a packet of an established flow that carries `data` bytes from `seq` and acknowledges
@@ -255,6 +289,7 @@
     /// the flows.
     pub fn sweep(&mut self, idle: Duration, directory: &mut Directory, now: Instant) {
         self.end_long_requests(directory, now);
+        self.check_silence(directory, now);
         let is_expired = |flow: &Flow| match flow.stage {
             FlowStage::Finished | FlowStage::Opening => now >= flow.last_seen + FINISHED_RETENTION,
             FlowStage::Idle | FlowStage::Running => now >= flow.last_seen + idle,
@@ -294,6 +329,33 @@
         }
     }
 
+    /// Schedules a check of a flow that may fall silent. Each flow has one check at most, which follows its last packet.
+    fn schedule_check(&mut self, key: &FlowKey) {
+        let Some(flow) = self.flows.get_mut(key).filter(|flow| !flow.is_checked) else { return };
+        if let Some(at) = flow.silent_at().filter(|_| !flow.is_silent) {
+            flow.is_checked = true;
+            self.silence_checks.insert((at, *key));
+        }
+    }
+
+    /// Stops counting the flows whose callers have given up without a word.
+    fn check_silence(&mut self, directory: &mut Directory, now: Instant) {
+        while let Some((at, key)) =
+            self.silence_checks.first().copied().filter(|(at, _)| *at <= now)
+        {
+            self.silence_checks.remove(&(at, key));
+            let Some(flow) = self.flows.get_mut(&key) else { continue };
+            flow.is_checked = false;
+            if flow.silent_at().is_some_and(|silent_at| silent_at <= now) {
+                let before = flow.load();
+                flow.is_silent = true;
+                directory.add_load(flow.target, flow.load() - before);
+            } else {
+                self.schedule_check(&key);
+            }
+        }
+    }
+
     fn end_request(
         &mut self,
         key: &FlowKey,
--- a/crates/flow/tests/capacity_support/fixture.rs
+++ b/crates/flow/tests/capacity_support/fixture.rs
@@ -37,6 +37,17 @@
 }
 
 pub fn new_balancer(targets: usize, slots: u32, learns: bool, now: Instant) -> Balancer {
+    new_balancer_of(RequestClass::Idempotent, targets, slots, learns, now)
+}
+
+/// A balancer whose route has requests of a class.
+pub fn new_balancer_of(
+    class: RequestClass,
+    targets: usize,
+    slots: u32,
+    learns: bool,
+    now: Instant,
+) -> Balancer {
     let settings = BalancerSettings::builder()
         .domain(DomainName::from("a"))
         .remote_penalty(1.0)
@@ -48,7 +59,7 @@
     let route = Route {
         name: "r".to_owned(),
         address: service_address(),
-        class: RequestClass::Idempotent,
+        class,
         timeout_ms: 2_500,
         objective_ms: 250,
         priority: 1,
