Split the decision on an opening from the change that follows

An explanation of where a packet would go has to run the same decision functions as a packet and must change nothing. `Balancer::route_opening` decided and changed state in one function.

`placement::assess` returns a target's tier and score, or why it takes no flows. `LimitStatus::expected_wait` keeps the wait that the order has computed for the opening decided on last. In `admission/`, the other changes are derived `Clone`s.

--- a/crates/flow/src/cookie/admission/callers.rs
+++ b/crates/flow/src/cookie/admission/callers.rs
@@ -8,7 +8,7 @@
 pub const MAX_CALLERS: usize = 4_096;
 
 /// Next turns of callers that were admitted lately or wait.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Callers {
     /// Only turns after `now` are kept.
     turns: BTreeMap<Ipv4Addr, u64>,
--- a/crates/flow/src/cookie/admission/late.rs
+++ b/crates/flow/src/cookie/admission/late.rs
@@ -82,7 +82,7 @@
 /// An answer with less than this share of the usual time and of the usual size is the refusal of a full target.
 const REFUSAL_SHARE: f64 = 0.4;
 
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 struct Window {
     start: Instant,
     /// All answers, and those that count for the limit.
@@ -94,7 +94,7 @@
 }
 
 /// Limit of one service by late answers.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct LateLimit {
     limit: Option<f64>,
     last_number: u64,
--- a/crates/flow/src/cookie/admission/mod.rs
+++ b/crates/flow/src/cookie/admission/mod.rs
@@ -126,9 +126,12 @@
     pub callers: usize,
     /// Age of the answers that the limit by late answers was adjusted by.
     pub age: Duration,
+    /// Time until the opening that was decided on last is expected to have room by the share; `None` if it has room, or
+    /// the time is unknown.
+    pub expected_wait: Option<Duration>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Service {
     late: LateLimit,
     share: Option<Share>,
@@ -269,9 +272,24 @@
             waiting: state.queue.len(),
             callers: state.queue.callers(),
             age: state.late.age(now),
+            expected_wait: share.and_then(|_| state.queue.last_wait()),
         })
     }
 
+    /// A copy of the state that decides on openings of a route to a service, to decide without changing anything. Other
+    /// services are left out.
+    #[must_use]
+    pub fn snapshot(&self, service: &str, address: SocketAddrV4) -> Self {
+        let mut copy = Self::default();
+        let state = self.by_name.get(service).and_then(|key| self.services.get(*key));
+        if let Some(state) = state {
+            let key = copy.services.insert(state.clone());
+            copy.by_name.insert(service.to_owned(), key);
+        }
+        copy.usual.extend(self.usual.get(&address).map(|usual| (address, *usual)));
+        copy
+    }
+
     fn service_key(&mut self, service: &str, now: Instant) -> ServiceKey {
         if let Some(key) = self.by_name.get(service) {
             return *key;
--- a/crates/flow/src/cookie/admission/order.rs
+++ b/crates/flow/src/cookie/admission/order.rs
@@ -63,7 +63,7 @@
 }
 
 /// Openings that wait for a service.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Queue {
     places: BTreeMap<Place, Waiting>,
     by_flow: BTreeMap<FlowKey, Place>,
@@ -75,6 +75,8 @@
     admissions: u64,
     last_admissions: BTreeMap<Rank, u64>,
     pruned: Option<Instant>,
+    /// Expected wait of the opening that was decided on last; `None` if it has room or the wait is unknown.
+    last_wait: Option<Duration>,
 }
 
 impl Queue {
@@ -88,6 +90,11 @@
         self.callers.len()
     }
 
+    /// Expected wait of the opening that was decided on last; `None` if it has room or the wait is unknown.
+    pub(super) fn last_wait(&self) -> Option<Duration> {
+        self.last_wait
+    }
+
     /// Decides on an opening, which may be waiting already.
     pub(super) fn decide(
         &mut self,
@@ -97,6 +104,7 @@
         now: Instant,
     ) -> Admission {
         self.prune(now);
+        self.last_wait = None;
         if self.places.is_empty() && room.free >= 1.0 {
             let turn = self.callers.take_turn(*opening.flow.caller.ip());
             self.callers.admit(turn);
@@ -112,6 +120,7 @@
             return Admission::Now;
         }
         let wait = self.expected_wait(place, room, now);
+        self.last_wait = wait;
         let is_refusable = self.places.get(&place).is_some_and(|w| w.is_seen_from_start);
         if wait.is_some_and(|wait| wait > room.patience) {
             self.remove(opening.flow);
--- a/crates/flow/src/cookie/admission/share.rs
+++ b/crates/flow/src/cookie/admission/share.rs
@@ -71,7 +71,7 @@
 const MAX_FILL: f64 = 4.0 / ALLOWED_PER_SLOT;
 
 /// Share of a service at one entry.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Share {
     /// When the totals that it follows from were received.
     received: Instant,
@@ -93,7 +93,7 @@
 }
 
 /// Mean time that the requests of an opening are in flight, as the ratio of requests in flight to openings a second.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct HoldTime {
     in_flight_sum: f64,
     scans: u32,
@@ -104,7 +104,7 @@
 
 /// Part of the allowed requests in flight that the targets take without refusals. Entries place openings without
 /// knowing each other's latest ones, so that some targets get more than the mean.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Fill {
     factor: f64,
     /// Time until which refusals don't count.
--- a/crates/flow/src/cookie/balancer.rs
+++ b/crates/flow/src/cookie/balancer.rs
@@ -1,19 +1,17 @@
 //! Decides on each packet of a caller by the flow cookie, the routes and the load of the targets.
 
 mod load;
+mod opening;
 mod unsent;
 
 pub use unsent::OpeningRoute;
 
-use super::admission::{
-    Admission, AdmissionControl, FirstAnswer, LimitStatus, OpeningAge, ShareInput,
-};
+use super::admission::{AdmissionControl, FirstAnswer, LimitStatus, OpeningAge};
 use super::capacity::Capacity;
 use super::directory::{Directory, Target, TargetKey, TargetSpec};
 use super::flows::{Flow, FlowStage, Flows};
 use super::habits::Habits;
 use super::openings::{Deferral, Surge};
-use super::placement::{PlacementContext, choose};
 use super::shared::SharedLoad;
 use super::{CallerPacket, Cookie, DiscardReason, FlowKey, PacketKind, ResetReason, Verdict};
 use bon::Builder;
@@ -29,10 +27,6 @@
 /// its last answers.
 const ENDED_TARGET_GRACE: Duration = Duration::from_secs(2);
 
-/// Time that a target has to answer an opening before a retransmission counts as a missing answer. Callers
-/// retransmit after 200 ms or more, so one that arrives sooner was sent before its opening was forwarded.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// Settings of a [`Balancer`].
 #[derive(Clone, Debug, Builder)]
 pub struct BalancerSettings {
@@ -69,6 +63,7 @@
 }
 
 /// Routes the packets of one entry, with its directory of targets and its flow cache.
+#[derive(Debug)]
 pub struct Balancer {
     pub(super) settings: BalancerSettings,
     routing: Routing,
@@ -77,11 +72,11 @@
     pub(super) flows: Flows,
     pub(super) habits: Habits,
     pub(super) capacity: Capacity,
-    admission: AdmissionControl,
-    shared: SharedLoad,
+    pub(super) admission: AdmissionControl,
+    pub(super) shared: SharedLoad,
     /// Highest priority of the routes to each service; 0 is the highest.
     top_priorities: BTreeMap<String, u8>,
-    surge: Surge,
+    pub(super) surge: Surge,
 }
 
 impl Balancer {
@@ -217,82 +212,6 @@
         }
     }
 
-    fn route_opening(
-        &mut self,
-        packet: &CallerPacket,
-        opening: OpeningAge,
-        route: &Route,
-        now: Instant,
-    ) -> Verdict {
-        let copy = opening.copy;
-        let known = self.flows.get(&packet.flow).filter(|flow| flow.stage == FlowStage::Opening);
-        if let Some(flow) = known.filter(|flow| copy > 0 && now < flow.last_seen + ANSWER_TIMEOUT) {
-            return self.forward_to(flow.target, None);
-        }
-        let mut tried = known.map(|flow| flow.tried.clone()).unwrap_or_default();
-        let admitted = known.and_then(|flow| flow.admitted);
-        let first_seen = known.map(|flow| flow.first_seen);
-        if let Some(target) = known.map(|flow| flow.target).filter(|_| copy > 0) {
-            tried.push(target);
-            if let Some(target) = self.directory.get_mut(target) {
-                target.health.record_failure(now);
-            }
-        }
-        let flow_hash = hash_opening(&packet.flow, packet.seq);
-        let Some(service) = route.choose_service(flow_hash) else {
-            return Verdict::Reset(ResetReason::NoTarget);
-        };
-        if known.is_none() && self.settings.limits_openings {
-            let top = self.top_priorities.get(service);
-            let is_top = top.is_none_or(|top| route.priority <= *top);
-            let input = ShareInput {
-                service,
-                totals: self
-                    .shared
-                    .service(service, now)
-                    .filter(|_| self.shared.entries() >= self.settings.min_entries_for_shares),
-                directory: &self.directory,
-                domain: &self.settings.domain,
-                withdrawn: &self.routing.withdrawn,
-                restored: &self.restored,
-            };
-            self.admission.update_share(&input, route, now);
-            match self.admission.decide(service, route, is_top, opening, now) {
-                Admission::Now => {}
-                Admission::After(delay) => return Verdict::Defer(delay),
-                Admission::AtRetransmission => return Verdict::Discard(DiscardReason::Overload),
-                Admission::Refused => return Verdict::Reset(ResetReason::Overloaded),
-            }
-        }
-        let cx = PlacementContext {
-            service,
-            local_domain: &self.settings.domain,
-            spill_domain: self.shared.spill_domain(service, flow_hash, now),
-            withdrawn: &self.routing.withdrawn,
-            restored: &self.restored,
-            tried: &tried,
-            remote_penalty: self.settings.remote_penalty,
-            flow_hash,
-            is_uneven: self.capacity.is_uneven(service),
-            now,
-        };
-        let Some(key) = choose(&self.directory, &cx) else {
-            self.flows.remove(&packet.flow, &mut self.directory);
-            return Verdict::Reset(ResetReason::NoTarget);
-        };
-        if let Some(target) = self.directory.get_mut(key) {
-            target.health.record_attempt(now);
-            target.learned.record_opening(now);
-        }
-        let mut flow = Flow::opening(key, route.class, now);
-        flow.tried = tried;
-        flow.first_seen = first_seen.unwrap_or(now);
-        flow.is_single = self.habits.is_single(packet.flow.service);
-        flow.admitted = admitted.or_else(|| self.admission.record_forwarded(service, now));
-        self.flows.insert(packet.flow, flow, &mut self.directory);
-        self.forward_to(key, None)
-    }
-
     fn route_established(
         &mut self,
         packet: &CallerPacket,
@@ -306,8 +225,21 @@
         };
         self.observe(packet, late, now);
         let answered = self.record_packet(packet, key, route, now);
-        if self.directory.get(key).is_some_and(|target| has_stopped_answering(target, now)) {
+        let verdict = self.established_verdict(key, answered, now);
+        if matches!(verdict, Verdict::Reset(_)) {
             self.flows.remove(&packet.flow, &mut self.directory);
+        }
+        verdict
+    }
+
+    /// The verdict on a packet of an established flow whose target is known.
+    pub(super) fn established_verdict(
+        &self,
+        key: TargetKey,
+        answered: Option<Duration>,
+        now: Instant,
+    ) -> Verdict {
+        if self.directory.get(key).is_some_and(|target| has_stopped_answering(target, now)) {
             return Verdict::Reset(ResetReason::TargetEnded);
         }
         self.forward_to(key, answered)
@@ -316,7 +248,7 @@
     /// Finds the target of an established flow. A flow whose handshake was seen here stays on the target that
     /// the caller acknowledged, even if a second target has answered a retransmission of the opening later and
     /// changed the cookie.
-    fn find_flow_target(
+    pub(super) fn find_flow_target(
         &self,
         packet: &CallerPacket,
         route: &Route,
@@ -457,7 +389,7 @@
 }
 
 /// Hash of an opening that is the same for all its retransmissions.
-fn hash_opening(flow: &FlowKey, seq: u32) -> u64 {
+pub(super) fn hash_opening(flow: &FlowKey, seq: u32) -> u64 {
     let mut hasher = SipHasher13::new();
     (flow, seq).hash(&mut hasher);
     hasher.finish()
--- a/crates/flow/src/cookie/directory.rs
+++ b/crates/flow/src/cookie/directory.rs
@@ -104,7 +104,7 @@
 }
 
 /// Targets of all services, by incarnation, cookie and service.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub struct Directory {
     targets: SlotMap<TargetKey, Target>,
     by_incarnation: BTreeMap<(TargetId, u64), TargetKey>,
--- a/crates/flow/src/cookie/flows.rs
+++ b/crates/flow/src/cookie/flows.rs
@@ -131,7 +131,7 @@
 }
 
 /// Cache of flows. Every change of a flow also updates the load of its target.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub struct Flows {
     flows: BTreeMap<FlowKey, Flow>,
     /// Start of each request that may still run, the oldest first.
--- a/crates/flow/src/cookie/placement.rs
+++ b/crates/flow/src/cookie/placement.rs
@@ -9,10 +9,12 @@
 use super::directory::{Directory, Target, TargetKey};
 use comfreyhold_types::announcement::Availability;
 use comfreyhold_types::keys::DomainName;
+use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
 use std::time::Instant;
+use strum::Display;
 
 /// What the choice depends on besides the targets.
 pub struct PlacementContext<'a> {
@@ -40,8 +42,11 @@
 }
 
 /// Preference among targets, the best first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Tier {
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, Display)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Tier {
+    /// It answers.
     Healthy,
     /// It answers so slowly, or refuses so much, that it gets trials only.
     Slow,
@@ -53,23 +58,61 @@
     Cold,
 }
 
+/// Why a target takes no new flows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, Display)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Exclusion {
+    /// It keeps its flows and takes no new ones.
+    Draining,
+    /// It has ended.
+    Ended,
+    /// An older target has the same cookie.
+    AmbiguousCookie,
+    /// Its failure domain is withdrawn.
+    Withdrawn,
+}
+
+/// The target for a new flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The target.
+    pub target: TargetKey,
+    /// Whether it is tried although others are preferred.
+    pub is_trial: bool,
+}
+
 /// Chooses the target for a new flow: a trial if one is due, otherwise by tier, then by score, then by hash. `None`
 /// if no target of the service takes new flows.
 #[must_use]
-pub fn choose(directory: &Directory, cx: &PlacementContext<'_>) -> Option<TargetKey> {
-    if let Some(key) = trial(directory, cx) {
-        return Some(key);
+pub fn choose(directory: &Directory, cx: &PlacementContext<'_>) -> Option<Choice> {
+    if let Some(target) = trial(directory, cx) {
+        return Some(Choice { target, is_trial: true });
     }
     let targets = directory.iter_service(cx.service);
-    let usable = targets.filter_map(|(key, target)| Some((tier(key, target, cx)?, key, target)));
-    let scored = usable.map(|(tier, key, target)| (tier, score(key, target, cx), key));
+    let scored = targets.filter_map(|(key, target)| {
+        let (tier, score) = assess(key, target, cx).ok()?;
+        Some((tier, score, key))
+    });
     scored
         .min_by(|a, b| {
             let by_score = a.1.total_cmp(&b.1);
             let by_hash = || rank(a.2, cx.flow_hash).cmp(&rank(b.2, cx.flow_hash));
             a.0.cmp(&b.0).then(by_score).then_with(by_hash)
         })
-        .map(|(_, _, key)| key)
+        .map(|(_, _, target)| Choice { target, is_trial: false })
+}
+
+/// Tier and score of a target for a new flow.
+///
+/// # Errors
+/// The target takes no new flows, and why.
+pub fn assess(
+    key: TargetKey,
+    target: &Target,
+    cx: &PlacementContext<'_>,
+) -> Result<(Tier, f64), Exclusion> {
+    Ok((tier(key, target, cx)?, score(key, target, cx)))
 }
 
 /// Chooses a slow target of the local domain to try. Remote ones are tried by the entries of their domain.
@@ -83,25 +126,35 @@
     choose_trial(directory, cx.service, local.count(), cx.flow_hash, |key, target| {
         is_local(target)
             && target.learned.is_trial_due(cx.now)
-            && tier(key, target, cx) == Some(Tier::Slow)
+            && tier(key, target, cx) == Ok(Tier::Slow)
     })
 }
 
-fn tier(key: TargetKey, target: &Target, cx: &PlacementContext<'_>) -> Option<Tier> {
+fn exclusion(target: &Target, cx: &PlacementContext<'_>) -> Option<Exclusion> {
+    match target.spec.availability {
+        Availability::Draining => Some(Exclusion::Draining),
+        Availability::Ended => Some(Exclusion::Ended),
+        Availability::Serving if target.has_ambiguous_cookie => Some(Exclusion::AmbiguousCookie),
+        Availability::Serving => {
+            cx.withdrawn.contains(&target.spec.domain).then_some(Exclusion::Withdrawn)
+        }
+    }
+}
+
+fn tier(key: TargetKey, target: &Target, cx: &PlacementContext<'_>) -> Result<Tier, Exclusion> {
     let spec = &target.spec;
-    let takes_flows = spec.availability == Availability::Serving && !target.has_ambiguous_cookie;
-    if !takes_flows || cx.withdrawn.contains(&spec.domain) {
-        return None;
+    if let Some(exclusion) = exclusion(target, cx) {
+        return Err(exclusion);
     }
     let is_restored = cx.restored.get(&spec.domain).is_some_and(|until| cx.now < *until);
     if is_restored || cx.now < spec.cold_until {
-        return Some(Tier::Cold);
+        return Ok(Tier::Cold);
     }
     if cx.tried.contains(&key) {
-        return Some(Tier::Tried);
+        return Ok(Tier::Tried);
     }
     let is_suspect = spec.silent || target.health.is_suspect(cx.now);
-    Some(if is_suspect {
+    Ok(if is_suspect {
         Tier::Suspect
     } else if cx.is_uneven && target.learned.needs_trials(cx.now) {
         Tier::Slow
