Explain where a packet would go, from the balancer's state

Operators see in the logs what became of a packet, and nothing tells where one would go now and why.

`Balancer::explain` answers that for an opening or, by its cookie, for a packet of an open flow: route and choice by weights, every target's tier, score, loads, slots and why it is or isn't chosen, what admission does, and the ages of what that follows from. It takes the balancer by shared reference and runs the functions that decide on packets, with a copy of the admission state of the one service. Input that can't be explained has a code of its own (3002, 3012 to 3014).

--- a/crates/flow/src/cookie/balancer.rs
+++ b/crates/flow/src/cookie/balancer.rs
@@ -4,6 +4,7 @@
 mod opening;
 mod unsent;
 
+pub(in crate::cookie) use opening::OpeningOutcome;
 pub use unsent::OpeningRoute;
 
 use super::admission::{AdmissionControl, FirstAnswer, LimitStatus, OpeningAge};
--- a/crates/flow/src/cookie/balancer/opening.rs
+++ b/crates/flow/src/cookie/balancer/opening.rs
@@ -192,6 +192,20 @@
         self.apply_opening(packet, route, decision, now)
     }
 
+    /// Returns what the decision on an opening depends on, apart from the state of admission.
+    pub(in crate::cookie) fn opening_view(&self) -> OpeningView<'_> {
+        OpeningView {
+            settings: &self.settings,
+            routing: &self.routing,
+            restored: &self.restored,
+            directory: &self.directory,
+            flows: &self.flows,
+            capacity: &self.capacity,
+            shared: &self.shared,
+            top_priorities: &self.top_priorities,
+        }
+    }
+
     fn apply_opening(
         &mut self,
         packet: &CallerPacket,
--- a/crates/flow/src/cookie/capacity/mod.rs
+++ b/crates/flow/src/cookie/capacity/mod.rs
@@ -109,6 +109,12 @@
         }
     }
 
+    /// Usual work time of a route's requests, in seconds; `None` while it is unknown.
+    #[must_use]
+    pub fn usual_seconds(&self, address: SocketAddrV4) -> Option<f64> {
+        self.usual.get(address)?.seconds()
+    }
+
     /// Records an observed request.
     pub fn record(&mut self, sample: &Sample, directory: &mut Directory, now: Instant) {
         let Some(usual) = self.usual.get_mut(sample.address) else { return };
--- a/crates/flow/src/cookie/capacity/usual.rs
+++ b/crates/flow/src/cookie/capacity/usual.rs
@@ -152,6 +152,12 @@
 pub struct UsualAnswers(BTreeMap<SocketAddrV4, UsualAnswer>);
 
 impl UsualAnswers {
+    /// Usual answer of a route; `None` if nothing is known of it.
+    #[must_use]
+    pub fn get(&self, address: SocketAddrV4) -> Option<&UsualAnswer> {
+        self.0.get(&address)
+    }
+
     /// Usual answer of a route; `None` if too many routes are known already.
     pub fn get_mut(&mut self, address: SocketAddrV4) -> Option<&mut UsualAnswer> {
         if self.0.len() >= MAX_ROUTES && !self.0.contains_key(&address) {
--- a/crates/flow/src/cookie/health.rs
+++ b/crates/flow/src/cookie/health.rs
@@ -41,6 +41,18 @@
         self.avoid_until.is_some_and(|until| now < until)
     }
 
+    /// Number of unanswered openings since the last answer.
+    #[must_use]
+    pub fn unanswered(&self) -> u32 {
+        self.unanswered
+    }
+
+    /// Time for which other targets are still preferred; 0 if they are not.
+    #[must_use]
+    pub fn avoided_for(&self, now: Instant) -> Duration {
+        self.avoid_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
     /// Records that an opening is sent. A target that has not answered since its last failure stays
     /// suspect meanwhile, so that only one opening at a time tries it.
     pub fn record_attempt(&mut self, now: Instant) {
--- a/crates/flow/src/cookie/placement.rs
+++ b/crates/flow/src/cookie/placement.rs
@@ -11,6 +11,7 @@
 use comfreyhold_types::keys::DomainName;
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
 use std::time::Instant;
@@ -95,14 +96,16 @@
         Some((tier, score, key))
     });
     scored
-        .min_by(|a, b| {
-            let by_score = a.1.total_cmp(&b.1);
-            let by_hash = || rank(a.2, cx.flow_hash).cmp(&rank(b.2, cx.flow_hash));
-            a.0.cmp(&b.0).then(by_score).then_with(by_hash)
-        })
+        .min_by(|a, b| compare(*a, *b, cx.flow_hash))
         .map(|(_, _, target)| Choice { target, is_trial: false })
 }
 
+/// Compares two targets by tier, score and hash of the flow; the lesser is preferred.
+pub fn compare(a: (Tier, f64, TargetKey), b: (Tier, f64, TargetKey), flow_hash: u64) -> Ordering {
+    let by_hash = || rank(a.2, flow_hash).cmp(&rank(b.2, flow_hash));
+    a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then_with(by_hash)
+}
+
 /// Tier and score of a target for a new flow.
 ///
 /// # Errors
--- a/crates/flow/src/cookie/shared.rs
+++ b/crates/flow/src/cookie/shared.rs
@@ -58,7 +58,19 @@
     /// Requests in flight, weighted by the age of the information.
     #[must_use]
     pub fn in_flight(&self, now: Instant) -> f64 {
-        self.mean_in_flight * weight(now.saturating_duration_since(self.received))
+        self.mean_in_flight * self.weight(now)
+    }
+
+    /// Weight of the information by its age, from 1 to 0.
+    #[must_use]
+    pub fn weight(&self, now: Instant) -> f64 {
+        weight(self.age(now))
+    }
+
+    /// Time since it was received.
+    #[must_use]
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.received)
     }
 }
 
--- a/crates/types/src/codes.rs
+++ b/crates/types/src/codes.rs
@@ -108,6 +108,14 @@
     MemberChangeRefused = 3010,
     /// The order has waited for so long that its sender may have given it up. It was not carried out.
     OrderExpired = 3011,
+    /// No route has the service address of the packet to explain.
+    NoRoute = 3012,
+    /// The cookie of the packet to explain belongs to no target that the entry knows.
+    UnknownCookie = 3013,
+    /// The entry has not received any routes yet.
+    NoRoutesYet = 3014,
+    /// The entry is busy or stalled, or can't be reached, and explains nothing.
+    ExplainUnavailable = 3015,
     /// The announcement is malformed.
     BadAnnouncement = 4001,
     /// The address belongs to another service.
@@ -170,7 +178,13 @@
             Self::Ok | Self::Replayed => 200,
             Self::NoSuchService | Self::UnknownName | Self::ServiceNotDeclared => 404,
             Self::RequestTooLarge | Self::DocumentTooLarge => 413,
-            Self::BadRequest | Self::BadDocument | Self::BadField | Self::BadAnnouncement => 400,
+            Self::BadRequest
+            | Self::BadDocument
+            | Self::BadField
+            | Self::BadAnnouncement
+            | Self::NoRoute
+            | Self::UnknownCookie
+            | Self::NoRoutesYet => 400,
             Self::DeadlineWhileRunning => 504,
             Self::KeyInUse
             | Self::VersionConflict
