Answer requests for explanations at an entry's metrics address

`GET /explain?service=...&caller=...[&cookie=...][&seq=...][&copy=...]` returns the balancer's explanation as JSON, with what the link scheduler would do. The request reaches the entry's thread through a queue of at most 4, where one is answered at a time and packets go in between; further requests, a stopping entry and one that does not answer within 1.5 s are refused with 503 and a code. The link's answer comes from a clone of the scheduler: what is offered to it has no effect on the link. Screening of openings that repeat no queued one, and the check whether packets are still buffered, are functions that packets and explanations share.

--- a/crates/fleet/src/entry/link.rs
+++ b/crates/fleet/src/entry/link.rs
@@ -2,10 +2,11 @@
 
 use super::packets::{BATCH_PACKETS, PendingPacket, flow_label};
 use super::{Entry, PacketCodec};
+use comfreyhold_flow::cookie::explain::{LinkAction, LinkAnswer};
 use comfreyhold_flow::cookie::{CallerPacket, PacketKind, ResetReason};
 use comfreyhold_link::{
-    DropReason, LinkScheduler, LinkSettings, LinkStatus, Next, Offer, Outgoing, PacketMeta,
-    RouteTerms,
+    DropReason, LinkScheduler, LinkSettings, LinkStatus, Next, OBJECTIVE_PARTS, Offer, Outgoing,
+    PacketMeta, RouteTerms,
 };
 use serde_json::json;
 use std::cell::{Cell, RefCell};
@@ -66,6 +67,33 @@
     UntilWritable,
 }
 
+/// Decides on an opening that repeats no queued one. `is_known` says whether its flow was forwarded here before, and
+/// `has_waited` whether it has waited in this entry: its caller may have sent a copy to another entry by then.
+fn screen_unqueued(
+    link: &mut LinkScheduler,
+    packet: &CallerPacket,
+    terms: RouteTerms,
+    (is_known, has_waited): (bool, bool),
+    now: Instant,
+) -> Screening {
+    if is_known {
+        Screening::Known
+    } else if has_waited || link.admits(packet.flow.service, terms, now) {
+        Screening::New
+    } else {
+        Screening::Stopped
+    }
+}
+
+/// What a copy of the scheduler does with a datagram of the least size.
+fn explain_offer(link: &mut LinkScheduler, meta: PacketMeta, now: Instant) -> LinkAction {
+    match link.offer(meta, &[], now) {
+        Offer::Send => LinkAction::Send,
+        Offer::Queued => LinkAction::Queue,
+        Offer::Dropped(_) => LinkAction::Drop,
+    }
+}
+
 impl<C: PacketCodec> Entry<C> {
     /// Decides on a packet before it is routed. An opening that repeats a queued one is dropped, and a new one that
     /// the link can't carry in time is refused. Both stay unknown to the balancer.
@@ -81,20 +109,56 @@
             self.record_link_drop(DropReason::Retransmission);
             return Screening::Stopped;
         }
-        let is_known = self.balancer.borrow().opening_route(packet).is_none_or(|o| o.is_known);
-        if copy > 0 || is_known {
-            return Screening::Known;
-        }
-        // The caller of an opening that has waited here may have sent a copy to another entry.
         let terms = self.route_terms(packet);
-        let route = packet.flow.service;
-        let is_admitted = pending.received != now
-            || self.with_link(now, |link| link.admits(route, terms, now)) != Some(false);
-        if is_admitted {
-            return Screening::New;
+        let has_waited = pending.received != now;
+        let is_known = copy > 0 || self.is_known_opening(packet);
+        let screening = self.with_link(now, |link| {
+            screen_unqueued(link, packet, terms, (is_known, has_waited), now)
+        });
+        if screening == Some(Screening::Stopped) {
+            self.refuse_for_link(packet, now);
         }
-        self.refuse_for_link(packet, now);
-        Screening::Stopped
+        screening.unwrap_or(Screening::New)
+    }
+
+    /// Whether this entry has forwarded a packet of the opening's flow, or has no route for it.
+    fn is_known_opening(&self, packet: &CallerPacket) -> bool {
+        self.balancer.borrow().opening_route(packet).is_none_or(|opening| opening.is_known)
+    }
+
+    /// What the link would do with a packet of a caller that is forwarded to `to`, without doing it. `None` if no rate is
+    /// stated.
+    pub(super) fn explain_link(
+        &self,
+        packet: &CallerPacket,
+        to: SocketAddrV4,
+        now: Instant,
+    ) -> Option<LinkAnswer> {
+        let mut link = self.link.scheduler.borrow().as_ref()?.clone();
+        let terms = self.route_terms(packet);
+        let action = match packet.kind {
+            PacketKind::Open { .. } if link.repeats_queued(packet, now) => LinkAction::Drop,
+            PacketKind::Open { copy } => {
+                let is_known = copy > 0 || self.is_known_opening(packet);
+                match screen_unqueued(&mut link, packet, terms, (is_known, false), now) {
+                    Screening::Stopped => LinkAction::Refuse,
+                    _ => explain_offer(&mut link, PacketMeta::forward(packet, terms, to, now), now),
+                }
+            }
+            _ => explain_offer(&mut link, PacketMeta::forward(packet, terms, to, now), now),
+        };
+        let scheduler = self.link.scheduler.borrow();
+        let status = scheduler.as_ref()?.status();
+        let expected = link.expected_wait(packet.flow.service, terms.priority);
+        let allowed = (!terms.objective.is_zero()).then_some(terms.objective / OBJECTIVE_PARTS);
+        Some(LinkAnswer {
+            action,
+            mbps: status.mbps,
+            queued_packets: status.queued_packets,
+            queued_bytes: status.queued_bytes,
+            expected_wait_ms: expected.as_secs_f64() * 1_000.0,
+            allowed_wait_ms: allowed.map(|allowed| allowed.as_secs_f64() * 1_000.0),
+        })
     }
 
     /// Sends a datagram, or queues it. `forwards` is the time at which the packet that it forwards was received, and
--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod capacity;
 pub mod controls;
+pub mod explain;
 mod link;
 mod load;
 mod packets;
@@ -21,6 +22,7 @@
 use comfreyhold_types::clock::Clock;
 use comfreyhold_types::keys::DomainName;
 use controls::ControlSelector;
+use explain::ExplainHandle;
 use link::EntryLink;
 use load::LoadExchange;
 use packets::ReceiveState;
@@ -104,6 +106,7 @@
     /// Wakes the sources that wait until the first one has received the routes.
     first_routes: Notify,
     load: LoadExchange,
+    explain_handle: ExplainHandle,
 }
 
 impl<C: PacketCodec> Entry<C> {
@@ -131,6 +134,7 @@
             domain,
             &settings.seed_exchange_addresses(),
         );
+        let (explain_handle, explain_rx) = ExplainHandle::new();
         let entry = Rc::new(Self {
             clock,
             decision_log: DecisionLog::default(),
@@ -154,6 +158,7 @@
             readiness: Readiness::default(),
             first_routes: Notify::new(),
             load: LoadExchange::new(settings.exchange_address(), started_ms),
+            explain_handle,
         });
         entry.record("start", || json!({"settings": settings.summary()}));
         for source in 0..WATCHED_CONTROLS {
@@ -164,6 +169,7 @@
         tokio::task::spawn_local(Rc::clone(&entry).run_deferred());
         tokio::task::spawn_local(Rc::clone(&entry).run_link());
         tokio::task::spawn_local(Rc::clone(&entry).run_load());
+        tokio::task::spawn_local(Rc::clone(&entry).run_explain(explain_rx));
         Ok(entry)
     }
 
--- a/crates/fleet/src/entry/waiting.rs
+++ b/crates/fleet/src/entry/waiting.rs
@@ -23,13 +23,18 @@
         if self.startup_buffer.borrow().is_none() {
             return false;
         }
-        let has_routes = self.balancer.borrow().routing().table.is_some();
-        if has_routes && now >= self.all_announced_at {
+        if !self.is_waiting_for_announcements(now) {
             self.release_buffered_packets();
         }
         self.startup_buffer.borrow().is_some()
     }
 
+    /// Whether a packet that is received now is buffered, because routes or the announcements of targets are missing.
+    pub(super) fn is_waiting_for_announcements(&self, now: Instant) -> bool {
+        let has_routes = self.balancer.borrow().routing().table.is_some();
+        self.startup_buffer.borrow().is_some() && (!has_routes || now < self.all_announced_at)
+    }
+
     /// Buffers a packet until the entry has its first routes.
     pub(super) fn buffer_packet(&self, pending: &PendingPacket<'_>) {
         let PendingPacket { packet, datagram, received, is_late, .. } = *pending;
--- a/crates/fleet/tests/fleet/link.rs
+++ b/crates/fleet/tests/fleet/link.rs
@@ -4,6 +4,7 @@
 use comfreyhold_fleet::control::{Control, ControlHandle};
 use comfreyhold_fleet::entry::{Entry, PacketCodec, PacketError};
 use comfreyhold_fleet::settings::FleetSettings;
+use comfreyhold_flow::cookie::explain::{Action, LinkAction, Query};
 use comfreyhold_flow::cookie::{CallerPacket, Cookie, FlowKey, PacketKind};
 use comfreyhold_types::announcement::{Announcement, Availability};
 use comfreyhold_types::clock::{ManualClock, SystemClock};
@@ -241,6 +242,53 @@
     assert_eq!(openings, BTreeSet::from([(OPEN, 0), (OPEN, 30)]));
 }
 
+/// Guards against an explanation that differs from what the link does, or takes a place in its queue.
+#[tokio::test]
+async fn explanations_state_what_the_link_does() {
+    LocalSet::new().run_until(check_link_explanations()).await;
+}
+
+async fn check_link_explanations() {
+    let deployment = Deployment::start(71, LINK_MBPS).await;
+    let handle = deployment.entry.explain_handle();
+    let query = |number: u8, copy: u32| {
+        let caller = SocketAddrV4::new(ip(99), u16::from(number) + 1_000);
+        let service = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+        Query { service, caller, cookie: None, seq: 1, copy }
+    };
+    deployment.run_whole_flows().await;
+    let explanation = handle.explain(query(100, 0)).await.unwrap();
+    assert_eq!(explanation.decision.action, Action::Forward);
+    assert_eq!(explanation.link.unwrap().action, LinkAction::Send);
+    deployment.send_burst().await;
+    deployment.forwarded(usize::from(ADMITTED) - 1).await;
+    deployment.assert_target_is_quiet().await;
+    // The resets of the refused openings are queued too.
+    let mut queued = BTreeSet::new();
+    for (number, copy, action, reason) in [
+        (100, 0, LinkAction::Refuse, "link-full"),
+        (ADMITTED - 1, 1, LinkAction::Drop, "link"),
+        (0, 0, LinkAction::Queue, "best-score"),
+        (100, 1, LinkAction::Queue, "best-score"),
+    ] {
+        let explanation = handle.explain(query(number, copy)).await.unwrap();
+        let link = explanation.link.unwrap();
+        assert_eq!((link.action, explanation.decision.reason.as_str()), (action, reason));
+        assert!(link.expected_wait_ms > link.allowed_wait_ms.unwrap(), "{link:?}");
+        queued.insert(link.queued_packets);
+    }
+    assert_eq!(queued, BTreeSet::from([usize::from(BURST - ADMITTED) + 1]));
+    // The link does so: the opening is refused as explained, and the copy of the queued one is dropped.
+    deployment.send(OPEN, 100, 0, SMALL_BYTES).await;
+    deployment.send(OPEN, ADMITTED - 1, 1, SMALL_BYTES).await;
+    deployment.assert_target_is_quiet().await;
+    deployment.clock.advance(Duration::from_millis(20));
+    let refused: BTreeSet<u8> = (ADMITTED..BURST).chain([100]).collect();
+    assert_eq!(deployment.resets(refused.len()).await, refused);
+    assert_eq!(deployment.forwarded(1).await, [(OPEN, ADMITTED - 1)]);
+    deployment.assert_target_is_quiet().await;
+}
+
 /// Guards against openings that a full queue drops without an answer, and against resets of flows that were forwarded.
 #[tokio::test]
 async fn openings_that_a_full_queue_drops_are_refused() {
--- a/crates/link/src/costs.rs
+++ b/crates/link/src/costs.rs
@@ -61,7 +61,7 @@
 }
 
 /// Costs by route, and the open flows.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct FlowCosts {
     routes: BTreeMap<SocketAddrV4, RouteCost>,
     flows: BTreeMap<FlowKey, OpenFlow>,
--- a/crates/link/src/queue.rs
+++ b/crates/link/src/queue.rs
@@ -34,14 +34,14 @@
     Shared,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct CallerQueue {
     /// Numbers of the packets, the oldest first.
     packets: BTreeSet<u64>,
     bytes: usize,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct ClassQueue {
     callers: BTreeMap<CallerKey, CallerQueue>,
     /// Caller whose packet was sent last.
@@ -73,7 +73,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Queued {
     outgoing: Outgoing,
     class: Class,
@@ -92,7 +92,7 @@
 }
 
 /// The queue.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct PacketQueue {
     packets: BTreeMap<u64, Queued>,
     last_number: u64,
--- a/crates/link/src/scheduler.rs
+++ b/crates/link/src/scheduler.rs
@@ -58,8 +58,9 @@
     pub tracked_flows: usize,
 }
 
-/// Schedules the packets of one link.
-#[derive(Debug)]
+/// Schedules the packets of one link. A clone decides alike without an effect on the link; it copies the queued datagrams,
+/// at most 4 MB.
+#[derive(Clone, Debug)]
 pub struct LinkScheduler {
     settings: LinkSettings,
     bucket: TokenBucket,
--- a/crates/link/tests/link/bounds.rs
+++ b/crates/link/tests/link/bounds.rs
@@ -51,6 +51,29 @@
     assert!(link.is_empty());
 }
 
+/// Guards against a copy of the scheduler, by which an entry explains what the link would do, that holds up packets.
+#[test]
+fn a_full_queue_is_copied_in_less_than_five_milliseconds() {
+    let (mut link, now) = (LinkScheduler::new(settings(100.0)), Instant::now());
+    fill(&mut link, now);
+    for number in 0..50_000_u32 {
+        link.offer(opening(flow(number, 1), 1, now), &[0; 1_000], now);
+        link.take_drops().clear();
+    }
+    let status = link.status();
+    assert!(status.queued_bytes > MAX_QUEUED_BYTES - 2_000, "{status:?}");
+    let copy_time = || {
+        let start = Instant::now();
+        let copy = link.clone();
+        (start.elapsed(), copy.status())
+    };
+    let copies: Vec<_> = (0..10).map(|_| copy_time()).collect();
+    assert!(copies.iter().all(|(_, copied)| *copied == status));
+    let least = copies.iter().map(|(took, _)| *took).min();
+    println!("{least:?} for {status:?}");
+    assert!(least.is_some_and(|least| least < ms(5)), "{least:?}");
+}
+
 /// Guards against resets that are queued without a limit.
 #[test]
 fn resets_are_bounded() {
