--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -56,6 +56,14 @@
         /// Subject, version and reason of the refusal.
         message: String,
     },
+    /// Some entries refused to explain or did not respond. The answers of the others have been printed.
+    #[error("{message}")]
+    EntriesFailed {
+        /// Result code of the first of them.
+        code: u16,
+        /// Address and reason of each.
+        message: String,
+    },
     /// An argument is invalid.
     #[error("{0}")]
     Argument(String),
@@ -87,7 +95,9 @@
             Self::Settings(source) => source.code(),
             Self::NoResponse { .. } => ResultCode::OutcomePending,
             Self::Refused(body) => return ErrorCode(body.code),
-            Self::PublicationRefused { code, .. } => return ErrorCode(*code),
+            Self::PublicationRefused { code, .. } | Self::EntriesFailed { code, .. } => {
+                return ErrorCode(*code);
+            }
             Self::Argument(_) => ResultCode::BadField,
             Self::BadResponse(_) | Self::Io(_) => ResultCode::BadFrame,
         };
--- a/crates/cli/src/http.rs
+++ b/crates/cli/src/http.rs
@@ -35,9 +35,23 @@
     method: Method,
     path: &str,
     body: &str,
+) -> Result<HttpResponse, String> {
+    call_within(CALL_TIMEOUT, address, method, path, body).await
+}
+
+/// Like [`call`], with a time-out of its own.
+///
+/// # Errors
+/// No connection, a broken connection, or the time-out exceeded, as a message for operators.
+pub async fn call_within(
+    timeout: Duration,
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: &str,
 ) -> Result<HttpResponse, String> {
     let exchange = exchange(address, method, path, body);
-    tokio::time::timeout(CALL_TIMEOUT, exchange).await.map_err(|_| "call timed out".to_owned())?
+    tokio::time::timeout(timeout, exchange).await.map_err(|_| "call timed out".to_owned())?
 }
 
 async fn exchange(
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -32,7 +32,7 @@
     /// Withdraw a failure domain from service or restore it
     #[bpaf(command)]
     Domain(#[bpaf(external(cmd::domain::args))] cmd::domain::Args),
-    /// Show the log lines about one flow and the entry's state before it
+    /// Show where a packet would go now and why, or the log lines about one flow
     #[bpaf(command)]
     Explain(#[bpaf(external(cmd::explain::args))] cmd::explain::Args),
     /// Show the operator and revision of each published version
