Show an expected wait only for the opening that waits

The state of a service keeps the expected wait of the opening that was decided on last. An explanation of a packet that admission is not asked about, such as one of an open flow, showed the wait of that other opening.

--- a/crates/flow/src/cookie/explain/decide.rs
+++ b/crates/flow/src/cookie/explain/decide.rs
@@ -208,7 +208,9 @@
         _ if has_limit => (AdmissionAction::Forward, AdmissionReason::Room, None),
         _ => (AdmissionAction::Forward, AdmissionReason::NoLimit, None),
     };
-    let expected = status.and_then(|status| status.expected_wait);
+    // The state of a service keeps the wait of the opening decided on last, which may be another one.
+    let is_held = matches!(outcome, OpeningOutcome::Held(_));
+    let expected = status.filter(|_| is_held).and_then(|status| status.expected_wait);
     AdmissionAnswer {
         action,
         reason,
--- a/crates/flow/tests/explain/support.rs
+++ b/crates/flow/tests/explain/support.rs
@@ -2,7 +2,9 @@
 
 use comfreyhold_flow::cookie::balancer::Routing;
 use comfreyhold_flow::cookie::directory::TargetSpec;
-use comfreyhold_flow::cookie::explain::{Action, ExplainError, Explanation, Query};
+use comfreyhold_flow::cookie::explain::{
+    Action, AdmissionAction, ExplainError, Explanation, Query,
+};
 use comfreyhold_flow::cookie::{
     Balancer, BalancerSettings, CallerPacket, Cookie, DiscardReason, FlowKey, PacketKind, Verdict,
 };
@@ -195,5 +197,10 @@
         (Err(_), _) => false,
     };
     let decision = explained.as_ref().map(|e| &e.decision);
+    // An opening that admission lets pass, and a packet that it is not asked about, expect no wait.
+    let agrees = agrees
+        && explained.as_ref().map_or(true, |e| {
+            e.admission.expected_wait_ms.is_none() || e.admission.action != AdmissionAction::Forward
+        });
     (!agrees).then(|| format!("explained {decision:?}, decided {verdict:?}"))
 }
