Send early reports, log requests in flight by priority, count link refusals

Cause: an entry looked for signs of pressure every 250 ms only, and entries that were told to share waited for their next interval; control daemons sent their sums every 250 ms. An opening that the link refused was no sign of pressure.

Change: an entry that sees the first signs of an overload in a batch of packets, or is told to share, reports at once, at most every 100 ms and with one report under way. Control daemons send their sums every 50 ms in the first 400 ms of sharing, so that the first totals are those of all daemons. `ResetReason::LinkFull` is a sign of pressure. The `deferred` and `reset` lines state `in_flight_by_priority` and `reserve`; the metric `admission_reserve` is the room that is kept for the highest priorities.

Tests: cookie::early (signs, at most one report per 100 ms, link refusals) and admission_reserve (reserve, its bound and its return within a second, a fifth for the others, requests at slow targets). The last one fails if the load of slow targets counts in full.

--- a/crates/fleet/src/control/load.rs
+++ b/crates/fleet/src/control/load.rs
@@ -28,6 +28,11 @@
 /// Deadline for the response to a sum: later ones have been sent by then.
 const SUM_DEADLINE: Duration = Duration::from_millis(800);
 
+/// Interval and time of the first sums. Entries report within some 100 ms of the begin, and need the totals of all daemons
+/// before the queues of the targets are full.
+const FIRST_SUM_INTERVAL: Duration = Duration::from_millis(50);
+const FIRST_SUMS_TIME: Duration = Duration::from_millis(400);
+
 /// State of the exchange of load at a control daemon.
 pub(super) struct LoadSharing {
     book: RefCell<LoadBook>,
@@ -152,9 +157,12 @@
             if !self.load.is_sharing.get() {
                 began.await;
             }
+            let first_until = self.clock.now() + FIRST_SUMS_TIME;
             while self.load.is_sharing.get() {
                 self.send_load_sums();
-                tokio::time::sleep(REPORT_INTERVAL).await;
+                let is_first = self.clock.now() < first_until;
+                let interval = if is_first { FIRST_SUM_INTERVAL } else { REPORT_INTERVAL };
+                tokio::time::sleep(interval).await;
                 self.update_sharing("no-pressure", self.clock.now());
             }
             self.load.connections.retain(|_| false);
--- a/crates/fleet/src/entry/link.rs
+++ b/crates/fleet/src/entry/link.rs
@@ -254,6 +254,7 @@
     fn refuse_for_link(&self, packet: &CallerPacket, now: Instant) {
         self.link.refused.set(self.link.refused.get() + 1);
         metrics::counter!("link_refused").increment(1);
+        self.balancer.borrow_mut().record_link_refusal(now);
         let mut reset = Vec::new();
         let to = self.codec.encode_reset(packet, &mut reset);
         self.transmit(packet, None, (to, &reset), now);
--- a/crates/fleet/src/entry/load.rs
+++ b/crates/fleet/src/entry/load.rs
@@ -18,6 +18,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 
 /// Deadline for the response to a poll, which a daemon holds for [`LOAD_POLL_TIMEOUT`].
 const POLL_DEADLINE: Duration = LOAD_POLL_TIMEOUT.saturating_add(Duration::from_millis(600));
@@ -32,12 +33,19 @@
     connections: ConnectionPool,
     /// Whether the control daemon has said that load is shared.
     is_told: Cell<bool>,
+    /// Wakes the exchange for a report before the next interval.
+    early: Notify,
 }
 
 impl LoadExchange {
     pub(super) fn new(address: SocketAddr, started_ms: u64) -> Self {
         let from = sender_start(address, started_ms);
-        Self { from, connections: ConnectionPool::default(), is_told: Cell::new(false) }
+        Self {
+            from,
+            connections: ConnectionPool::default(),
+            is_told: Cell::new(false),
+            early: Notify::new(),
+        }
     }
 }
 
@@ -67,7 +75,16 @@
         let mut ticks = tokio::time::interval(REPORT_INTERVAL);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
+            let may_report = !call.as_ref().is_some_and(|call| call.is_report);
             tokio::select! {
+                () = self.load.early.notified(), if may_report => {
+                    // The report of an interval may have been sent since.
+                    let is_due = self.balancer.borrow_mut().takes_early_report(self.clock.now());
+                    let control = self.load_control().filter(|c| last_control == Some(*c));
+                    if is_due && control.is_some() {
+                        self.report_load(control, &mut call, &backoff);
+                    }
+                }
                 response = response_of(&mut call) => {
                     if let Some(call) = call.take() {
                         self.receive_load_response(&call, response, &mut backoff);
@@ -87,6 +104,14 @@
         }
     }
 
+    /// Has a report sent before the next interval if the packets that were just handled show the first signs of an
+    /// overload, or if entries have begun to share.
+    pub(super) fn look_for_early_signs(&self, now: Instant) {
+        if self.balancer.borrow_mut().takes_early_report(now) {
+            self.load.early.notify_one();
+        }
+    }
+
     /// The daemon that the entry reports to: the one that its first source watches, once the routes are known.
     fn load_control(&self) -> Option<SocketAddr> {
         let is_joined = self.view.borrow().routing().change > 0;
@@ -202,6 +227,9 @@
         if self.load.is_told.replace(is_sharing) == is_sharing {
             return;
         }
+        if is_sharing {
+            self.balancer.borrow_mut().record_sharing_begins();
+        }
         self.record("load-sharing", || {
             let age = self.balancer.borrow().load_totals_age(now);
             json!({
--- a/crates/fleet/src/entry/packets.rs
+++ b/crates/fleet/src/entry/packets.rs
@@ -90,6 +90,7 @@
             self.last_tick.set(now);
             self.record_link_use(now);
             self.report_capacity(now);
+            metrics::gauge!("admission_reserve").set(self.balancer.borrow().admission_reserve());
         }
     }
 
@@ -127,6 +128,7 @@
                 }
             }
             self.sweep_balancer(now);
+            self.look_for_early_signs(now);
             tokio::task::yield_now().await;
         }
     }
@@ -231,6 +233,7 @@
     /// State of the limit that an opening is decided by, for its log line.
     pub(super) fn limit_fields(&self, packet: &CallerPacket, now: Instant) -> serde_json::Value {
         let status = self.balancer.borrow().limit_status(packet, now);
+        let by_priority = self.balancer.borrow().in_flight_by_priority(packet);
         let kind: Option<&'static str> = status.map(|status| status.kind.into());
         let totals_age = status.and_then(|status| status.totals_age);
         json!({
@@ -238,6 +241,8 @@
             "limit": status.and_then(|status| status.limit),
             "share": status.and_then(|status| status.share),
             "in_flight": status.and_then(|status| status.in_flight),
+            "in_flight_by_priority": by_priority,
+            "reserve": status.and_then(|status| status.reserve),
             "totals_age_ms": totals_age.map(|age| age.as_millis()),
             "unanswered": status.map(|status| status.unanswered),
             "limit_age_ms": status.map(|status| status.age.as_millis()),
--- a/crates/flow/src/cookie/admission/mod.rs
+++ b/crates/flow/src/cookie/admission/mod.rs
@@ -144,7 +144,9 @@
     reserve: Reserve,
     /// First opening at this entry.
     first_seen: Instant,
-    /// Requests in flight of the highest priority at the last scan of the targets, and openings admitted since.
+    /// Requests in flight by priority at the last scan of the targets.
+    by_priority: BTreeMap<u8, f64>,
+    /// Those of the highest priority, and openings of it admitted since.
     top_in_flight: f64,
     top_scanned: Option<Instant>,
     /// Requests that were kept free for the highest priority at the last decision.
@@ -281,6 +283,21 @@
         })
     }
 
+    /// Requests in flight through this entry by priority, when its share was last used; empty without a share.
+    #[must_use]
+    pub fn in_flight_by_priority(&self, service: &str) -> BTreeMap<u8, f64> {
+        let state = self.by_name.get(service).and_then(|key| self.services.get(*key));
+        let state = state.filter(|state| state.share.is_some());
+        state.map(|state| state.by_priority.clone()).unwrap_or_default()
+    }
+
+    /// Requests that are kept free for the highest priorities of all services.
+    #[must_use]
+    pub fn reserve(&self) -> f64 {
+        let shared = self.services.values().filter(|state| state.share.is_some());
+        shared.map(|state| state.last_reserve).sum()
+    }
+
     fn service_key(&mut self, service: &str, now: Instant) -> ServiceKey {
         if let Some(key) = self.by_name.get(service) {
             return *key;
@@ -293,6 +310,7 @@
             top_priority: None,
             reserve: Reserve::new(now),
             first_seen: now,
+            by_priority: BTreeMap::new(),
             top_in_flight: 0.0,
             top_scanned: None,
             last_reserve: 0.0,
@@ -319,7 +337,10 @@
         let in_flight = InFlight { limit, all: share.in_flight(), top: self.top_in_flight };
         let is_above_others = is_top_priority && self.has_lower_priority;
         self.last_limit = limit;
-        self.last_reserve = self.reserve.kept(in_flight, usual.time());
+        self.last_reserve = 0.0;
+        if self.has_lower_priority {
+            self.last_reserve = self.reserve.kept(in_flight, usual.time());
+        }
         let free = match (is_top_priority, self.has_lower_priority) {
             (true, true) => in_flight.free_for_top(),
             (true, false) => limit - in_flight.all,
@@ -374,10 +395,14 @@
             return;
         }
         self.top_scanned = scanned;
-        let targets = input.directory.iter_service(input.service);
-        self.top_in_flight = self
-            .top_priority
-            .map_or(0.0, |top| targets.map(|(_, target)| target.load_of_priority(top)).sum());
+        self.by_priority.clear();
+        for (_, target) in input.directory.iter_service(input.service) {
+            for (priority, load) in &target.load_by_priority {
+                *self.by_priority.entry(*priority).or_default() += load;
+            }
+        }
+        let top = self.top_priority.map(|top| self.by_priority.range(..=top));
+        self.top_in_flight = top.map_or(0.0, |loads| loads.map(|(_, load)| load).sum());
         self.reserve.record_in_flight(self.top_in_flight, now);
     }
 
--- a/crates/flow/src/cookie/balancer/load.rs
+++ b/crates/flow/src/cookie/balancer/load.rs
@@ -200,6 +200,25 @@
         self.shared.early.record_in_flight(self.directory.load(), now);
     }
 
+    /// Records that an opening was refused because this entry's link can't carry it, which is a sign of pressure.
+    pub fn record_link_refusal(&mut self, now: Instant) {
+        self.shared.record_link_refusal(now);
+    }
+
+    /// Requests in flight by priority at the service that a packet's service address leads to, for logs.
+    #[must_use]
+    pub fn in_flight_by_priority(&self, packet: &CallerPacket) -> BTreeMap<u8, f64> {
+        let route = self.routing.table.as_ref().and_then(|t| t.routes.get(&packet.flow.service));
+        let service = route.and_then(|r| r.choose_service(hash_opening(&packet.flow, packet.seq)));
+        service.map(|name| self.admission.in_flight_by_priority(name)).unwrap_or_default()
+    }
+
+    /// Requests that are kept free for the highest priorities of all services.
+    #[must_use]
+    pub fn admission_reserve(&self) -> f64 {
+        self.admission.reserve()
+    }
+
     /// Records that entries begin to share their load, so that a report is due.
     pub fn record_sharing_begins(&mut self) {
         self.shared.early.record_told();
--- a/crates/flow/src/cookie/directory.rs
+++ b/crates/flow/src/cookie/directory.rs
@@ -98,12 +98,6 @@
         f64::from(self.spec.slots.max(1))
     }
 
-    /// Load from flows through this entry of routes with this priority or a higher one, in requests.
-    #[must_use]
-    pub fn load_of_priority(&self, lowest: u8) -> f64 {
-        self.load_by_priority.range(..=lowest).map(|(_, load)| load).sum()
-    }
-
     /// Requests in flight at the target through all entries, as far as this entry knows.
     #[must_use]
     pub fn total_load(&self, now: Instant) -> f64 {
--- a/crates/flow/src/cookie/shared.rs
+++ b/crates/flow/src/cookie/shared.rs
@@ -225,6 +225,11 @@
         }
     }
 
+    /// Records an opening that the entry's own link can't carry: a sign of pressure, like one that waits for room.
+    pub(super) fn record_link_refusal(&mut self, now: Instant) {
+        self.pressure.record_held(now);
+    }
+
     /// Records the first response on a flow, for signs of pressure.
     pub(super) fn record_first_answer(
         &mut self,
--- a/crates/flow/tests/cookie/main.rs
+++ b/crates/flow/tests/cookie/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, clippy::panic)]
 
+mod early;
 mod support;
 mod unsent;
 
