--- a/crates/flow/src/cookie/balancer.rs
+++ b/crates/flow/src/cookie/balancer.rs
@@ -190,7 +190,7 @@
             }
             (PacketKind::Open { copy }, Some(route)) => {
                 if copy == 0 && waited.is_zero() {
-                    self.count_opening(packet, route);
+                    self.count_opening(packet, route, now);
                 }
                 match self.surge.defer(copy, route.objective(), waited, now) {
                     Deferral::None => {
@@ -294,7 +294,8 @@
             _ => None,
         };
         if known.is_none() {
-            let flow = Flow::placed_elsewhere(key, class, now);
+            let mut flow = Flow::placed_elsewhere(key, class, now);
+            flow.priority = route.priority;
             self.flows.insert(packet.flow, flow, &mut self.directory);
         }
         if known.is_none() || answered.is_some() {
--- a/crates/flow/src/cookie/balancer/load.rs
+++ b/crates/flow/src/cookie/balancer/load.rs
@@ -181,6 +181,11 @@
             })
     }
 
+    /// Records the response of a target, for the first signs of an overload.
+    pub(in crate::cookie) fn record_response(&mut self, is_refusal: bool, now: Instant) {
+        self.shared.early.record_response(is_refusal, now);
+    }
+
     /// Time since totals over all entries were last received; `None` if there were none.
     #[must_use]
     pub fn load_totals_age(&self, now: Instant) -> Option<Duration> {
@@ -188,10 +193,42 @@
     }
 
     /// Counts the first copy of an opening as demand for its service, whatever is decided about it.
-    pub(super) fn count_opening(&mut self, packet: &CallerPacket, route: &Route) {
+    pub(super) fn count_opening(&mut self, packet: &CallerPacket, route: &Route, now: Instant) {
         if let Some(service) = route.choose_service(hash_opening(&packet.flow, packet.seq)) {
             self.shared.count_opening(service);
         }
+        self.shared.early.record_in_flight(self.directory.load(), now);
+    }
+
+    /// Records that an opening was refused because this entry's link can't carry it, which is a sign of pressure.
+    pub fn record_link_refusal(&mut self, now: Instant) {
+        self.shared.record_link_refusal(now);
+    }
+
+    /// Requests in flight by priority at the service that a packet's service address leads to, for logs.
+    #[must_use]
+    pub fn in_flight_by_priority(&self, packet: &CallerPacket) -> BTreeMap<u8, f64> {
+        let route = self.routing.table.as_ref().and_then(|t| t.routes.get(&packet.flow.service));
+        let service = route.and_then(|r| r.choose_service(hash_opening(&packet.flow, packet.seq)));
+        service.map(|name| self.admission.in_flight_by_priority(name)).unwrap_or_default()
+    }
+
+    /// Requests that are kept free for the highest priorities of all services.
+    #[must_use]
+    pub fn admission_reserve(&self) -> f64 {
+        self.admission.reserve()
+    }
+
+    /// Records that entries begin to share their load, so that a report is due.
+    pub fn record_sharing_begins(&mut self) {
+        self.shared.early.record_told();
+    }
+
+    /// Whether this entry should report its load now, before its next interval: because entries have begun to share, or
+    /// by the first signs of an overload, which are refusals by full targets or far more requests in flight than usual.
+    /// True at most once in 100 ms if the report is taken then.
+    pub fn takes_early_report(&mut self, now: Instant) -> bool {
+        self.shared.takes_early_report(now)
     }
 }
 
--- a/crates/flow/src/cookie/balancer/opening.rs
+++ b/crates/flow/src/cookie/balancer/opening.rs
@@ -258,6 +258,7 @@
         }
         let mut flow = Flow::opening(key, route.class, now);
         flow.tried = attempt.tried;
+        flow.priority = route.priority;
         flow.first_seen = attempt.first_seen.unwrap_or(now);
         flow.is_single = self.habits.is_single(packet.flow.service);
         flow.admitted = attempt.admitted.or_else(|| self.admission.record_forwarded(service, now));
--- a/crates/flow/src/cookie/capacity/mod.rs
+++ b/crates/flow/src/cookie/capacity/mod.rs
@@ -121,9 +121,15 @@
         self.usual.get(address)?.seconds()
     }
 
-    /// Records an observed request.
-    pub fn record(&mut self, sample: &Sample, directory: &mut Directory, now: Instant) {
-        let Some(usual) = self.usual.get_mut(sample.address) else { return };
+    /// Records an observed request. Returns whether it was answered or refused; `None` if that is not known.
+    pub fn record(
+        &mut self,
+        sample: &Sample,
+        directory: &mut Directory,
+        now: Instant,
+    ) -> Option<AnswerKind> {
+        let usual = self.usual.get_mut(sample.address)?;
+        let mut known = None;
         let counts = match sample.time {
             AnswerTime::Exactly(took) => {
                 let work = usual.work_time(took, sample.handshake);
@@ -132,11 +138,13 @@
                     usual.record(work, sample.bytes, now);
                     usual.record_visibility(true);
                 }
+                known = kind;
                 kind.map(|kind| counts_of(kind, sample.counted_ratio))
             }
             AnswerTime::AtMost(took) => {
                 let work = usual.work_time(took, sample.handshake);
                 let kind = usual.classify(work, sample.bytes);
+                known = kind;
                 let is_refused = kind == Some(AnswerKind::Refused);
                 if !is_refused {
                     usual.record_visibility(false);
@@ -152,6 +160,7 @@
         if let Some(counts) = counts {
             self.record_counts(sample.target, counts, true, directory, now);
         }
+        known
     }
 
     /// Watches the request that has begun on a flow, if answers on its route show at once.
--- a/crates/flow/src/cookie/directory.rs
+++ b/crates/flow/src/cookie/directory.rs
@@ -64,6 +64,8 @@
     pub cookie: Cookie,
     /// Load from flows through this entry, in requests.
     pub load: f64,
+    /// The same by priority of the flows' routes.
+    pub load_by_priority: BTreeMap<u8, f64>,
     /// Load from flows through other entries, as far as it is known.
     pub others: Option<OthersLoad>,
     /// Integral of `load` over the interval of the next load report.
@@ -110,6 +112,8 @@
     by_incarnation: BTreeMap<(TargetId, u64), TargetKey>,
     by_cookie: BTreeMap<Cookie, Vec<TargetKey>>,
     by_service: BTreeMap<String, BTreeSet<TargetKey>>,
+    /// Load of all targets through this entry, in requests.
+    load: f64,
     /// Current time, to which loads are attributed.
     now: Option<Instant>,
 }
@@ -145,6 +149,7 @@
             spec,
             cookie,
             load: 0.0,
+            load_by_priority: BTreeMap::new(),
             others: None,
             load_integral: LoadIntegral::default(),
             answered: AnswerCounts::default(),
@@ -223,6 +228,7 @@
 
     fn remove(&mut self, key: TargetKey) {
         let Some(target) = self.targets.remove(key) else { return };
+        self.load = (self.load - target.load).max(0.0);
         self.by_incarnation.remove(&(target.spec.id, target.spec.born_ms));
         if let Some(keys) = self.by_service.get_mut(&target.spec.service) {
             keys.remove(&key);
@@ -254,13 +260,23 @@
         self.now = Some(now);
     }
 
-    /// Adds to the load of a target from flows through this entry, in requests.
-    pub fn add_load(&mut self, key: TargetKey, load: f64) {
+    /// Adds to the load of a target from flows of a priority through this entry, in requests.
+    pub fn add_load(&mut self, key: TargetKey, priority: u8, load: f64) {
         let Some(target) = self.targets.get_mut(key) else { return };
         if let Some(now) = self.now {
             target.load_integral.advance(target.load, now);
         }
+        let before = target.load;
         target.load = (target.load + load).max(0.0);
+        self.load = (self.load + target.load - before).max(0.0);
+        let of_priority = target.load_by_priority.entry(priority).or_default();
+        *of_priority = (*of_priority + load).max(0.0);
+    }
+
+    /// Load of all targets through this entry, in requests.
+    #[must_use]
+    pub fn load(&self) -> f64 {
+        self.load
     }
 
     /// Returns the oldest target with a cookie.
--- a/crates/flow/src/cookie/flows.rs
+++ b/crates/flow/src/cookie/flows.rs
@@ -60,6 +60,8 @@
     pub target: TargetKey,
     /// Targets that left the opening unanswered.
     pub tried: Vec<TargetKey>,
+    /// Priority of the flow's route; 0 is the highest.
+    pub priority: u8,
     /// Class of the flow's requests.
     pub class: RequestClass,
     /// Whether the flow is expected to end with the answer to its first request, as others of its route do.
@@ -111,6 +113,7 @@
         Self {
             target,
             tried,
+            priority: u8::MAX,
             class,
             is_single: false,
             requests: 0,
@@ -213,7 +216,7 @@
         if self.flows.len() >= MAX_FLOWS {
             return;
         }
-        directory.add_load(flow.target, flow.load());
+        directory.add_load(flow.target, flow.priority, flow.load());
         self.flows.insert(key, flow);
         self.schedule_check(&key);
     }
@@ -221,7 +224,7 @@
     /// Removes a flow and its load.
     pub fn remove(&mut self, key: &FlowKey, directory: &mut Directory) {
         if let Some(flow) = self.flows.remove(key) {
-            directory.add_load(flow.target, -flow.load());
+            directory.add_load(flow.target, flow.priority, -flow.load());
         }
     }
 
@@ -237,10 +240,10 @@
         flow.is_silent = false;
         change(flow);
         if flow.target == target {
-            directory.add_load(target, flow.load() - before);
+            directory.add_load(target, flow.priority, flow.load() - before);
         } else {
-            directory.add_load(target, -before);
-            directory.add_load(flow.target, flow.load());
+            directory.add_load(target, flow.priority, -before);
+            directory.add_load(flow.target, flow.priority, flow.load());
         }
         self.schedule_check(key);
     }
@@ -349,7 +352,7 @@
             if flow.silent_at().is_some_and(|silent_at| silent_at <= now) {
                 let before = flow.load();
                 flow.is_silent = true;
-                directory.add_load(flow.target, flow.load() - before);
+                directory.add_load(flow.target, flow.priority, flow.load() - before);
             } else {
                 self.schedule_check(&key);
             }
--- a/crates/flow/tests/shared_support/mod.rs
+++ b/crates/flow/tests/shared_support/mod.rs
@@ -5,9 +5,9 @@
 
 pub mod deployment;
 pub mod outcomes;
+mod pool;
 pub mod totals;
 
-use comfreyhold_flow::cookie::admission::LimitStatus;
 use comfreyhold_flow::cookie::{Balancer, CallerPacket, Cookie, FlowKey, PacketKind, Verdict};
 use deployment::{Kind, Scenario};
 use outcomes::Outcomes;
@@ -42,7 +42,7 @@
 pub const WARM_UP: Duration = Duration::from_millis(2_500);
 
 /// Interval at which entries look for signs of pressure.
-const PRESSURE_STEP: Duration = Duration::from_millis(50);
+const PRESSURE_STEP: Duration = Duration::from_millis(10);
 
 #[derive(Clone, Copy, Debug)]
 enum Event {
@@ -57,7 +57,8 @@
     Timeout { flow: usize },
     Pressure,
     Report,
-    Totals,
+    Totals { entry: Option<usize> },
+    Told,
     Join,
     Sweep,
 }
@@ -88,6 +89,8 @@
     cookie: Cookie,
     seq: u32,
     ack: u32,
+    /// Requests that a pooled flow still takes; `None` if the flow ends with its caller.
+    requests_left: Option<u32>,
     is_over: bool,
     is_refused: bool,
 }
@@ -101,11 +104,6 @@
 pub struct Entry {
     pub balancer: Balancer,
     domain: usize,
-    /// First copies of openings since the last report.
-    openings: u32,
-    /// Answers of the last second, and whether they were bad.
-    answers: VecDeque<(Duration, bool)>,
-    has_held: bool,
 }
 
 /// A run of one scenario.
@@ -121,6 +119,7 @@
     callers: Vec<Caller>,
     requests: Vec<Request>,
     flows: Vec<Flow>,
+    pool: pool::Pool,
     exchange: totals::Exchange,
     outcomes: Outcomes,
 }
@@ -131,9 +130,6 @@
         let entries = (0..scenario.entries).map(|number| Entry {
             balancer: deployment::balancer(&scenario, number % scenario.domains, start),
             domain: number % scenario.domains,
-            openings: 0,
-            answers: VecDeque::new(),
-            has_held: false,
         });
         Self {
             rng: StdRng::seed_from_u64(seed),
@@ -146,6 +142,7 @@
             callers: Vec::new(),
             requests: Vec::new(),
             flows: Vec::new(),
+            pool: pool::Pool::default(),
             exchange: totals::Exchange::default(),
             outcomes: Outcomes::default(),
             scenario,
@@ -188,13 +185,7 @@
             Event::Begin => self.begin_caller(),
             Event::NextRequest { caller } => self.begin_request(caller),
             Event::Attempt { request } => self.begin_attempt(request),
-            Event::Send { flow, copy } => {
-                if copy == 0 {
-                    let entry = self.flows[flow].entry;
-                    self.entries[entry].openings += 1;
-                }
-                self.decide(flow, copy, self.now);
-            }
+            Event::Send { flow, copy } => self.decide(flow, copy, self.now),
             Event::Decide { flow, copy, received } => self.decide(flow, copy, received),
             Event::Arrive { flow, request } => self.arrive(flow, request),
             Event::Complete { target, flow, request } => self.complete(target, flow, request),
@@ -212,7 +203,8 @@
                 self.report();
                 self.schedule(totals::INTERVAL, Event::Report);
             }
-            Event::Totals => self.deliver_totals(),
+            Event::Totals { entry } => self.deliver_totals(entry),
+            Event::Told => self.tell_entries(),
             Event::Join => {
                 let (number, _) = self.scenario.joins.unwrap();
                 let (domain, now) = (self.entries[number].domain, self.start + self.now);
@@ -242,7 +234,8 @@
         let Some((domain, kind, _)) = chosen.copied() else { return };
         let host = self.rng.random_range(0..deployment::HOSTS_PER_DOMAIN);
         let address = Ipv4Addr::new(100, 64, domain as u8, host);
-        let requests_left = kind.requests_per_flow(&mut self.rng);
+        let is_pooled = self.scenario.pools_flows;
+        let requests_left = if is_pooled { 1 } else { kind.requests_per_flow(&mut self.rng) };
         self.callers.push(Caller { domain, kind, address, requests_left, flow: None });
         self.begin_request(self.callers.len() - 1);
     }
@@ -265,7 +258,8 @@
             return self.end_request(request);
         }
         self.requests[request].attempts += 1;
-        if let Some(flow) = self.callers[caller].flow {
+        if let Some(flow) = self.callers[caller].flow.or_else(|| self.take_pooled(caller)) {
+            self.callers[caller].flow = Some(flow);
             return self.send_request(flow, request);
         }
         let number = self.flows.len();
@@ -275,6 +269,7 @@
             service: kind.address(),
         };
         let entry = self.scenario.choose_entry(self.callers[caller].domain, &mut self.rng);
+        let requests_left = self.draw_pooled_requests(kind);
         self.flows.push(Flow {
             key,
             entry,
@@ -283,6 +278,7 @@
             cookie: Cookie::default(),
             seq: 1,
             ack: 1,
+            requests_left,
             is_over: false,
             is_refused: false,
         });
@@ -322,13 +318,11 @@
             }
             Verdict::Reset(_) => {
                 self.outcomes.refused_by_entries += 1;
-                self.entries[entry].has_held = true;
                 self.flows[flow].is_refused = true;
                 self.fail_opening(flow);
             }
             Verdict::Defer(wait) => {
                 self.outcomes.hold(self.now.saturating_sub(WARM_UP));
-                self.entries[entry].has_held = true;
                 self.schedule(wait, Event::Decide { flow, copy, received });
             }
             Verdict::Discard(_) => {}
@@ -338,17 +332,6 @@
         }
     }
 
-    /// Keeps the limit that a decision was made by.
-    fn record_limit(&mut self, flow: usize) {
-        let packet = self.packet(flow, PacketKind::Open { copy: 0 }, 0);
-        let entry = self.flows[flow].entry;
-        let now = self.start + self.now;
-        let status: Option<LimitStatus> = self.entries[entry].balancer.limit_status(&packet, now);
-        if let Some(status) = status {
-            self.outcomes.record_limit(self.now.saturating_sub(WARM_UP), entry, status);
-        }
-    }
-
     /// Sends a request on an open flow.
     fn send_request(&mut self, flow: usize, request: usize) {
         self.flows[flow].request = request;
@@ -392,10 +375,7 @@
     fn receive_answer(&mut self, flow: usize, request: usize, refused: bool) {
         self.flows[flow].ack += if refused { REFUSAL_BYTES } else { ANSWER_BYTES };
         let Request { kind, caller, begun, .. } = self.requests[request];
-        let entry = self.flows[flow].entry;
-        let is_bad = refused || self.now > begun + kind.objective();
-        self.entries[entry].answers.push_back((self.now, is_bad));
-        let is_last = self.callers[caller].requests_left == 0 && !refused;
+        let is_last = !refused && self.is_last_on_flow(flow, caller);
         if is_last || kind == Kind::Order {
             self.pass(flow, PacketKind::Finish, 0);
             self.flows[flow].is_over = true;
@@ -438,6 +418,7 @@
 
     fn end_request(&mut self, request: usize) {
         let caller = self.requests[request].caller;
+        self.return_to_pool(caller);
         let pause = THINK_TIME.mul_f64(self.rng.random_range(0.5..1.5));
         self.schedule(pause, Event::NextRequest { caller });
     }
