Count messages between daemons by kind, with bytes and CPU time

Cause: the cost of control grows with the number of control daemons, and the metrics did not show which messages cause it.

Change: fleet_messages{kind}, fleet_message_bytes{kind,direction} and fleet_message_seconds{kind} at control daemons and entries, for calls sent and received. Long polls are counted by what they brought, announcements sent by their cause. The CPU time is that of the thread in encoding, decoding and handling, without the transport.

--- a/crates/fleet/src/connections.rs
+++ b/crates/fleet/src/connections.rs
@@ -1,5 +1,6 @@
 //! Typed requests to other daemons, over one connection to each.
 
+use crate::counters::{CallRecord, CallSide, MessageKind, count_call, measure, with_cpu_time};
 use crate::messages::{FleetRequest, FleetResponse, TOPIC};
 use comfreyhold_wire::envelope::{decode_body, encode_body};
 use comfreyhold_wire::error::WireError;
@@ -38,15 +39,31 @@
         request: &FleetRequest,
         deadline: Duration,
     ) -> Result<FleetResponse, WireError> {
-        self.call_encoded(to, &encode_body(request)?, deadline).await
+        self.call_as(MessageKind::of_request(request), to, request, deadline).await
     }
 
-    /// Like `call`, with a request that is encoded once and sent to several receivers.
+    /// Like `call`, with a request that is counted as `kind`.
+    ///
+    /// # Errors
+    /// No response within `deadline`, a broken connection, or an error code from the receiver.
+    pub async fn call_as(
+        &self,
+        kind: MessageKind,
+        to: SocketAddr,
+        request: &FleetRequest,
+        deadline: Duration,
+    ) -> Result<FleetResponse, WireError> {
+        let body = measure(kind, || encode_body(request))?;
+        self.call_encoded(kind, to, &body, deadline).await
+    }
+
+    /// Like `call_as`, with a request that is encoded once and sent to several receivers.
     ///
     /// # Errors
     /// No response within `deadline`, a broken connection, or an error code from the receiver.
     pub async fn call_encoded(
         &self,
+        kind: MessageKind,
         to: SocketAddr,
         body: &[u8],
         deadline: Duration,
@@ -56,7 +73,18 @@
         );
         let timeouts =
             CallTimeouts { connect: self.connect_timeout.get().min(deadline), response: deadline };
-        decode_body(&client.call(TOPIC, body, timeouts).await?)
+        let call = async {
+            let response = client.call(TOPIC, body, timeouts).await?;
+            Ok((decode_body::<FleetResponse>(&response)?, response.len()))
+        };
+        let (result, cpu) = with_cpu_time(call).await;
+        let (kind, response_bytes) = match &result {
+            Ok((response, bytes)) => (kind.with_response(response), *bytes),
+            Err(_) => (kind, 0),
+        };
+        let (side, request_bytes) = (CallSide::Caller, body.len());
+        count_call(kind, &CallRecord { side, request_bytes, response_bytes, cpu });
+        result.map(|(response, _)| response)
     }
 
     /// Sets the timeout for new connections; `None` restores the default.
--- a/crates/fleet/src/control/gossip.rs
+++ b/crates/fleet/src/control/gossip.rs
@@ -8,6 +8,7 @@
 
 use super::operations::BROADCAST_DEADLINE;
 use super::{Control, PEER_TIMEOUT};
+use crate::counters::{MessageKind, measure};
 use crate::messages::{FleetRequest, FleetResponse, Hello};
 use comfreyhold_consensus::register::Ballot;
 use comfreyhold_membership::announcements::AnnouncementOutcome;
@@ -96,7 +97,9 @@
         let response = self.connections.call(address, &request, HEARTBEAT_DEADLINE).await;
         self.heartbeats_in_flight.borrow_mut().remove(&address);
         match response {
-            Ok(FleetResponse::Hello(hello)) => return self.receive_heartbeat(hello),
+            Ok(FleetResponse::Hello(hello)) => {
+                return measure(MessageKind::Hello, || self.receive_heartbeat(hello));
+            }
             Ok(_) => log::warn!("unexpected type of response to a heartbeat from {address}"),
             Err(error) => log::debug!("heartbeat to {address}: {error}"),
         }
@@ -153,7 +156,12 @@
             self.targets.borrow().in_groups(&differing, now)
         };
         if !announcements.is_empty() {
-            self.send_announcements(address, FleetRequest::Announced(announcements));
+            let kind = if is_new_incarnation {
+                MessageKind::AnnouncedRestart
+            } else {
+                MessageKind::AnnouncedDifference
+            };
+            self.send_announcements(kind, address, FleetRequest::Announced(announcements));
         }
     }
 
@@ -191,10 +199,17 @@
     }
 
     /// Sends a request to one daemon without waiting for its response.
-    fn send_announcements(self: &Rc<Self>, to: SocketAddr, request: FleetRequest) {
+    fn send_announcements(
+        self: &Rc<Self>,
+        kind: MessageKind,
+        to: SocketAddr,
+        request: FleetRequest,
+    ) {
         let control = Rc::clone(self);
         tokio::task::spawn_local(async move {
-            if let Err(error) = control.connections.call(to, &request, BROADCAST_DEADLINE).await {
+            let connections = &control.connections;
+            let sent = connections.call_as(kind, to, &request, BROADCAST_DEADLINE).await;
+            if let Err(error) = sent {
                 log::debug!("announcements for {to}: {error}");
             }
         });
@@ -350,14 +365,16 @@
     fn broadcast(self: &Rc<Self>, request: FleetRequest) -> impl Future<Output = ()> + use<> {
         let control = Rc::clone(self);
         async move {
-            let body = match encode_body(&request) {
+            let kind = MessageKind::AnnouncedChange;
+            let body = match measure(kind, || encode_body(&request)) {
                 Ok(body) => body,
                 Err(error) => return log::error!("can't encode announcements: {error}"),
             };
             let send = |to| {
                 let (control, body) = (&control, &body);
                 async move {
-                    let sent = control.connections.call_encoded(to, body, BROADCAST_DEADLINE).await;
+                    let connections = &control.connections;
+                    let sent = connections.call_encoded(kind, to, body, BROADCAST_DEADLINE).await;
                     if let Err(error) = sent {
                         log::debug!("announcements for {to}: {error}");
                     }
--- a/crates/fleet/src/control/load.rs
+++ b/crates/fleet/src/control/load.rs
@@ -6,6 +6,7 @@
 use super::{Control, PEER_TIMEOUT};
 use crate::backoff::Backoff;
 use crate::connections::ConnectionPool;
+use crate::counters::MessageKind;
 use crate::messages::{FleetRequest, FleetResponse};
 use comfreyhold_load::book::MAX_AGE;
 use comfreyhold_load::sums::REPORT_INTERVAL;
@@ -184,7 +185,8 @@
     }
 
     async fn send_load_sum(self: Rc<Self>, peer: SocketAddr, body: Rc<Vec<u8>>) {
-        let response = self.load.connections.call_encoded(peer, &body, SUM_DEADLINE).await;
+        let (kind, connections) = (MessageKind::LoadSum, &self.load.connections);
+        let response = connections.call_encoded(kind, peer, &body, SUM_DEADLINE).await;
         self.load.in_flight.borrow_mut().remove(&peer);
         let is_refusal = match response {
             Ok(FleetResponse::Done) => {
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -18,6 +18,7 @@
 pub use register::RegisterError;
 
 use crate::connections::ConnectionPool;
+use crate::counters::{CallRecord, CallSide, MessageKind, count_call, with_cpu_time};
 use crate::decisions::DecisionLog;
 use crate::messages::{
     ControlState, EntryUpdate, FleetRequest, FleetResponse, IncarnationId, TOPIC, WatchCursor,
@@ -340,16 +341,24 @@
                 log::warn!("can't decode a request: {error}");
                 error.code()
             })?;
-            let kind: &'static str = (&request).into();
+            let name: &'static str = (&request).into();
             self.observe_activity();
-            let response = self.handle_request(request).await;
-            let encoded = encode_body(&response).map_err(|error| {
-                log::error!("can't encode a response to {kind}: {error}");
+            let handle = async {
+                let kind = MessageKind::of_request(&request);
+                let response = self.handle_request(request).await;
+                (kind.with_response(&response), encode_body(&response))
+            };
+            let ((kind, encoded), cpu) = with_cpu_time(handle).await;
+            let encoded = encoded.map_err(|error| {
+                log::error!("can't encode a response to {name}: {error}");
                 error.code()
             })?;
-            let bytes = (body.len() + encoded.len()) as u64;
-            metrics::counter!("exchange_bytes", "request" => kind).increment(bytes);
-            metrics::counter!("exchanges", "request" => kind).increment(1);
+            let (request_bytes, response_bytes) = (body.len(), encoded.len());
+            let bytes = (request_bytes + response_bytes) as u64;
+            metrics::counter!("exchange_bytes", "request" => name).increment(bytes);
+            metrics::counter!("exchanges", "request" => name).increment(1);
+            let side = CallSide::Receiver;
+            count_call(kind, &CallRecord { side, request_bytes, response_bytes, cpu });
             Ok(encoded)
         }
         .boxed_local()
--- a/crates/fleet/src/entry/watch.rs
+++ b/crates/fleet/src/entry/watch.rs
@@ -2,6 +2,7 @@
 
 use super::{Entry, PacketCodec, WATCHED_CONTROLS};
 use crate::control::LONG_POLL_TIMEOUT;
+use crate::counters::{MessageKind, measure};
 use crate::messages::{EntryUpdate, FleetRequest, FleetResponse, WatchCursor};
 use serde_json::json;
 use std::net::SocketAddr;
@@ -81,7 +82,9 @@
         let request = FleetRequest::Watch(cursor);
         match self.connections.call(control, &request, CALL_DEADLINE).await {
             Ok(FleetResponse::News(update)) => {
-                self.apply_update(source, control, &cursor, *update);
+                measure(MessageKind::of_update(&update), || {
+                    self.apply_update(source, control, &cursor, *update);
+                });
                 // Until the routes are known, each change may bring them.
                 if self.view.borrow().routing().change > 0 {
                     tokio::time::sleep(POLL_INTERVAL).await;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod backoff;
 pub mod connections;
 pub mod control;
+pub mod counters;
 pub mod decisions;
 pub mod entry;
 pub mod logging;
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used, clippy::panic)]
 
 mod controls;
+mod counters;
 mod early_packets;
 mod feed;
 mod late_orders;
