Encode copies and differences for entries once and share them

Cause: each control daemon built and encoded the targets and routes anew for each entry that asked, and the newest value for each daemon that fetched it.

Change: the newest few lists of targets, declarations and the newest value are kept encoded, four of a kind, for five seconds after their last use. The remaining cold periods are inserted at the time of the response, so that up to 12 known control daemons every response has the bytes that it had. In larger fleets a full copy is shared on while few targets have changed since: the changed ones follow it in the same message. The methods of Announcements that say what is sent moved to a file of their own.

A property test compares 300 random histories with the encodings made without sharing, byte for byte.

--- a/crates/fleet/src/control/feed.rs
+++ b/crates/fleet/src/control/feed.rs
@@ -44,7 +44,9 @@
         }
     }
 
-    fn declarations(&self, cursor: &WatchCursor) -> Option<DeclarationUpdate> {
+    /// Returns the declarations if they are newer than the entry's.
+    #[must_use]
+    pub fn declarations(&self, cursor: &WatchCursor) -> Option<DeclarationUpdate> {
         let state = &self.chosen.as_ref()?.state;
         if state.change <= cursor.change {
             return None;
--- a/crates/fleet/src/control/gossip.rs
+++ b/crates/fleet/src/control/gossip.rs
@@ -73,6 +73,7 @@
                 self.record("target-silent", || json!({"target": id.to_string()}));
             }
             self.notify_targets(previous_revision);
+            self.encodings.borrow_mut().drop_unused(now);
         }
     }
 
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -1,6 +1,8 @@
 //! A control daemon: replicates the operators' declarations with the other control daemons, collects the
 //! targets' announcements, and sends changes of both to the entries that watch it.
 
+mod copies;
+pub mod encodings;
 pub mod feed;
 mod gossip;
 mod load;
@@ -20,9 +22,7 @@
 use crate::connections::ConnectionPool;
 use crate::counters::{CallRecord, CallSide, MessageKind, count_call, with_cpu_time};
 use crate::decisions::DecisionLog;
-use crate::messages::{
-    ControlState, EntryUpdate, FleetRequest, FleetResponse, IncarnationId, TOPIC, WatchCursor,
-};
+use crate::messages::{ControlState, FleetRequest, FleetResponse, IncarnationId, TOPIC};
 use crate::settings::FleetSettings;
 use anyhow::Context;
 use comfreyhold_consensus::register::{DiskId, RegisterValue, Replica, Voters};
@@ -31,8 +31,9 @@
 use comfreyhold_types::codes::ResultCode;
 use comfreyhold_types::keys::{DomainName, TargetId};
 use comfreyhold_wire::envelope::{decode_body, encode_body};
+use comfreyhold_wire::error::WireError;
 use comfreyhold_wire::exchange::{self, Responder};
-use feed::FeedState;
+use encodings::Encodings;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use load::LoadSharing;
@@ -76,6 +77,10 @@
 /// each time; among more, each one is named by several others within a second.
 const PEERS_PER_HEARTBEAT: usize = 8;
 
+/// Number of control daemons above which a fleet counts as large. Up to it, each daemon has every other one as a peer and
+/// sends what it did before; deployments of the present size have 5 to 12.
+const LARGE_FLEET: usize = 12;
+
 /// One control daemon. All its tasks run on one thread.
 pub struct Control {
     settings: FleetSettings,
@@ -101,6 +106,7 @@
     stalls: Cell<StallMonitor>,
     /// Wakes the entries' long polls.
     changed: Notify,
+    encodings: RefCell<Encodings>,
     load: LoadSharing,
 }
 
@@ -154,6 +160,7 @@
             heartbeats_in_flight: RefCell::default(),
             operations,
             changed: Notify::new(),
+            encodings: RefCell::default(),
             load: LoadSharing::new(load::sender_start(address, started_ms)),
         });
         control
@@ -251,32 +258,6 @@
         });
     }
 
-    fn feed_state<'a>(&self, targets: &'a Announcements, cursor: &WatchCursor) -> FeedState<'a> {
-        let base = if cursor.change > 0 { self.register.chosen_at(cursor.change) } else { None };
-        FeedState { incarnation: self.incarnation, targets, chosen: self.register.chosen(), base }
-    }
-
-    /// Handles an entry's long poll: returns at once if something has changed since its cursor, and otherwise
-    /// after the next change or [`LONG_POLL_TIMEOUT`].
-    async fn poll_changes(&self, cursor: WatchCursor) -> EntryUpdate {
-        let change = tokio::time::timeout(LONG_POLL_TIMEOUT, async {
-            loop {
-                let changed = self.changed.notified();
-                tokio::pin!(changed);
-                changed.as_mut().enable();
-                if self.feed_state(&self.targets.borrow(), &cursor).has_update(&cursor) {
-                    return;
-                }
-                changed.await;
-            }
-        });
-        // After the timeout an update without changes is sent, which shows that this daemon is alive.
-        let _ = change.await;
-        let now = self.clock.now();
-        let targets = self.targets.borrow();
-        self.feed_state(&targets, &cursor).update(&cursor, now)
-    }
-
     /// Addresses and failure domains of the live control daemons, including this one.
     fn live_controls(&self, now: Instant) -> Vec<(SocketAddr, DomainName)> {
         let peers = self.peers.borrow();
@@ -285,8 +266,25 @@
         others.chain([(self.me.address, self.domain.clone())]).collect()
     }
 
+    /// Handles a request and encodes the response. Those that many processes ask for are encoded once.
+    async fn encoded_response(
+        self: Rc<Self>,
+        request: FleetRequest,
+    ) -> (MessageKind, Result<Vec<u8>, WireError>) {
+        let kind = MessageKind::of_request(&request);
+        let response = match request {
+            FleetRequest::Watch(cursor) => return self.encoded_update(cursor).await,
+            FleetRequest::Newest(known) => return (kind, self.encoded_newest(known)),
+            other => self.handle_request(other).await,
+        };
+        (kind, encode_body(&response))
+    }
+
+    /// Handles the requests whose responses are not shared.
     async fn handle_request(self: Rc<Self>, request: FleetRequest) -> FleetResponse {
         match request {
+            // Encoded by `encoded_response`.
+            FleetRequest::Watch(_) | FleetRequest::Newest(_) => FleetResponse::Done,
             FleetRequest::Vote(addressed) => {
                 FleetResponse::Vote(self.voter.handle_request(addressed).await)
             }
@@ -299,10 +297,6 @@
                 self.receive_chosen(ballot, holder);
                 FleetResponse::Done
             }
-            FleetRequest::Newest(known) => {
-                let newer = self.register.chosen().filter(|value| value.ballot > known);
-                FleetResponse::Newest(newer)
-            }
             FleetRequest::Announced(announcements) => {
                 let changed = self.apply_announcements(&announcements);
                 self.save_left(&changed).await;
@@ -316,9 +310,6 @@
                 let last = self.targets.borrow().last_announcement(id).cloned();
                 FleetResponse::Announcements(last.into_iter().collect())
             }
-            FleetRequest::Watch(cursor) => {
-                FleetResponse::News(Box::new(self.poll_changes(cursor).await))
-            }
             FleetRequest::Controls => FleetResponse::Controls(self.live_controls(self.clock.now())),
             FleetRequest::Load(None) => self.poll_sharing().await,
             FleetRequest::Load(Some(report)) => self.receive_load_report(*report),
@@ -343,12 +334,7 @@
             })?;
             let name: &'static str = (&request).into();
             self.observe_activity();
-            let handle = async {
-                let kind = MessageKind::of_request(&request);
-                let response = self.handle_request(request).await;
-                (kind.with_response(&response), encode_body(&response))
-            };
-            let ((kind, encoded), cpu) = with_cpu_time(handle).await;
+            let ((kind, encoded), cpu) = with_cpu_time(self.encoded_response(request)).await;
             let encoded = encoded.map_err(|error| {
                 log::error!("can't encode a response to {name}: {error}");
                 error.code()
--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -114,6 +114,12 @@
         self.peers.keys().copied().collect()
     }
 
+    /// Number of all known daemons.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.peers.len()
+    }
+
     /// Daemons whose last state is younger than `max_age`, with that state.
     pub fn seen_within(
         &self,
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -138,6 +138,14 @@
     pub routes: RouteUpdate,
 }
 
+impl DeclarationUpdate {
+    /// Whether the update has the complete route table.
+    #[must_use]
+    pub fn has_full_table(&self) -> bool {
+        matches!(self.routes, RouteUpdate::Full(..))
+    }
+}
+
 /// Published routes, complete or as a difference.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RouteUpdate {
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod controls;
 mod counters;
 mod early_packets;
+mod encodings;
 mod feed;
 mod late_orders;
 mod link;
--- a/crates/membership/src/announcements.rs
+++ b/crates/membership/src/announcements.rs
@@ -11,6 +11,8 @@
 
 pub use crate::digests::{ContentDigest, Repetition, TargetDigests, TargetGroup};
 
+mod sent;
+
 use comfreyhold_types::announcement::{Announcement, Availability, MAX_COLD_MS, MAX_SEQUENCE};
 use comfreyhold_types::keys::TargetId;
 use serde::{Deserialize, Serialize};
@@ -101,6 +103,8 @@
     holders: BTreeMap<SocketAddrV4, AddressHolder>,
     timeout: Duration,
     revision: u64,
+    /// Number of changes of any record, with those that entries don't need.
+    record_changes: u64,
     /// Digests of the current records; `None` until they are requested.
     cached_digests: Cell<Option<TargetDigests>>,
 }
@@ -110,7 +114,17 @@
     #[must_use]
     pub fn new(timeout: Duration) -> Self {
         let (records, held, named_services, holders, cached_digests) = Default::default();
-        Self { records, held, named_services, holders, timeout, revision: 0, cached_digests }
+        let (revision, record_changes) = (0, 0);
+        Self {
+            records,
+            held,
+            named_services,
+            holders,
+            timeout,
+            revision,
+            record_changes,
+            cached_digests,
+        }
     }
 
     /// Adds services that a publication has named, and applies the announcements that were held for them. Returns
@@ -151,6 +165,12 @@
         self.revision
     }
 
+    /// Number of changes of any record. Unlike [`Self::revision`] it also counts repetitions and removals.
+    #[must_use]
+    pub fn record_changes(&self) -> u64 {
+        self.record_changes
+    }
+
     /// Restores the records saved by an earlier run of this process, whose services a publication had named. A
     /// record times out after `trust` unless the target repeats its announcement, and is not sent to other daemons
     /// before that repetition.
@@ -218,6 +238,7 @@
             is_restored: false,
             changed_at,
         };
+        self.record_changes += 1;
         self.records.insert(announcement.id, record);
         if is_refresh { AnnouncementOutcome::Refreshed } else { AnnouncementOutcome::Changed }
     }
@@ -290,6 +311,7 @@
     /// its target.
     fn insert_displaced(&mut self, announcement: &Announcement, now: Instant) {
         self.cached_digests.set(None);
+        self.record_changes += 1;
         self.revision += 1;
         let record = AnnouncementRecord {
             announcement: Announcement {
@@ -322,6 +344,7 @@
             let is_same_address = record.announcement.address == announcement.address;
             if is_same_address && !record.is_displaced && holder.displaces(&record.announcement) {
                 self.cached_digests.set(None);
+                self.record_changes += 1;
                 record.is_displaced = true;
                 record.announcement.availability = Availability::Ended;
                 self.revision += 1;
@@ -353,6 +376,7 @@
         };
         self.records.retain(|_, record| !is_expired(record));
         if !timed_out.is_empty() || self.records.len() != before {
+            self.record_changes += 1;
             self.cached_digests.set(None);
         }
         let records = &self.records;
@@ -362,80 +386,6 @@
         timed_out
     }
 
-    /// Returns the targets that changed after a revision; all of them for revision 0.
-    #[must_use]
-    pub fn changed_since(&self, revision: u64, now: Instant) -> Vec<TargetReport> {
-        let changed = self.records.values().filter(|record| record.changed_at > revision);
-        changed
-            .map(|record| TargetReport {
-                announcement: record.current_announcement(now),
-                silent: record.is_timed_out,
-            })
-            .collect()
-    }
-
-    /// Returns the newest announcements to send to another daemon. Targets that have timed out, were only
-    /// restored from disk, or ended at least `ENDED_DISSEMINATION` ago are left out.
-    #[must_use]
-    pub fn all(&self, now: Instant) -> Vec<Announcement> {
-        let sent = self.records.values().filter(|record| record.is_sent(now));
-        sent.map(|record| record.current_announcement(now)).collect()
-    }
-
-    /// Returns the newest announcements of some targets, as far as [`Self::all`] includes them.
-    #[must_use]
-    pub fn by_ids(&self, ids: &[TargetId], now: Instant) -> Vec<Announcement> {
-        let known = ids.iter().filter_map(|id| self.records.get(id));
-        known
-            .filter(|record| record.is_sent(now))
-            .map(|record| record.current_announcement(now))
-            .collect()
-    }
-
-    /// Returns the last announcement of a target, with the end of an ended one. Targets that have timed out or were
-    /// restored from disk are included: they may end before they repeat their announcement.
-    #[must_use]
-    pub fn last_announcement(&self, id: TargetId) -> Option<&Announcement> {
-        self.records.get(&id).map(|record| &record.announcement)
-    }
-
-    /// Returns the announcements to send at once to a daemon that has restarted: those of targets that announce
-    /// themselves here, and those of targets that take no more flows. Other daemons send it the rest, and the
-    /// comparison of digests reveals what is still missing.
-    #[must_use]
-    pub fn for_restarted_daemon(
-        &self,
-        announced_here: &[TargetId],
-        now: Instant,
-    ) -> Vec<Announcement> {
-        let mut announcements = self.by_ids(announced_here, now);
-        let takes_none = |record: &&AnnouncementRecord| {
-            record.is_sent(now) && record.announcement.availability != Availability::Serving
-        };
-        let is_included = |id: &TargetId| announced_here.contains(id);
-        let rest =
-            self.records.iter().filter(|(id, record)| takes_none(record) && !is_included(id));
-        announcements.extend(rest.map(|(_, record)| record.current_announcement(now)));
-        announcements
-    }
-
-    /// Returns the newest announcements of some targets without their content, as far as [`Self::all`] includes
-    /// them.
-    #[must_use]
-    pub fn repetitions(&self, ids: &[TargetId], now: Instant) -> Vec<Repetition> {
-        let sent = ids.iter().filter_map(|id| self.records.get(id)).filter(|r| r.is_sent(now));
-        sent.map(|record| record.repetition(now)).collect()
-    }
-
-    /// Returns the newest announcements of the targets in some groups, as far as [`Self::all`] includes them.
-    #[must_use]
-    pub fn in_groups(&self, groups: &BTreeSet<TargetGroup>, now: Instant) -> Vec<Announcement> {
-        let is_in_groups = |id: &TargetId| groups.contains(&TargetGroup::of(*id));
-        let sent =
-            self.records.iter().filter(|(id, record)| record.is_sent(now) && is_in_groups(id));
-        sent.map(|(_, record)| record.current_announcement(now)).collect()
-    }
-
     /// Returns digests of the fields that routing depends on. Daemons with equal digests need not exchange
     /// their records.
     #[must_use]
