Give full copies turns, and vary the heartbeats of starting daemons

Cause: until the declarations are known, every daemon asks the seeds and voters every 80 ms, at the same moments after a common start; every daemon fetches the newest value from each one that names it; and a daemon sends full copies to all entries at once, so that all wait for the last one.

Change: the interval of these heartbeats is varied by a quarter and grows with the number of known daemons above 12. In fleets of more than 12 known control daemons, at most 8 copies of over 16 KB begin in 100 ms; further ones wait for their turn for 0.4 s at most, and others are told by an update without changes to ask again. Processes of the former version understand that. At most two fetches of the newest value run at a time. Smaller fleets send what they did, but for the jitter.

--- a/crates/fleet/src/control/copies.rs
+++ b/crates/fleet/src/control/copies.rs
@@ -1,14 +1,19 @@
 //! Responses to the long polls of entries, and to daemons that fetch the newest value.
 
-use super::encodings::Sharing;
+use super::encodings::{EncodedUpdate, Sharing};
 use super::feed::FeedState;
+use super::turns::Turn;
 use super::{Control, LARGE_FLEET, LONG_POLL_TIMEOUT};
 use crate::counters::MessageKind;
-use crate::messages::{FleetResponse, WatchCursor};
+use crate::messages::{EntryUpdate, FleetResponse, WatchCursor};
 use comfreyhold_consensus::register::Ballot;
 use comfreyhold_membership::announcements::Announcements;
 use comfreyhold_wire::envelope::encode_body;
 use comfreyhold_wire::error::WireError;
+use std::time::Duration;
+
+/// Size from which a full copy needs a turn, in bytes. Smaller ones cost about as much as any other message.
+const MIN_LIMITED_BYTES: usize = 16 * 1024;
 
 impl Control {
     /// Whether more than [`LARGE_FLEET`] control daemons are known, including this one.
@@ -40,21 +45,76 @@
         });
         // After the timeout an update without changes is sent, which shows that this daemon is alive.
         let _ = change.await;
+        let encoded = self.encode_update(&cursor);
+        match encoded {
+            Ok(update) if update.is_full_copy && self.is_limited(&update.body) => {
+                let turn = self.entry_turns.borrow_mut().assign(rand::random(), self.clock.now());
+                if !wait_for_turn(turn).await {
+                    return (MessageKind::WatchIdle, encode_unchanged(&cursor));
+                }
+                // The state may have changed meanwhile.
+                kind_and_body(self.encode_update(&cursor))
+            }
+            encoded => kind_and_body(encoded),
+        }
+    }
+
+    fn encode_update(&self, cursor: &WatchCursor) -> Result<EncodedUpdate, WireError> {
         let sharing = if self.is_large_fleet() { Sharing::Loose } else { Sharing::Exact };
         let targets = self.targets.borrow();
-        let feed = self.feed_state(&targets, &cursor);
-        let update = self.encodings.borrow_mut().update(&feed, &cursor, sharing, self.clock.now());
-        match update {
-            Ok(update) => (update.kind, Ok(update.body)),
-            Err(error) => (MessageKind::WatchIdle, Err(error)),
-        }
+        let feed = self.feed_state(&targets, cursor);
+        self.encodings.borrow_mut().update(&feed, cursor, sharing, self.clock.now())
+    }
+
+    /// Whether a full copy needs a turn.
+    fn is_limited(&self, body: &[u8]) -> bool {
+        self.is_large_fleet() && body.len() >= MIN_LIMITED_BYTES
     }
 
-    /// Handles the fetch of a chosen value that is newer than `known`.
-    pub(super) fn encoded_newest(&self, known: Ballot) -> Result<Vec<u8>, WireError> {
-        match self.register.chosen().filter(|value| value.ballot > known) {
+    /// Handles the fetch of a chosen value that is newer than `known`. A daemon that gets no turn is told that there is
+    /// none, and asks again after a heartbeat.
+    pub(super) async fn encoded_newest(&self, known: Ballot) -> Result<Vec<u8>, WireError> {
+        let newer = || self.register.chosen().filter(|value| value.ballot > known);
+        let encode = || match newer() {
             Some(newer) => self.encodings.borrow_mut().value(&newer, self.clock.now()),
             None => encode_body(&FleetResponse::Newest(None)),
+        };
+        let body = encode()?;
+        if !self.is_limited(&body) {
+            return Ok(body);
         }
+        let turn = self.value_turns.borrow_mut().assign(rand::random(), self.clock.now());
+        if wait_for_turn(turn).await { encode() } else { encode_body(&FleetResponse::Newest(None)) }
+    }
+}
+
+/// Waits until it is a copy's turn, or until its receiver is to be told to come again. Returns whether the copy is to be
+/// sent.
+async fn wait_for_turn(turn: Turn) -> bool {
+    let (is_sent, wait, name) = match turn {
+        Turn::After(Duration::ZERO) => (true, Duration::ZERO, "at-once"),
+        Turn::After(wait) => (true, wait, "waited"),
+        Turn::ComeAgain(wait) => (false, wait, "come-again"),
+    };
+    metrics::counter!("full_copies", "turn" => name).increment(1);
+    if !wait.is_zero() {
+        tokio::time::sleep(wait).await;
+    }
+    is_sent
+}
+
+/// Encodes an update that leaves an entry where its cursor is. It sends its next long poll then.
+fn encode_unchanged(cursor: &WatchCursor) -> Result<Vec<u8>, WireError> {
+    let (source, revision) = (cursor.source, cursor.targets);
+    let unchanged = EntryUpdate { source, revision, ..EntryUpdate::default() };
+    encode_body(&FleetResponse::News(Box::new(unchanged)))
+}
+
+fn kind_and_body(
+    update: Result<EncodedUpdate, WireError>,
+) -> (MessageKind, Result<Vec<u8>, WireError>) {
+    match update {
+        Ok(update) => (update.kind, Ok(update.body)),
+        Err(error) => (MessageKind::WatchIdle, Err(error)),
     }
 }
--- a/crates/fleet/src/control/gossip.rs
+++ b/crates/fleet/src/control/gossip.rs
@@ -7,6 +7,7 @@
 //! of the other one.
 
 use super::operations::BROADCAST_DEADLINE;
+use super::peers::join_interval;
 use super::{Control, PEER_TIMEOUT};
 use crate::counters::{MessageKind, measure};
 use crate::messages::{FleetRequest, FleetResponse, Hello};
@@ -39,9 +40,9 @@
 /// processes start together, one message for each target to each daemon would take longer than that.
 const BROADCAST_DELAY: Duration = Duration::from_millis(100);
 
-/// Interval of heartbeats to seeds and voters until the declarations are known. It is short, since nothing
-/// can be served without the declarations.
-const JOIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(80);
+/// Maximum number of concurrent fetches of the newest value in a large fleet, where many daemons name it at the same
+/// time. The second one covers a holder that does not respond; the next heartbeats name it again.
+const MAX_VALUE_FETCHES: usize = 2;
 
 impl Control {
     pub(super) async fn run_heartbeats(self: Rc<Self>) {
@@ -52,7 +53,11 @@
                     tokio::task::spawn_local(Rc::clone(&self).send_heartbeat(address));
                 }
             }
-            let interval = if is_joined { HEARTBEAT_INTERVAL } else { JOIN_HEARTBEAT_INTERVAL };
+            let interval = if is_joined {
+                HEARTBEAT_INTERVAL
+            } else {
+                join_interval(self.peers.borrow().count() + 1, rand::random())
+            };
             tokio::time::sleep(interval).await;
             let now = self.observe_activity();
             if let Some(value) = self.register.newest_known() {
@@ -188,6 +193,11 @@
         if self.register.learn_accepted(ballot) {
             return self.notify_chosen();
         }
+        let fetches = self.value_fetches.get();
+        if self.is_large_fleet() && fetches >= MAX_VALUE_FETCHES {
+            return;
+        }
+        self.value_fetches.set(fetches + 1);
         let control = Rc::clone(self);
         tokio::task::spawn_local(async move {
             let request = FleetRequest::Newest(control.register.chosen_ballot());
@@ -196,6 +206,7 @@
                 Ok(_) => {}
                 Err(error) => log::debug!("newest value from {holder}: {error}"),
             }
+            control.value_fetches.set(control.value_fetches.get().saturating_sub(1));
         });
     }
 
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod repair;
 mod saves;
 pub mod stalls;
+pub mod turns;
 pub mod voter;
 
 pub use load::LOAD_POLL_TIMEOUT;
@@ -52,6 +53,7 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc};
+use turns::CopyTurns;
 use voter::Voter;
 
 /// Time for which a control daemon holds an entry's long poll while nothing has changed. It bounds how late
@@ -107,6 +109,12 @@
     /// Wakes the entries' long polls.
     changed: Notify,
     encodings: RefCell<Encodings>,
+    /// Turns of the full copies for entries.
+    entry_turns: RefCell<CopyTurns>,
+    /// Turns of the newest value for other daemons, which pass it on to their entries.
+    value_turns: RefCell<CopyTurns>,
+    /// Number of fetches of the newest value in progress.
+    value_fetches: Cell<usize>,
     load: LoadSharing,
 }
 
@@ -161,6 +169,9 @@
             operations,
             changed: Notify::new(),
             encodings: RefCell::default(),
+            entry_turns: RefCell::default(),
+            value_turns: RefCell::default(),
+            value_fetches: Cell::default(),
             load: LoadSharing::new(load::sender_start(address, started_ms)),
         });
         control
@@ -274,7 +285,7 @@
         let kind = MessageKind::of_request(&request);
         let response = match request {
             FleetRequest::Watch(cursor) => return self.encoded_update(cursor).await,
-            FleetRequest::Newest(known) => return (kind, self.encoded_newest(known)),
+            FleetRequest::Newest(known) => return (kind, self.encoded_newest(known).await),
             other => self.handle_request(other).await,
         };
         (kind, encode_body(&response))
--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -1,6 +1,7 @@
 //! The known control daemons: the seeds, those that have sent a heartbeat, and those named in the heartbeats
 //! of others.
 
+use super::LARGE_FLEET;
 use crate::messages::{ControlState, IncarnationId};
 use comfreyhold_consensus::register::Replica;
 use comfreyhold_membership::announcements::{TargetDigests, TargetGroup};
@@ -25,6 +26,23 @@
 /// silent.
 const DIFFERENCES_BEFORE_SYNC: u32 = 4;
 
+/// Mean interval of heartbeats to seeds and voters until the declarations are known. It is short, since nothing can be
+/// served without the declarations.
+const JOIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(80);
+
+/// Longest mean interval of these heartbeats.
+const MAX_JOIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(450);
+
+/// Returns the interval to the next heartbeat to seeds and voters while the declarations are unknown. It grows with the
+/// number of daemons above [`LARGE_FLEET`], so that all of them together ask a seed no more often. `jitter`, in [0, 1),
+/// varies it from three to five quarters, so that daemons that start together don't ask together.
+#[must_use]
+pub fn join_interval(daemons: usize, jitter: f64) -> Duration {
+    let growth = daemons.max(LARGE_FLEET) as f64 / LARGE_FLEET as f64;
+    let mean = JOIN_HEARTBEAT_INTERVAL.mul_f64(growth).min(MAX_JOIN_HEARTBEAT_INTERVAL);
+    mean.mul_f64(0.75 + jitter.clamp(0.0, 1.0) / 2.0)
+}
+
 /// What is known about one other control daemon.
 #[derive(Clone, Debug)]
 pub struct Peer {
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 
 #![allow(clippy::unwrap_used, clippy::panic)]
 
+mod common_start;
 mod controls;
 mod counters;
 mod early_packets;
