Exchange heartbeats by relay among more than 12 control daemons

Cause: every daemon exchanged heartbeats with every other one every 450 ms, so that messages and connections of each grew with their number.

Change: with more than 12 known daemons, a daemon exchanges heartbeats (FleetRequest::Relay, appended) with the seeds, the voters, eight daemons of its failure domain and one relay of each other one, chosen by a hash that includes the chooser. A relay passes on which daemons it hears and the refreshes of targets that it has heard itself or through its domain, until they are confirmed, with ages. Each message names the newest message received and how long ago that was, which bounds its own age without comparing clocks. Daemons that refuse the message, or send heartbeats of small fleets, get these. Changes go to all live daemons as before. Connections to daemons that are no partners are closed after 10 to 20 s without use. Decisions are in relays.rs, relay_links.rs and peers/relayed.rs, without sockets and clocks.

--- a/crates/fleet/examples/members.rs
+++ b/crates/fleet/examples/members.rs
@@ -108,19 +108,20 @@
     })
 }
 
-/// Announces the targets in turn, each once in an interval, to daemons chosen at random.
+/// Announces the targets in turn, each once in an interval however busy the thread is, to daemons chosen at random.
 async fn announce(handles: Vec<ControlHandle>, targets: usize) -> anyhow::Result<()> {
-    let tick = Duration::from_millis(10);
-    let ticks = usize::try_from(ANNOUNCE_INTERVAL.as_millis() / tick.as_millis())?;
-    for round in 0.. {
-        for target in (0..targets).filter(|target| target % ticks == round % ticks) {
+    let (started, mut announced) = (Instant::now(), 0);
+    loop {
+        let intervals = started.elapsed().as_secs_f64() / ANNOUNCE_INTERVAL.as_secs_f64();
+        let due = (intervals * targets as f64) as usize;
+        for number in announced..due {
             let handle = handles[rand::rng().random_range(0..handles.len())].clone();
-            let announcement = announcement(target, (round / ticks) as u64 + 1)?;
+            let announcement = announcement(number % targets, (number / targets) as u64 + 1)?;
             tokio::task::spawn_local(async move { handle.announce(announcement).await });
         }
-        tokio::time::sleep(tick).await;
+        announced = due;
+        tokio::time::sleep(Duration::from_millis(10)).await;
     }
-    Ok(())
 }
 
 /// The metrics of all members, by series.
--- a/crates/fleet/src/connections.rs
+++ b/crates/fleet/src/connections.rs
@@ -6,25 +6,37 @@
 use comfreyhold_wire::error::WireError;
 use comfreyhold_wire::exchange::{CallTimeouts, ExchangeClient};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Timeout for establishing a connection. A machine without power does not respond, and a daemon that can
 /// choose among several peers should soon try the next one. The timeout is not shorter, since a full link
 /// delays packets by some hundred milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Interval at which connections are checked for use. Messages to daemons that are no partners follow each other within a
+/// second when many targets change, and otherwise after minutes.
+const UNUSED_AFTER: Duration = Duration::from_secs(10);
+
 /// Connections to other daemons, opened at the first request and kept for later ones.
 pub struct ConnectionPool {
+    /// Receivers of calls since connections were last checked for use.
+    used: RefCell<BTreeSet<SocketAddr>>,
+    last_checked: Cell<Option<Instant>>,
     clients: RefCell<BTreeMap<SocketAddr, Rc<ExchangeClient>>>,
     connect_timeout: Cell<Duration>,
 }
 
 impl Default for ConnectionPool {
     fn default() -> Self {
-        Self { clients: RefCell::default(), connect_timeout: Cell::new(CONNECT_TIMEOUT) }
+        Self {
+            used: RefCell::default(),
+            last_checked: Cell::default(),
+            clients: RefCell::default(),
+            connect_timeout: Cell::new(CONNECT_TIMEOUT),
+        }
     }
 }
 
@@ -68,6 +80,7 @@
         body: &[u8],
         deadline: Duration,
     ) -> Result<FleetResponse, WireError> {
+        self.used.borrow_mut().insert(to);
         let client = Rc::clone(
             self.clients.borrow_mut().entry(to).or_insert_with(|| Rc::new(ExchangeClient::new(to))),
         );
@@ -92,6 +105,16 @@
         self.connect_timeout.set(timeout.unwrap_or(CONNECT_TIMEOUT));
     }
 
+    /// Closes the connections that were not used for 10 to 20 s, except to daemons for which `keep` returns true.
+    pub fn close_unused(&self, keep: impl Fn(&SocketAddr) -> bool, now: Instant) {
+        if self.last_checked.get().is_some_and(|checked| now < checked + UNUSED_AFTER) {
+            return;
+        }
+        self.last_checked.set(Some(now));
+        let used = self.used.take();
+        self.retain(|address| used.contains(address) || keep(address));
+    }
+
     /// Closes the connections to daemons for which `keep` returns false.
     pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
         self.clients.borrow_mut().retain(|address, _| keep(address));
--- a/crates/fleet/src/control/gossip.rs
+++ b/crates/fleet/src/control/gossip.rs
@@ -10,7 +10,7 @@
 use super::peers::join_interval;
 use super::{Control, PEER_TIMEOUT};
 use crate::counters::{MessageKind, measure};
-use crate::messages::{FleetRequest, FleetResponse, Hello};
+use crate::messages::{ControlState, FleetRequest, FleetResponse, Hello};
 use comfreyhold_consensus::register::Ballot;
 use comfreyhold_membership::announcements::AnnouncementOutcome;
 use comfreyhold_types::announcement::{Announcement, AnnouncementError, Availability};
@@ -27,7 +27,7 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(450);
 
 /// Deadline for the response to a heartbeat.
-const HEARTBEAT_DEADLINE: Duration = Duration::from_millis(800);
+pub(super) const HEARTBEAT_DEADLINE: Duration = Duration::from_millis(800);
 
 /// Time without a message from a peer after which a daemon sends heartbeats although the peer should: one
 /// heartbeat of the peer may be lost.
@@ -48,8 +48,14 @@
     pub(super) async fn run_heartbeats(self: Rc<Self>) {
         loop {
             let is_joined = self.register.chosen().is_some();
+            self.choose_partners();
             for address in self.take_heartbeats_due(is_joined) {
-                if self.heartbeats_in_flight.borrow_mut().insert(address) {
+                if !self.heartbeats_in_flight.borrow_mut().insert(address) {
+                    continue;
+                }
+                if self.sends_relay(&address) {
+                    tokio::task::spawn_local(Rc::clone(&self).send_relay(address));
+                } else {
                     tokio::task::spawn_local(Rc::clone(&self).send_heartbeat(address));
                 }
             }
@@ -68,6 +74,7 @@
                 peers.forget(&voters, now);
                 let addresses = peers.addresses();
                 self.connections.retain(|address| addresses.contains(address));
+                self.relay_links.borrow_mut().drop_old(&peers, now);
             }
             self.refreshed_targets
                 .borrow_mut()
@@ -87,7 +94,13 @@
     fn take_heartbeats_due(&self, is_joined: bool) -> Vec<SocketAddr> {
         let now = self.clock.now();
         let mut peers = self.peers.borrow_mut();
-        let mut due = peers.take_heartbeats_due(HEARTBEAT_INTERVAL, HEARTBEAT_OVERDUE, now);
+        let (interval, overdue) = (HEARTBEAT_INTERVAL, HEARTBEAT_OVERDUE);
+        let partners = self.partners.borrow();
+        let mut due = if partners.is_empty() {
+            peers.take_heartbeats_due(interval, overdue, now)
+        } else {
+            peers.take_partner_heartbeats_due(&partners, interval, overdue, now)
+        };
         if !is_joined {
             due.extend(peers.seeds());
             let newest = self.register.newest_known();
@@ -97,7 +110,7 @@
         due.into_iter().collect()
     }
 
-    async fn send_heartbeat(self: Rc<Self>, address: SocketAddr) {
+    pub(super) async fn send_heartbeat(self: Rc<Self>, address: SocketAddr) {
         let (hello, previously_sent_until) = self.next_heartbeat(address);
         let request = FleetRequest::Hello(hello);
         let response = self.connections.call(address, &request, HEARTBEAT_DEADLINE).await;
@@ -146,6 +159,12 @@
             });
             tokio::task::spawn_local(Rc::clone(self).fetch_announcements(address, unknown));
         }
+        self.receive_control_state(state, now);
+    }
+
+    /// Applies another daemon's state, and sends it the announcements that it lacks.
+    pub(super) fn receive_control_state(self: &Rc<Self>, state: ControlState, now: Instant) {
+        let address = state.replica.address;
         let (chosen, domain) = (state.chosen, state.domain.clone());
         let digests = self.targets.borrow().digests();
         let is_new_incarnation = self.peers.borrow_mut().receive_state(state, &digests, now);
@@ -243,7 +262,7 @@
         metrics::counter!("announcements", "heard" => name).increment(1);
         match outcome {
             AnnouncementOutcome::Changed => {
-                self.refreshed_targets.borrow_mut().insert(announcement.id, now);
+                self.record_own_refresh(announcement.id, now);
                 self.changed.notify_waiters();
                 self.record_target(announcement, "target");
                 if announcement.availability == Availability::Serving {
@@ -255,7 +274,7 @@
                 }
             }
             AnnouncementOutcome::Refreshed => {
-                self.refreshed_targets.borrow_mut().insert(announcement.id, now);
+                self.record_own_refresh(announcement.id, now);
             }
             AnnouncementOutcome::Stale => self.record_target(announcement, "stale-announcement"),
             AnnouncementOutcome::Held => {
@@ -319,6 +338,15 @@
     /// Applies announcements received from other daemons, except for those that are out of range: a daemon of
     /// another version may have taken them in. Returns those that have changed a target.
     pub(super) fn apply_announcements(&self, announcements: &[Announcement]) -> Vec<Announcement> {
+        self.apply_aged_announcements(announcements, |_| Some(Duration::ZERO))
+    }
+
+    /// Like `apply_announcements`, with the time since each target was heard. Those without one are not applied.
+    pub(super) fn apply_aged_announcements(
+        &self,
+        announcements: &[Announcement],
+        age: impl Fn(&TargetId) -> Option<Duration>,
+    ) -> Vec<Announcement> {
         let now = self.clock.now();
         let previous_revision = self.targets.borrow().revision();
         let mut changed = Vec::new();
@@ -327,7 +355,9 @@
                 self.record_refused(&announcement.id.to_string(), &error.to_string());
                 continue;
             }
-            if self.targets.borrow_mut().apply(announcement, now) == AnnouncementOutcome::Changed {
+            let Some(age) = age(&announcement.id) else { continue };
+            let outcome = self.targets.borrow_mut().apply_aged(announcement, age, now);
+            if outcome == AnnouncementOutcome::Changed {
                 self.record_target(announcement, "target");
                 changed.push(announcement.clone());
             }
@@ -346,7 +376,9 @@
             return;
         }
         self.record("announcements-released", || json!({"targets": changed.len()}));
-        self.refreshed_targets.borrow_mut().extend(changed.iter().map(|id| (*id, now)));
+        for id in &changed {
+            self.record_own_refresh(*id, now);
+        }
         self.pending_broadcast.borrow_mut().extend(changed);
         self.broadcast_due.notify_one();
     }
--- a/crates/fleet/src/control/load.rs
+++ b/crates/fleet/src/control/load.rs
@@ -3,7 +3,7 @@
 //!
 //! Calls about load use connections of their own: one that fails must not close the connection for heartbeats.
 
-use super::{Control, PEER_TIMEOUT};
+use super::Control;
 use crate::backoff::Backoff;
 use crate::connections::ConnectionPool;
 use crate::counters::MessageKind;
@@ -171,10 +171,7 @@
             Ok(body) => Rc::new(body),
             Err(error) => return log::error!("can't encode a load sum: {error}"),
         };
-        let peers: Vec<SocketAddr> = {
-            let peers = self.peers.borrow();
-            peers.seen_within(PEER_TIMEOUT, now).map(|(address, _)| *address).collect()
-        };
+        let peers = self.live_peers();
         let backoffs = self.load.backoffs.borrow().clone();
         for peer in peers {
             let is_due = backoffs.get(&peer).is_none_or(|backoff| backoff.is_over(now));
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -9,6 +9,9 @@
 mod operations;
 pub mod peers;
 mod register;
+pub mod relay_links;
+mod relaying;
+pub mod relays;
 mod repair;
 mod saves;
 pub mod stalls;
@@ -41,6 +44,8 @@
 use peers::Peers;
 use rand::seq::IteratorRandom;
 use register::Register;
+use relay_links::RelayLinks;
+use relays::Partners;
 use saves::Saves;
 use serde_json::json;
 use stalls::StallMonitor;
@@ -98,6 +103,10 @@
     targets: RefCell<Announcements>,
     /// Targets that have recently announced themselves to this daemon, and when.
     refreshed_targets: RefCell<BTreeMap<TargetId, Instant>>,
+    /// Exchanges of heartbeats in a large fleet.
+    relay_links: RefCell<RelayLinks>,
+    /// Daemons with which heartbeats are exchanged; empty in a small fleet.
+    partners: RefCell<Partners>,
     /// Targets whose changed announcements are not sent to the other daemons yet.
     pending_broadcast: RefCell<BTreeSet<TargetId>>,
     broadcast_due: Notify,
@@ -148,8 +157,10 @@
         let started_ms = clock.wall_millis();
         let targets = restored_targets(&settings, &folder, clock.now());
         let (operations, operation_queue) = mpsc::channel(operations::MAX_QUEUED);
+        let domain = DomainName::from(settings.domain.as_str());
+        let relay_links = RelayLinks::new(incarnation, domain.clone(), clock.now());
         let control = Rc::new(Self {
-            domain: DomainName::from(settings.domain.as_str()),
+            domain,
             peers: RefCell::new(Peers::new(address, &seeds, clock.now())),
             saves: Saves::new(targets.revision()),
             stalls: Cell::new(StallMonitor::new(clock.now())),
@@ -163,6 +174,8 @@
             register,
             targets: RefCell::new(targets),
             refreshed_targets: RefCell::default(),
+            relay_links: RefCell::new(relay_links),
+            partners: RefCell::default(),
             pending_broadcast: RefCell::default(),
             broadcast_due: Notify::new(),
             heartbeats_in_flight: RefCell::default(),
@@ -240,11 +253,10 @@
         }
     }
 
-    /// Addresses of the other control daemons that are within their heartbeat timeout.
+    /// Addresses of the other control daemons that are within their heartbeat timeout, or that others hear.
     fn live_peers(&self) -> Vec<SocketAddr> {
         let peers = self.peers.borrow();
-        let now = self.clock.now();
-        peers.seen_within(PEER_TIMEOUT, now).map(|(address, _)| *address).collect()
+        peers.live(PEER_TIMEOUT, self.clock.now()).map(|(address, _)| address).collect()
     }
 
     /// Learns a chosen value, and notifies the entries if it is newer than the last one.
@@ -272,8 +284,8 @@
     /// Addresses and failure domains of the live control daemons, including this one.
     fn live_controls(&self, now: Instant) -> Vec<(SocketAddr, DomainName)> {
         let peers = self.peers.borrow();
-        let live = peers.seen_within(PEER_TIMEOUT, now);
-        let others = live.map(|(address, state)| (*address, state.domain.clone()));
+        let live = peers.live(PEER_TIMEOUT, now);
+        let others = live.map(|(address, domain)| (address, domain.clone()));
         others.chain([(self.me.address, self.domain.clone())]).collect()
     }
 
@@ -302,8 +314,10 @@
             FleetRequest::Hello(hello) => {
                 let address = hello.state.replica.address;
                 self.receive_heartbeat(hello);
+                self.peers.borrow_mut().record_request(&address, false, self.clock.now());
                 FleetResponse::Hello(self.next_heartbeat(address).0)
             }
+            FleetRequest::Relay(message) => self.receive_relay_request(&message),
             FleetRequest::Chosen(ballot, holder) => {
                 self.receive_chosen(ballot, holder);
                 FleetResponse::Done
--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -1,10 +1,15 @@
 //! The known control daemons: the seeds, those that have sent a heartbeat, and those named in the heartbeats
 //! of others.
 
+mod relayed;
+
+pub use relayed::RelayedState;
+
 use super::LARGE_FLEET;
 use crate::messages::{ControlState, IncarnationId};
 use comfreyhold_consensus::register::Replica;
 use comfreyhold_membership::announcements::{TargetDigests, TargetGroup};
+use comfreyhold_types::keys::DomainName;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -57,6 +62,18 @@
     /// Time up to which repeated announcements were sent to the daemon.
     refreshes_sent_until: Option<Instant>,
     last_heartbeat_sent: Option<Instant>,
+    /// What others have passed on last.
+    relayed: Option<RelayedState>,
+    /// When the daemon last sent a heartbeat on its own.
+    last_request: Option<Instant>,
+    /// When it last sent one of small fleets on its own.
+    last_hello_request: Option<Instant>,
+    /// When a heartbeat of large fleets was last received from it.
+    last_relay: Option<Instant>,
+    /// When the first heartbeat was sent since the last one was received.
+    unanswered_since: Option<Instant>,
+    /// Incarnation that has refused the heartbeats of large fleets; the default value if it was unknown then.
+    refused_relay: Option<IncarnationId>,
 }
 
 /// All known control daemons other than this one.
@@ -113,6 +130,7 @@
         }
         peer.state = Some(state);
         peer.last_seen = Some(now);
+        peer.unanswered_since = None;
         is_new_incarnation
     }
 
@@ -121,8 +139,9 @@
         let seeds = &self.seeds;
         self.peers.retain(|address, peer| {
             let needed = seeds.contains(address) || voters.iter().any(|v| v.address == *address);
-            let timeout = if peer.last_seen.is_some() { FORGET_AFTER } else { FORGET_UNSEEN_AFTER };
-            needed || now < peer.last_seen.unwrap_or(peer.added) + timeout
+            let heard_at = peer.heard_at();
+            let timeout = if heard_at.is_some() { FORGET_AFTER } else { FORGET_UNSEEN_AFTER };
+            needed || now < heard_at.unwrap_or(peer.added) + timeout
         });
     }
 
@@ -204,18 +223,39 @@
 
 impl Peer {
     fn new(added: Instant) -> Self {
-        let (state, last_seen, refreshes_sent_until, last_heartbeat_sent) =
-            (None, None, None, None);
         Self {
-            state,
-            last_seen,
+            state: None,
+            last_seen: None,
             added,
             differing: BTreeMap::new(),
-            refreshes_sent_until,
-            last_heartbeat_sent,
+            refreshes_sent_until: None,
+            last_heartbeat_sent: None,
+            relayed: None,
+            last_request: None,
+            last_hello_request: None,
+            last_relay: None,
+            unanswered_since: None,
+            refused_relay: None,
         }
     }
 
+    /// When the daemon was last heard, by this daemon or by another one.
+    fn heard_at(&self) -> Option<Instant> {
+        self.last_seen.max(self.relayed.as_ref().map(|relayed| relayed.heard_at))
+    }
+
+    /// Failure domain by the newest state. Another daemon may have been started at the address.
+    fn domain(&self) -> Option<&DomainName> {
+        let newer = |relayed: &&RelayedState| self.last_seen.is_none_or(|s| relayed.heard_at > s);
+        let relayed = self.relayed.as_ref().filter(newer).map(|relayed| &relayed.domain);
+        relayed.or(self.state.as_ref().map(|state| &state.domain))
+    }
+
+    /// Whether the daemon refuses the heartbeats of large fleets.
+    fn refuses_relay(&self) -> bool {
+        self.refused_relay.is_some_and(|start| start == self.incarnation().unwrap_or_default())
+    }
+
     fn incarnation(&self) -> Option<IncarnationId> {
         self.state.as_ref().map(|state| state.start)
     }
--- a/crates/fleet/src/control/repair.rs
+++ b/crates/fleet/src/control/repair.rs
@@ -3,6 +3,7 @@
 
 use super::Control;
 use super::operations::RegisterOperation;
+use super::peers::Peers;
 use comfreyhold_consensus::register::Replica;
 use comfreyhold_consensus::register::repair::{VoterCandidate, next_voters, voters_needed};
 use comfreyhold_consensus::register::round::VoterChange;
@@ -79,8 +80,12 @@
             .collect();
         let has_majority =
             voters.has_quorum(|disk| live.iter().any(|replica| replica.disk == disk));
-        let is_first = live.iter().map(|replica| replica.address).min() == Some(self.me.address);
-        Some((has_majority, is_first))
+        Some((has_majority, self.is_first_live(&peers, now)))
+    }
+
+    /// Whether this daemon has the lowest address of all live daemons, with those that others hear.
+    fn is_first_live(&self, peers: &Peers, now: Instant) -> bool {
+        peers.live(super::PEER_TIMEOUT, now).all(|(address, _)| self.me.address < address)
     }
 
     /// Reads the newest value, which completes an unfinished write.
@@ -126,8 +131,7 @@
             .chain([(self.me, self.domain.clone())])
             .collect();
         // Only the first live daemon decides, so that changes do not conflict.
-        let is_first =
-            live.iter().map(|(replica, _)| replica.address).min() == Some(self.me.address);
+        let is_first = self.is_first_live(&peers, now);
         let live_voters = live.iter().filter(|(replica, _)| voters.contains(replica)).count();
         if !is_first || live_voters <= voters.len() / 2 {
             return None;
--- a/crates/fleet/src/counters.rs
+++ b/crates/fleet/src/counters.rs
@@ -44,6 +44,8 @@
     LoadReport,
     /// Sum of load reports.
     LoadSum,
+    /// Heartbeat between control daemons of a large fleet.
+    Relay,
 }
 
 /// One end of a message exchange.
@@ -85,6 +87,7 @@
             FleetRequest::Load(None) => Self::LoadPoll,
             FleetRequest::Load(Some(_)) => Self::LoadReport,
             FleetRequest::LoadSum(_) => Self::LoadSum,
+            FleetRequest::Relay(_) => Self::Relay,
         }
     }
 
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -5,7 +5,9 @@
     AddressedRequest, Ballot, RegisterResponse, RegisterValue, Replica,
 };
 use comfreyhold_load::{LoadReport, LoadSum, LoadTotals};
-use comfreyhold_membership::announcements::{Repetition, TargetDigests, TargetReport};
+use comfreyhold_membership::announcements::{
+    AgedRepetition, Repetition, TargetDigests, TargetReport,
+};
 use comfreyhold_types::announcement::Announcement;
 use comfreyhold_types::keys::{DomainName, TargetId};
 use comfreyhold_types::routes::{FormerServices, RouteDifference, RouteTable};
@@ -51,6 +53,53 @@
     pub repeated: Vec<Repetition>,
 }
 
+/// Heartbeat between control daemons of a large fleet, in which a daemon does not exchange heartbeats with every other
+/// one. Its `hello` repeats no targets; they are in `refreshes`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayHello {
+    /// The sender's state.
+    pub hello: Hello,
+    /// Whether the sender asks the receiver to pass on what it hears in its failure domain.
+    pub subscribes: bool,
+    /// Time at which the message is sent, in milliseconds since the start of the sender.
+    pub sent_ms: u64,
+    /// Number of the sender's last refresh that this message or an earlier one contains.
+    pub refreshes_until: u64,
+    /// What the sender has received from the receiver; `None` before the first message. Without it, the receiver can't
+    /// tell how old the message is, and `heard` and `refreshes` are empty.
+    pub received: Option<RelayReceipt>,
+    /// Daemons of the sender's failure domain that it hears, itself or through others of that domain.
+    pub heard: Vec<HeardDaemon>,
+    /// Targets that have repeated their announcements to the sender, or to daemons of its failure domain.
+    pub refreshes: Vec<AgedRepetition>,
+}
+
+/// The newest message of a daemon that another one has received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayReceipt {
+    /// Incarnation of the daemon that sent the message.
+    pub start: IncarnationId,
+    /// `sent_ms` of the message.
+    pub sent_ms: u64,
+    /// Time since the message was received, in milliseconds.
+    pub held_ms: u64,
+    /// `refreshes_until` of the message.
+    pub refreshes_until: u64,
+}
+
+/// A control daemon that another one hears.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeardDaemon {
+    /// Address of the daemon.
+    pub address: SocketAddr,
+    /// Incarnation of the daemon.
+    pub start: IncarnationId,
+    /// Ballot of the newest value that it has learned to be chosen; `None` if it is that of the sender.
+    pub chosen: Option<Ballot>,
+    /// Time since a daemon received its last heartbeat, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// A request to a control daemon.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -77,6 +126,9 @@
     Load(Option<Box<LoadReport>>),
     /// Another control daemon's sum over the load reports of its own entries.
     LoadSum(Box<LoadSum>),
+    /// The sender's heartbeat in a large fleet; the response carries the receiver's. A daemon that refuses it gets
+    /// `Hello`.
+    Relay(Box<RelayHello>),
 }
 
 /// A response of a control daemon, with one variant for each kind of result.
@@ -99,6 +151,8 @@
     /// Response to `Load`, and to a refused `LoadSum`: the totals, or the code of a
     /// [`LoadError`](comfreyhold_load::LoadError).
     Load(Result<Box<LoadTotals>, u8>),
+    /// Response to `Relay`.
+    Relay(Box<RelayHello>),
 }
 
 /// Position up to which an entry has received changes from one control daemon.
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -13,6 +13,7 @@
 mod link;
 mod load;
 mod peers;
+mod relaying;
 mod saves;
 mod settings;
 mod stalls;
--- a/crates/membership/src/announcements.rs
+++ b/crates/membership/src/announcements.rs
@@ -10,7 +10,9 @@
 //! service. Another one is held for a short time, since the publication may arrive later.
 
 pub use crate::digests::{ContentDigest, Repetition, TargetDigests, TargetGroup};
+pub use aged::{AgedRepetition, RefreshOutcome};
 
+mod aged;
 mod sent;
 
 use comfreyhold_types::announcement::{Announcement, Availability, MAX_COLD_MS, MAX_SEQUENCE};
