Ask daemons of the own domain for refreshes only where some are not heard

Cause: in a failure domain of at most nine daemons each one hears all others itself, and received every refresh of the domain a second time.

Change: a daemon asks for nothing, the daemons heard, or all. If it has all known live daemons of its domain as partners, it asks one of them for the daemons that it hears, which name those that are unknown.

--- a/crates/fleet/src/control/peers/relayed.rs
+++ b/crates/fleet/src/control/peers/relayed.rs
@@ -2,7 +2,7 @@
 
 use super::{Peer, Peers};
 use crate::control::relays::{Candidate, Partners};
-use crate::messages::IncarnationId;
+use crate::messages::{IncarnationId, Wanted};
 use comfreyhold_consensus::register::Ballot;
 use comfreyhold_types::keys::DomainName;
 use std::collections::BTreeSet;
@@ -102,9 +102,10 @@
         now: Instant,
     ) -> BTreeSet<SocketAddr> {
         let mut due = BTreeSet::new();
-        for (address, subscribes) in partners {
+        for (address, wanted) in partners {
             let Some(peer) = self.peers.get_mut(address) else { continue };
-            let is_central = !subscribes && self.seeds.contains(address) && peer.state.is_some();
+            let is_central =
+                *wanted == Wanted::Nothing && self.seeds.contains(address) && peer.state.is_some();
             let interval = if is_central { interval * CENTRAL_INTERVALS } else { interval };
             let sent_recently = peer.last_heartbeat_sent.is_some_and(|sent| now < sent + interval);
             let is_called = peer.last_request.is_some_and(|called| now < called + overdue);
--- a/crates/fleet/src/control/relay_links.rs
+++ b/crates/fleet/src/control/relay_links.rs
@@ -6,7 +6,9 @@
 //! connections that held messages back, and no clocks are compared.
 
 use super::peers::{Peers, RelayedState};
-use crate::messages::{ControlState, HeardDaemon, Hello, IncarnationId, RelayHello, RelayReceipt};
+use crate::messages::{
+    ControlState, HeardDaemon, Hello, IncarnationId, RelayHello, RelayReceipt, Wanted,
+};
 use comfreyhold_membership::announcements::{Announcements, RefreshOutcome};
 use comfreyhold_types::keys::{DomainName, TargetId};
 use std::collections::BTreeMap;
@@ -51,9 +53,9 @@
 struct Link {
     /// Its newest message: incarnation, `sent_ms`, `refreshes_until`, and when it was received.
     newest: Option<(IncarnationId, u64, u64, Instant)>,
-    /// Whether it asks for what is heard in the failure domain of this daemon.
-    subscribes: bool,
-    /// Time from which messages to it have contained that, in milliseconds since the start of this daemon.
+    /// What it asks for of what is heard in the failure domain of this daemon.
+    wanted: Wanted,
+    /// Time from which messages to it have contained refreshes, in milliseconds since the start of this daemon.
     subscribed_ms: u64,
     /// Number of the last refresh that it has confirmed.
     confirmed: u64,
@@ -115,7 +117,7 @@
     pub fn next_message(
         &mut self,
         to: SocketAddr,
-        subscribes: bool,
+        wanted: Wanted,
         state: ControlState,
         peers: &Peers,
         targets: &Announcements,
@@ -133,7 +135,7 @@
         let mut refreshes_until = link.confirmed;
         if received.is_some() {
             let is_heard_due = link.heard_sent.is_none_or(|sent| now >= sent + HEARD_INTERVAL);
-            if link.subscribes && is_heard_due {
+            if link.wanted >= Wanted::Daemons && is_heard_due {
                 link.heard_sent = Some(now);
                 let daemons = peers.heard_in(&self.domain, MAX_HEARD_AGE, now);
                 heard = daemons
@@ -148,7 +150,7 @@
             }
             let is_sent = |refresh: &Refresh| match refresh.origin {
                 Origin::Own => true,
-                Origin::Domain(from) => link.subscribes && from != to,
+                Origin::Domain(from) => link.wanted == Wanted::All && from != to,
             };
             let unsent = self
                 .refreshes
@@ -166,7 +168,7 @@
         let ids: Vec<TargetId> = numbers.into_iter().map(|(_, id)| id).collect();
         RelayHello {
             hello: Hello { state, repeated: Vec::new() },
-            subscribes,
+            wanted,
             sent_ms: millis(now.saturating_duration_since(self.started)),
             refreshes_until,
             received,
@@ -195,7 +197,7 @@
                 *link = Link::default();
             }
             link.newest = Some((state.start, message.sent_ms, message.refreshes_until, now));
-            if message.subscribes && !link.subscribes {
+            if message.wanted == Wanted::All && link.wanted != Wanted::All {
                 // What was not meant for it so far is sent to a new subscriber.
                 link.confirmed = 0;
                 link.heard_sent = None;
@@ -205,7 +207,7 @@
             {
                 link.confirmed = receipt.refreshes_until.min(self.last_number);
             }
-            link.subscribes = message.subscribes;
+            link.wanted = message.wanted;
         }
         let Some(receipt) = receipt else { return Received::default() };
         let sent_after = Duration::from_millis(receipt.sent_ms.saturating_add(receipt.held_ms));
--- a/crates/fleet/src/control/relaying.rs
+++ b/crates/fleet/src/control/relaying.rs
@@ -66,10 +66,10 @@
         let now = self.clock.now();
         let mut state = self.local_state();
         state.peers.truncate(PEERS_PER_RELAY);
-        let subscribes = self.partners.borrow().get(&to).copied().unwrap_or_default();
+        let wanted = self.partners.borrow().get(&to).copied().unwrap_or_default();
         let (peers, targets) = (self.peers.borrow(), self.targets.borrow());
         let mut links = self.relay_links.borrow_mut();
-        links.next_message(to, subscribes, state, &peers, &targets, now)
+        links.next_message(to, wanted, state, &peers, &targets, now)
     }
 
     pub(super) async fn send_relay(self: Rc<Self>, address: SocketAddr) {
--- a/crates/fleet/src/control/relays.rs
+++ b/crates/fleet/src/control/relays.rs
@@ -1,5 +1,6 @@
 //! Chooses the daemons with which a control daemon of a large fleet exchanges heartbeats.
 
+use crate::messages::Wanted;
 use comfreyhold_types::keys::DomainName;
 use siphasher::sip::SipHasher13;
 use std::collections::BTreeMap;
@@ -34,8 +35,8 @@
     pub refuses_relay: bool,
 }
 
-/// The chosen daemons, and whether each is asked for what it hears in its failure domain.
-pub type Partners = BTreeMap<SocketAddr, bool>;
+/// The chosen daemons, and what each is asked to pass on.
+pub type Partners = BTreeMap<SocketAddr, Wanted>;
 
 /// Chooses the daemons with which `me` exchanges heartbeats.
 ///
@@ -56,28 +57,30 @@
     }
     let is_fixed = |c: &&Candidate| c.address != me && (c.is_fixed || c.refuses_relay);
     let fixed = candidates.iter().filter(is_fixed);
-    let mut partners: Partners = fixed.map(|candidate| (candidate.address, false)).collect();
+    let mut partners: Partners =
+        fixed.map(|candidate| (candidate.address, Wanted::Nothing)).collect();
     for (domain, mut members) in domains {
         members.sort_by_key(|member| (rank(me, member.address), member.address));
         let Some(domain) = domain else {
             let unknown = members.iter().take(UNKNOWN_PARTNERS);
-            partners.extend(unknown.map(|member| (member.address, false)));
+            partners.extend(unknown.map(|member| (member.address, Wanted::Nothing)));
             continue;
         };
-        // If all known ones of the own domain are partners and answer, one of them names those that are not known.
+        // If all known ones of the own domain are partners and answer, they tell their targets themselves. One of them
+        // names those that are not known.
         let is_whole = members.len() <= DOMAIN_PARTNERS && members.iter().all(|m| m.is_live);
-        let (wanted, subscriptions) = match (domain == own_domain, is_whole) {
-            (true, true) => (DOMAIN_PARTNERS, 1),
-            (true, false) => (DOMAIN_PARTNERS, DOMAIN_SUBSCRIPTIONS),
-            (false, _) => (RELAYS_PER_DOMAIN, RELAYS_PER_DOMAIN),
+        let (count, subscriptions, wanted) = match (domain == own_domain, is_whole) {
+            (true, true) => (DOMAIN_PARTNERS, 1, Wanted::Daemons),
+            (true, false) => (DOMAIN_PARTNERS, DOMAIN_SUBSCRIPTIONS, Wanted::All),
+            (false, _) => (RELAYS_PER_DOMAIN, RELAYS_PER_DOMAIN, Wanted::All),
         };
         let mut live = 0;
         for member in members {
-            if live >= wanted {
+            if live >= count {
                 break;
             }
-            let subscribes = live < subscriptions;
-            *partners.entry(member.address).or_default() |= subscribes;
+            let asked = if live < subscriptions { wanted } else { Wanted::Nothing };
+            partners.insert(member.address, asked);
             live += usize::from(member.is_live);
         }
     }
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -53,14 +53,26 @@
     pub repeated: Vec<Repetition>,
 }
 
+/// What a control daemon of a large fleet asks another one to pass on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Wanted {
+    /// Nothing but what targets have announced to the receiver itself.
+    #[default]
+    Nothing,
+    /// The daemons that the receiver hears.
+    Daemons,
+    /// The daemons, and the refreshes of targets.
+    All,
+}
+
 /// Heartbeat between control daemons of a large fleet, in which a daemon does not exchange heartbeats with every other
 /// one. Its `hello` repeats no targets; they are in `refreshes`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayHello {
     /// The sender's state.
     pub hello: Hello,
-    /// Whether the sender asks the receiver to pass on what it hears in its failure domain.
-    pub subscribes: bool,
+    /// What the receiver is asked to pass on of what it hears in its failure domain.
+    pub wanted: Wanted,
     /// Time at which the message is sent, in milliseconds since the start of the sender.
     pub sent_ms: u64,
     /// Number of the sender's last refresh that this message or an earlier one contains.
