--- a/crates/fleet/src/control/gossip.rs
+++ b/crates/fleet/src/control/gossip.rs
@@ -7,8 +7,10 @@
 //! of the other one.
 
 use super::operations::BROADCAST_DEADLINE;
+use super::peers::join_interval;
 use super::{Control, PEER_TIMEOUT};
-use crate::messages::{FleetRequest, FleetResponse, Hello};
+use crate::counters::{MessageKind, measure};
+use crate::messages::{ControlState, FleetRequest, FleetResponse, Hello};
 use comfreyhold_consensus::register::Ballot;
 use comfreyhold_membership::announcements::AnnouncementOutcome;
 use comfreyhold_types::announcement::{Announcement, AnnouncementError, Availability};
@@ -25,7 +27,7 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(450);
 
 /// Deadline for the response to a heartbeat.
-const HEARTBEAT_DEADLINE: Duration = Duration::from_millis(800);
+pub(super) const HEARTBEAT_DEADLINE: Duration = Duration::from_millis(800);
 
 /// Time without a message from a peer after which a daemon sends heartbeats although the peer should: one
 /// heartbeat of the peer may be lost.
@@ -38,20 +40,30 @@
 /// processes start together, one message for each target to each daemon would take longer than that.
 const BROADCAST_DELAY: Duration = Duration::from_millis(100);
 
-/// Interval of heartbeats to seeds and voters until the declarations are known. It is short, since nothing
-/// can be served without the declarations.
-const JOIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(80);
+/// Maximum number of concurrent fetches of the newest value in a large fleet, where many daemons name it at the same
+/// time. The second one covers a holder that does not respond; the next heartbeats name it again.
+const MAX_VALUE_FETCHES: usize = 2;
 
 impl Control {
     pub(super) async fn run_heartbeats(self: Rc<Self>) {
         loop {
             let is_joined = self.register.chosen().is_some();
+            self.choose_partners();
             for address in self.take_heartbeats_due(is_joined) {
-                if self.heartbeats_in_flight.borrow_mut().insert(address) {
+                if !self.heartbeats_in_flight.borrow_mut().insert(address) {
+                    continue;
+                }
+                if self.sends_relay(&address) {
+                    tokio::task::spawn_local(Rc::clone(&self).send_relay(address));
+                } else {
                     tokio::task::spawn_local(Rc::clone(&self).send_heartbeat(address));
                 }
             }
-            let interval = if is_joined { HEARTBEAT_INTERVAL } else { JOIN_HEARTBEAT_INTERVAL };
+            let interval = if is_joined {
+                HEARTBEAT_INTERVAL
+            } else {
+                join_interval(self.peers.borrow().count() + 1, rand::random())
+            };
             tokio::time::sleep(interval).await;
             let now = self.observe_activity();
             if let Some(value) = self.register.newest_known() {
@@ -62,6 +74,7 @@
                 peers.forget(&voters, now);
                 let addresses = peers.addresses();
                 self.connections.retain(|address| addresses.contains(address));
+                self.relay_links.borrow_mut().drop_old(&peers, now);
             }
             self.refreshed_targets
                 .borrow_mut()
@@ -72,6 +85,7 @@
                 self.record("target-silent", || json!({"target": id.to_string()}));
             }
             self.notify_targets(previous_revision);
+            self.encodings.borrow_mut().drop_unused(now);
         }
     }
 
@@ -80,7 +94,13 @@
     fn take_heartbeats_due(&self, is_joined: bool) -> Vec<SocketAddr> {
         let now = self.clock.now();
         let mut peers = self.peers.borrow_mut();
-        let mut due = peers.take_heartbeats_due(HEARTBEAT_INTERVAL, HEARTBEAT_OVERDUE, now);
+        let (interval, overdue) = (HEARTBEAT_INTERVAL, HEARTBEAT_OVERDUE);
+        let partners = self.partners.borrow();
+        let mut due = if partners.is_empty() {
+            peers.take_heartbeats_due(interval, overdue, now)
+        } else {
+            peers.take_partner_heartbeats_due(&partners, interval, overdue, now)
+        };
         if !is_joined {
             due.extend(peers.seeds());
             let newest = self.register.newest_known();
@@ -90,13 +110,15 @@
         due.into_iter().collect()
     }
 
-    async fn send_heartbeat(self: Rc<Self>, address: SocketAddr) {
+    pub(super) async fn send_heartbeat(self: Rc<Self>, address: SocketAddr) {
         let (hello, previously_sent_until) = self.next_heartbeat(address);
         let request = FleetRequest::Hello(hello);
         let response = self.connections.call(address, &request, HEARTBEAT_DEADLINE).await;
         self.heartbeats_in_flight.borrow_mut().remove(&address);
         match response {
-            Ok(FleetResponse::Hello(hello)) => return self.receive_heartbeat(hello),
+            Ok(FleetResponse::Hello(hello)) => {
+                return measure(MessageKind::Hello, || self.receive_heartbeat(hello));
+            }
             Ok(_) => log::warn!("unexpected type of response to a heartbeat from {address}"),
             Err(error) => log::debug!("heartbeat to {address}: {error}"),
         }
@@ -137,6 +159,12 @@
             });
             tokio::task::spawn_local(Rc::clone(self).fetch_announcements(address, unknown));
         }
+        self.receive_control_state(state, now);
+    }
+
+    /// Applies another daemon's state, and sends it the announcements that it lacks.
+    pub(super) fn receive_control_state(self: &Rc<Self>, state: ControlState, now: Instant) {
+        let address = state.replica.address;
         let (chosen, domain) = (state.chosen, state.domain.clone());
         let digests = self.targets.borrow().digests();
         let is_new_incarnation = self.peers.borrow_mut().receive_state(state, &digests, now);
@@ -153,7 +181,12 @@
             self.targets.borrow().in_groups(&differing, now)
         };
         if !announcements.is_empty() {
-            self.send_announcements(address, FleetRequest::Announced(announcements));
+            let kind = if is_new_incarnation {
+                MessageKind::AnnouncedRestart
+            } else {
+                MessageKind::AnnouncedDifference
+            };
+            self.send_announcements(kind, address, FleetRequest::Announced(announcements));
         }
     }
 
@@ -179,6 +212,11 @@
         if self.register.learn_accepted(ballot) {
             return self.notify_chosen();
         }
+        let fetches = self.value_fetches.get();
+        if self.is_large_fleet() && fetches >= MAX_VALUE_FETCHES {
+            return;
+        }
+        self.value_fetches.set(fetches + 1);
         let control = Rc::clone(self);
         tokio::task::spawn_local(async move {
             let request = FleetRequest::Newest(control.register.chosen_ballot());
@@ -187,14 +225,22 @@
                 Ok(_) => {}
                 Err(error) => log::debug!("newest value from {holder}: {error}"),
             }
+            control.value_fetches.set(control.value_fetches.get().saturating_sub(1));
         });
     }
 
     /// Sends a request to one daemon without waiting for its response.
-    fn send_announcements(self: &Rc<Self>, to: SocketAddr, request: FleetRequest) {
+    fn send_announcements(
+        self: &Rc<Self>,
+        kind: MessageKind,
+        to: SocketAddr,
+        request: FleetRequest,
+    ) {
         let control = Rc::clone(self);
         tokio::task::spawn_local(async move {
-            if let Err(error) = control.connections.call(to, &request, BROADCAST_DEADLINE).await {
+            let connections = &control.connections;
+            let sent = connections.call_as(kind, to, &request, BROADCAST_DEADLINE).await;
+            if let Err(error) = sent {
                 log::debug!("announcements for {to}: {error}");
             }
         });
@@ -216,7 +262,7 @@
         metrics::counter!("announcements", "heard" => name).increment(1);
         match outcome {
             AnnouncementOutcome::Changed => {
-                self.refreshed_targets.borrow_mut().insert(announcement.id, now);
+                self.record_own_refresh(announcement.id, now);
                 self.changed.notify_waiters();
                 self.record_target(announcement, "target");
                 if announcement.availability == Availability::Serving {
@@ -228,7 +274,7 @@
                 }
             }
             AnnouncementOutcome::Refreshed => {
-                self.refreshed_targets.borrow_mut().insert(announcement.id, now);
+                self.record_own_refresh(announcement.id, now);
             }
             AnnouncementOutcome::Stale => self.record_target(announcement, "stale-announcement"),
             AnnouncementOutcome::Held => {
@@ -292,6 +338,15 @@
     /// Applies announcements received from other daemons, except for those that are out of range: a daemon of
     /// another version may have taken them in. Returns those that have changed a target.
     pub(super) fn apply_announcements(&self, announcements: &[Announcement]) -> Vec<Announcement> {
+        self.apply_aged_announcements(announcements, |_| Some(Duration::ZERO))
+    }
+
+    /// Like `apply_announcements`, with the time since each target was heard. Those without one are not applied.
+    pub(super) fn apply_aged_announcements(
+        &self,
+        announcements: &[Announcement],
+        age: impl Fn(&TargetId) -> Option<Duration>,
+    ) -> Vec<Announcement> {
         let now = self.clock.now();
         let previous_revision = self.targets.borrow().revision();
         let mut changed = Vec::new();
@@ -300,7 +355,9 @@
                 self.record_refused(&announcement.id.to_string(), &error.to_string());
                 continue;
             }
-            if self.targets.borrow_mut().apply(announcement, now) == AnnouncementOutcome::Changed {
+            let Some(age) = age(&announcement.id) else { continue };
+            let outcome = self.targets.borrow_mut().apply_aged(announcement, age, now);
+            if outcome == AnnouncementOutcome::Changed {
                 self.record_target(announcement, "target");
                 changed.push(announcement.clone());
             }
@@ -319,7 +376,9 @@
             return;
         }
         self.record("announcements-released", || json!({"targets": changed.len()}));
-        self.refreshed_targets.borrow_mut().extend(changed.iter().map(|id| (*id, now)));
+        for id in &changed {
+            self.record_own_refresh(*id, now);
+        }
         self.pending_broadcast.borrow_mut().extend(changed);
         self.broadcast_due.notify_one();
     }
@@ -350,14 +409,16 @@
     fn broadcast(self: &Rc<Self>, request: FleetRequest) -> impl Future<Output = ()> + use<> {
         let control = Rc::clone(self);
         async move {
-            let body = match encode_body(&request) {
+            let kind = MessageKind::AnnouncedChange;
+            let body = match measure(kind, || encode_body(&request)) {
                 Ok(body) => body,
                 Err(error) => return log::error!("can't encode announcements: {error}"),
             };
             let send = |to| {
                 let (control, body) = (&control, &body);
                 async move {
-                    let sent = control.connections.call_encoded(to, body, BROADCAST_DEADLINE).await;
+                    let connections = &control.connections;
+                    let sent = connections.call_encoded(kind, to, body, BROADCAST_DEADLINE).await;
                     if let Err(error) = sent {
                         log::debug!("announcements for {to}: {error}");
                     }
--- a/crates/fleet/src/control/load.rs
+++ b/crates/fleet/src/control/load.rs
@@ -3,9 +3,10 @@
 //!
 //! Calls about load use connections of their own: one that fails must not close the connection for heartbeats.
 
-use super::{Control, PEER_TIMEOUT};
+use super::Control;
 use crate::backoff::Backoff;
 use crate::connections::ConnectionPool;
+use crate::counters::MessageKind;
 use crate::messages::{FleetRequest, FleetResponse};
 use comfreyhold_load::book::MAX_AGE;
 use comfreyhold_load::sums::REPORT_INTERVAL;
@@ -178,10 +179,7 @@
             Ok(body) => Rc::new(body),
             Err(error) => return log::error!("can't encode a load sum: {error}"),
         };
-        let peers: Vec<SocketAddr> = {
-            let peers = self.peers.borrow();
-            peers.seen_within(PEER_TIMEOUT, now).map(|(address, _)| *address).collect()
-        };
+        let peers = self.live_peers();
         let backoffs = self.load.backoffs.borrow().clone();
         for peer in peers {
             let is_due = backoffs.get(&peer).is_none_or(|backoff| backoff.is_over(now));
@@ -192,7 +190,8 @@
     }
 
     async fn send_load_sum(self: Rc<Self>, peer: SocketAddr, body: Rc<Vec<u8>>) {
-        let response = self.load.connections.call_encoded(peer, &body, SUM_DEADLINE).await;
+        let (kind, connections) = (MessageKind::LoadSum, &self.load.connections);
+        let response = connections.call_encoded(kind, peer, &body, SUM_DEADLINE).await;
         self.load.in_flight.borrow_mut().remove(&peer);
         let is_refusal = match response {
             Ok(FleetResponse::Done) => {
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -1,15 +1,21 @@
 //! A control daemon: replicates the operators' declarations with the other control daemons, collects the
 //! targets' announcements, and sends changes of both to the entries that watch it.
 
+mod copies;
+pub mod encodings;
 pub mod feed;
 mod gossip;
 mod load;
 mod operations;
 pub mod peers;
 mod register;
+pub mod relay_links;
+mod relaying;
+pub mod relays;
 mod repair;
 mod saves;
 pub mod stalls;
+pub mod turns;
 pub mod voter;
 
 pub use load::LOAD_POLL_TIMEOUT;
@@ -18,10 +24,9 @@
 pub use register::RegisterError;
 
 use crate::connections::ConnectionPool;
+use crate::counters::{CallRecord, CallSide, MessageKind, count_call, with_cpu_time};
 use crate::decisions::DecisionLog;
-use crate::messages::{
-    ControlState, EntryUpdate, FleetRequest, FleetResponse, IncarnationId, TOPIC, WatchCursor,
-};
+use crate::messages::{ControlState, FleetRequest, FleetResponse, IncarnationId, TOPIC};
 use crate::settings::FleetSettings;
 use anyhow::Context;
 use comfreyhold_consensus::register::{DiskId, RegisterValue, Replica, Voters};
@@ -30,14 +35,17 @@
 use comfreyhold_types::codes::ResultCode;
 use comfreyhold_types::keys::{DomainName, TargetId};
 use comfreyhold_wire::envelope::{decode_body, encode_body};
+use comfreyhold_wire::error::WireError;
 use comfreyhold_wire::exchange::{self, Responder};
-use feed::FeedState;
+use encodings::Encodings;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use load::LoadSharing;
 use peers::Peers;
 use rand::seq::IteratorRandom;
 use register::Register;
+use relay_links::RelayLinks;
+use relays::Partners;
 use saves::Saves;
 use serde_json::json;
 use stalls::StallMonitor;
@@ -50,6 +58,7 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc};
+use turns::CopyTurns;
 use voter::Voter;
 
 /// Time for which a control daemon holds an entry's long poll while nothing has changed. It bounds how late
@@ -75,6 +84,10 @@
 /// each time; among more, each one is named by several others within a second.
 const PEERS_PER_HEARTBEAT: usize = 8;
 
+/// Number of control daemons above which a fleet counts as large. Up to it, each daemon has every other one as a peer and
+/// sends what it did before; deployments of the present size have 5 to 12.
+const LARGE_FLEET: usize = 12;
+
 /// One control daemon. All its tasks run on one thread.
 pub struct Control {
     settings: FleetSettings,
@@ -90,6 +103,10 @@
     targets: RefCell<Announcements>,
     /// Targets that have recently announced themselves to this daemon, and when.
     refreshed_targets: RefCell<BTreeMap<TargetId, Instant>>,
+    /// Exchanges of heartbeats in a large fleet.
+    relay_links: RefCell<RelayLinks>,
+    /// Daemons with which heartbeats are exchanged; empty in a small fleet.
+    partners: RefCell<Partners>,
     /// Targets whose changed announcements are not sent to the other daemons yet.
     pending_broadcast: RefCell<BTreeSet<TargetId>>,
     broadcast_due: Notify,
@@ -100,6 +117,13 @@
     stalls: Cell<StallMonitor>,
     /// Wakes the entries' long polls.
     changed: Notify,
+    encodings: RefCell<Encodings>,
+    /// Turns of the full copies for entries.
+    entry_turns: RefCell<CopyTurns>,
+    /// Turns of the newest value for other daemons, which pass it on to their entries.
+    value_turns: RefCell<CopyTurns>,
+    /// Number of fetches of the newest value in progress.
+    value_fetches: Cell<usize>,
     load: LoadSharing,
 }
 
@@ -133,8 +157,10 @@
         let started_ms = clock.wall_millis();
         let targets = restored_targets(&settings, &folder, clock.now());
         let (operations, operation_queue) = mpsc::channel(operations::MAX_QUEUED);
+        let domain = DomainName::from(settings.domain.as_str());
+        let relay_links = RelayLinks::new(incarnation, domain.clone(), clock.now());
         let control = Rc::new(Self {
-            domain: DomainName::from(settings.domain.as_str()),
+            domain,
             peers: RefCell::new(Peers::new(address, &seeds, clock.now())),
             saves: Saves::new(targets.revision()),
             stalls: Cell::new(StallMonitor::new(clock.now())),
@@ -148,11 +174,17 @@
             register,
             targets: RefCell::new(targets),
             refreshed_targets: RefCell::default(),
+            relay_links: RefCell::new(relay_links),
+            partners: RefCell::default(),
             pending_broadcast: RefCell::default(),
             broadcast_due: Notify::new(),
             heartbeats_in_flight: RefCell::default(),
             operations,
             changed: Notify::new(),
+            encodings: RefCell::default(),
+            entry_turns: RefCell::default(),
+            value_turns: RefCell::default(),
+            value_fetches: Cell::default(),
             load: LoadSharing::new(load::sender_start(address, started_ms)),
         });
         control
@@ -221,11 +253,10 @@
         }
     }
 
-    /// Addresses of the other control daemons that are within their heartbeat timeout.
+    /// Addresses of the other control daemons that are within their heartbeat timeout, or that others hear.
     fn live_peers(&self) -> Vec<SocketAddr> {
         let peers = self.peers.borrow();
-        let now = self.clock.now();
-        peers.seen_within(PEER_TIMEOUT, now).map(|(address, _)| *address).collect()
+        peers.live(PEER_TIMEOUT, self.clock.now()).map(|(address, _)| address).collect()
     }
 
     /// Learns a chosen value, and notifies the entries if it is newer than the last one.
@@ -250,58 +281,47 @@
         });
     }
 
-    fn feed_state<'a>(&self, targets: &'a Announcements, cursor: &WatchCursor) -> FeedState<'a> {
-        let base = if cursor.change > 0 { self.register.chosen_at(cursor.change) } else { None };
-        FeedState { incarnation: self.incarnation, targets, chosen: self.register.chosen(), base }
-    }
-
-    /// Handles an entry's long poll: returns at once if something has changed since its cursor, and otherwise
-    /// after the next change or [`LONG_POLL_TIMEOUT`].
-    async fn poll_changes(&self, cursor: WatchCursor) -> EntryUpdate {
-        let change = tokio::time::timeout(LONG_POLL_TIMEOUT, async {
-            loop {
-                let changed = self.changed.notified();
-                tokio::pin!(changed);
-                changed.as_mut().enable();
-                if self.feed_state(&self.targets.borrow(), &cursor).has_update(&cursor) {
-                    return;
-                }
-                changed.await;
-            }
-        });
-        // After the timeout an update without changes is sent, which shows that this daemon is alive.
-        let _ = change.await;
-        let now = self.clock.now();
-        let targets = self.targets.borrow();
-        self.feed_state(&targets, &cursor).update(&cursor, now)
-    }
-
     /// Addresses and failure domains of the live control daemons, including this one.
     fn live_controls(&self, now: Instant) -> Vec<(SocketAddr, DomainName)> {
         let peers = self.peers.borrow();
-        let live = peers.seen_within(PEER_TIMEOUT, now);
-        let others = live.map(|(address, state)| (*address, state.domain.clone()));
+        let live = peers.live(PEER_TIMEOUT, now);
+        let others = live.map(|(address, domain)| (address, domain.clone()));
         others.chain([(self.me.address, self.domain.clone())]).collect()
     }
 
+    /// Handles a request and encodes the response. Those that many processes ask for are encoded once.
+    async fn encoded_response(
+        self: Rc<Self>,
+        request: FleetRequest,
+    ) -> (MessageKind, Result<Vec<u8>, WireError>) {
+        let kind = MessageKind::of_request(&request);
+        let response = match request {
+            FleetRequest::Watch(cursor) => return self.encoded_update(cursor).await,
+            FleetRequest::Newest(known) => return (kind, self.encoded_newest(known).await),
+            other => self.handle_request(other).await,
+        };
+        (kind, encode_body(&response))
+    }
+
+    /// Handles the requests whose responses are not shared.
     async fn handle_request(self: Rc<Self>, request: FleetRequest) -> FleetResponse {
         match request {
+            // Encoded by `encoded_response`.
+            FleetRequest::Watch(_) | FleetRequest::Newest(_) => FleetResponse::Done,
             FleetRequest::Vote(addressed) => {
                 FleetResponse::Vote(self.voter.handle_request(addressed).await)
             }
             FleetRequest::Hello(hello) => {
                 let address = hello.state.replica.address;
                 self.receive_heartbeat(hello);
+                self.peers.borrow_mut().record_request(&address, false, self.clock.now());
                 FleetResponse::Hello(self.next_heartbeat(address).0)
             }
+            FleetRequest::Relay(message) => self.receive_relay_request(&message),
             FleetRequest::Chosen(ballot, holder) => {
                 self.receive_chosen(ballot, holder);
                 FleetResponse::Done
             }
-            FleetRequest::Newest(known) => {
-                let newer = self.register.chosen().filter(|value| value.ballot > known);
-                FleetResponse::Newest(newer)
-            }
             FleetRequest::Announced(announcements) => {
                 let changed = self.apply_announcements(&announcements);
                 self.save_left(&changed).await;
@@ -315,9 +335,6 @@
                 let last = self.targets.borrow().last_announcement(id).cloned();
                 FleetResponse::Announcements(last.into_iter().collect())
             }
-            FleetRequest::Watch(cursor) => {
-                FleetResponse::News(Box::new(self.poll_changes(cursor).await))
-            }
             FleetRequest::Controls => FleetResponse::Controls(self.live_controls(self.clock.now())),
             FleetRequest::Load(None) => self.poll_sharing().await,
             FleetRequest::Load(Some(report)) => self.receive_load_report(*report),
@@ -340,16 +357,19 @@
                 log::warn!("can't decode a request: {error}");
                 error.code()
             })?;
-            let kind: &'static str = (&request).into();
+            let name: &'static str = (&request).into();
             self.observe_activity();
-            let response = self.handle_request(request).await;
-            let encoded = encode_body(&response).map_err(|error| {
-                log::error!("can't encode a response to {kind}: {error}");
+            let ((kind, encoded), cpu) = with_cpu_time(self.encoded_response(request)).await;
+            let encoded = encoded.map_err(|error| {
+                log::error!("can't encode a response to {name}: {error}");
                 error.code()
             })?;
-            let bytes = (body.len() + encoded.len()) as u64;
-            metrics::counter!("exchange_bytes", "request" => kind).increment(bytes);
-            metrics::counter!("exchanges", "request" => kind).increment(1);
+            let (request_bytes, response_bytes) = (body.len(), encoded.len());
+            let bytes = (request_bytes + response_bytes) as u64;
+            metrics::counter!("exchange_bytes", "request" => name).increment(bytes);
+            metrics::counter!("exchanges", "request" => name).increment(1);
+            let side = CallSide::Receiver;
+            count_call(kind, &CallRecord { side, request_bytes, response_bytes, cpu });
             Ok(encoded)
         }
         .boxed_local()
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -3,8 +3,11 @@
 
 #![allow(clippy::unwrap_used, clippy::panic)]
 
+mod common_start;
 mod controls;
+mod counters;
 mod early_packets;
+mod encodings;
 mod feed;
 mod late_orders;
 mod link;
