Count a burst that a regular report meets as pressure, and test the early report

Cause: a burst that began within 100 ms of an entry's last report was no sign of pressure if no packet came between then and the next report, which stated the higher load as the known one. The new test of a real entry failed for that.

Change: each report states pressure if far more requests are in flight than usual.

Tests: fleet::load::an_entry_reports_when_a_burst_begins failed before and passes.

--- a/crates/fleet/tests/fleet/load.rs
+++ b/crates/fleet/tests/fleet/load.rs
@@ -290,6 +290,39 @@
     assert!(calls.len() as u128 <= at_most, "{} calls in {took:?}", calls.len());
 }
 
+/// Guards against an entry that waits for late or refused responses while a burst fills the queues: it reports as soon as
+/// far more requests are in flight than usual.
+#[tokio::test]
+async fn an_entry_reports_when_a_burst_begins() {
+    LocalSet::new().run_until(check_burst()).await;
+}
+
+async fn check_burst() {
+    let folder = tempfile::tempdir().unwrap();
+    let (relay, entry) = start_entry(81, folder.path(), true).await;
+    wait_for_calls(&relay, 1).await;
+    let until = Instant::now() + DEADLINE;
+    while !entry.readiness().is_ready() {
+        assert!(Instant::now() < until, "the entry has no routes");
+        tokio::time::sleep(ms(20)).await;
+    }
+    let caller = tokio::net::UdpSocket::bind((address(89).ip(), 0)).await.unwrap();
+    let packets = (address(82).ip(), 7_913);
+    for number in 0..8 {
+        caller.send_to(&[number], packets).await.unwrap();
+        tokio::time::sleep(ms(100)).await;
+    }
+    assert!(relay.calls.borrow().iter().all(|(_, is_report)| !is_report), "nothing unusual");
+    for number in 8..128 {
+        caller.send_to(&[number], packets).await.unwrap();
+    }
+    let until = Instant::now() + DEADLINE;
+    while !relay.calls.borrow().iter().any(|(_, is_report)| *is_report) {
+        assert!(Instant::now() < until, "no report");
+        tokio::time::sleep(ms(20)).await;
+    }
+}
+
 /// Guards against an entry that hammers a daemon of the version before, or stops receiving its updates.
 #[tokio::test]
 async fn an_entry_works_with_a_daemon_that_knows_nothing_about_load() {
--- a/crates/flow/src/cookie/shared.rs
+++ b/crates/flow/src/cookie/shared.rs
@@ -265,6 +265,9 @@
     /// Ends the interval of a report. Returns its length; `None` if it is too long or has just begun, for example
     /// because the process was frozen.
     pub(super) fn end_interval(&mut self, now: Instant) -> Option<Duration> {
+        if self.early.has_signs(now) {
+            self.pressure.record_held(now);
+        }
         self.early.record_report(now);
         let start = self.interval_start.replace(now);
         let length = start.map(|start| now.saturating_duration_since(start));
