--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -144,10 +144,7 @@
         let listener = TcpListener::bind(bind).await.with_context(|| bind.to_string())?;
         let seeds = settings.seed_exchange_addresses();
         let initial = initial_value(&settings, &seeds);
-        let is_initial = initial
-            .as_ref()
-            .is_some_and(|value| value.voters.current.iter().any(|voter| voter.address == address));
-        let new_id = if is_initial { DiskId::initial(address) } else { DiskId(rand::random()) };
+        let new_id = new_disk(address, initial.as_deref());
         let voter = Rc::new(Voter::start(&folder, new_id)?);
         let me = Replica { disk: voter.disk(), address };
         let incarnation = IncarnationId(rand::random());
@@ -376,6 +373,13 @@
     }
 }
 
+/// Identity of an empty data folder: a fixed one for the first voters at the first start of a deployment.
+fn new_disk(address: SocketAddr, initial: Option<&RegisterValue>) -> DiskId {
+    let is_voter =
+        |value: &RegisterValue| value.voters.current.iter().any(|v| v.address == address);
+    if initial.is_some_and(is_voter) { DiskId::initial(address) } else { DiskId(rand::random()) }
+}
+
 /// Targets saved by an earlier incarnation of this daemon.
 fn restored_targets(settings: &FleetSettings, folder: &Path, now: Instant) -> Announcements {
     let interval = settings.announce_interval();
--- a/crates/fleet/src/control/relay_links.rs
+++ b/crates/fleet/src/control/relay_links.rs
@@ -9,6 +9,7 @@
 use crate::messages::{
     ControlState, HeardDaemon, Hello, IncarnationId, RelayHello, RelayReceipt, Wanted,
 };
+use comfreyhold_consensus::register::Ballot;
 use comfreyhold_membership::announcements::{Announcements, RefreshOutcome};
 use comfreyhold_types::keys::{DomainName, TargetId};
 use std::collections::BTreeMap;
@@ -137,16 +138,7 @@
             let is_heard_due = link.heard_sent.is_none_or(|sent| now >= sent + HEARD_INTERVAL);
             if link.wanted >= Wanted::Daemons && is_heard_due {
                 link.heard_sent = Some(now);
-                let daemons = peers.heard_in(&self.domain, MAX_HEARD_AGE, now);
-                heard = daemons
-                    .filter(|(address, _)| *address != to)
-                    .map(|(address, relayed)| HeardDaemon {
-                        address,
-                        start: relayed.start,
-                        chosen: Some(relayed.chosen).filter(|ballot| *ballot != chosen),
-                        age_ms: millis(now.saturating_duration_since(relayed.heard_at)),
-                    })
-                    .collect();
+                heard = heard_daemons(peers, &self.domain, to, chosen, now);
             }
             let is_sent = |refresh: &Refresh| match refresh.origin {
                 Origin::Own => true,
@@ -244,6 +236,24 @@
     }
 }
 
+/// Daemons of a failure domain to pass on to a daemon. `chosen` is the ballot of the sender.
+fn heard_daemons(
+    peers: &Peers,
+    domain: &DomainName,
+    to: SocketAddr,
+    chosen: Ballot,
+    now: Instant,
+) -> Vec<HeardDaemon> {
+    let daemons = peers.heard_in(domain, MAX_HEARD_AGE, now).filter(|(address, _)| *address != to);
+    let heard = daemons.map(|(address, relayed)| HeardDaemon {
+        address,
+        start: relayed.start,
+        chosen: Some(relayed.chosen).filter(|ballot| *ballot != chosen),
+        age_ms: millis(now.saturating_duration_since(relayed.heard_at)),
+    });
+    heard.collect()
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
