Install stop handlers before the start line, and keep the refusing address bound

Cause 1: load::requests_are_resent_to_a_reachable_entry took an address whose listener it had closed as one that refuses connections. A process that another test starts at that moment inherits a copy of the listener, which accepts connections until the program begins; the request is then lost instead of not written, and a POST without a key is not sent again. Of 4,000 such addresses, 32 to 39 accepted a connection while 8 threads started processes (3 runs).

Change: the address belongs to a socket that is bound and never listens, and that is kept, so that its port is given to no other test either.

Cause 2: entries, control daemons and the lab's processes installed the handlers of SIGTERM and SIGINT after their start line. A signal that came in between ended them at once, with no handover and no final counts. It failed up::binary_runs_and_ends_a_deployment in 2 of 11 runs of the lab's tests.

Change: the handlers are installed before connections are accepted and before the start line is printed. Two tests fill a process's output, so that it can't print the line, and stop it then: both failed with SIGTERM before the change.

Measured: the lab's 56 tests and the new one of the daemons pass.

--- a/crates/daemon/src/control_run.rs
+++ b/crates/daemon/src/control_run.rs
@@ -6,7 +6,7 @@
 use crate::control_api::ControlApi;
 use crate::control_counts::{CountStore, WRITE_INTERVAL};
 use crate::http_server::{self, InFlight};
-use crate::process;
+use crate::process::{self, StopSignals};
 use crate::settings::{Role, Settings};
 use crate::{logging, settings};
 use anyhow::Context as _;
@@ -72,6 +72,7 @@
     control: Arc<ControlDaemon>,
     metrics: metrics_exporter_prometheus::PrometheusHandle,
 ) -> anyhow::Result<()> {
+    let signals = StopSignals::install()?;
     let cx = Arc::clone(control.context());
     let listener = process::into_tokio(process::bind(cx.member.admin)?)?;
     let in_flight = InFlight::default();
@@ -79,7 +80,7 @@
     let (stop, stopped) = watch::channel(false);
     let server = tokio::spawn(http_server::serve(listener, api, stopped));
     process::print_started(&cx, &[("admin", cx.member.admin)]);
-    process::wait_for_stop(&cx).await?;
+    signals.wait(&cx).await;
     cx.record(EventKind::Stopping, &[]);
     stop.send_replace(true);
     server.await?;
--- a/crates/daemon/src/entry_run.rs
+++ b/crates/daemon/src/entry_run.rs
@@ -6,7 +6,7 @@
 use crate::entry_http::EntryHttp;
 use crate::entry_streams::StreamRelay;
 use crate::http_server::{self, InFlight};
-use crate::process;
+use crate::process::{self, StopSignals};
 use crate::settings::{Role, Settings};
 use crate::{admin, logging};
 use anyhow::Context as _;
@@ -65,6 +65,7 @@
 }
 
 async fn serve(entry: &Arc<Entry>, metrics: PrometheusHandle) -> anyhow::Result<()> {
+    let signals = StopSignals::install()?;
     let cx = &entry.cx;
     let settings = cx.settings.entry.as_ref().context("the entry section is missing")?;
     let http = process::into_tokio(process::bind(settings.http)?)?;
@@ -84,7 +85,7 @@
     let (_admin_stop, admin_stopped) = watch::channel(false);
     let admin_server = tokio::spawn(http_server::serve(admin, admin_server, admin_stopped));
     process::print_started(cx, &[("http", settings.http), ("admin", cx.member.admin)]);
-    process::wait_for_stop(cx).await?;
+    signals.wait(cx).await;
     cx.record(EventKind::Stopping, &[]);
     entry.begin_stop();
     stop.send_replace(true);
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -12,7 +12,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 use tokio::runtime::Runtime;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Pause of the timer thread between two ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
@@ -111,19 +111,33 @@
     }
 }
 
-/// Waits for SIGTERM or SIGINT, or until this process is superseded by a later one.
-///
-/// # Errors
-/// The signal handlers can't be installed.
-pub async fn wait_for_stop(cx: &Context) -> std::io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-        () = cx.wait_superseded() => {}
+/// Handlers of SIGTERM and SIGINT. A daemon installs them before it accepts connections and prints its start line: until
+/// then a signal ends it in the middle of its work, and the program that started it may send one at once.
+pub struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    /// Installs the handlers. Must run in a tokio runtime.
+    ///
+    /// # Errors
+    /// The handlers can't be installed.
+    pub fn install() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits for a signal, or until this process is superseded by a later one.
+    pub async fn wait(mut self, cx: &Context) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+            () = cx.wait_superseded() => {}
+        }
     }
-    Ok(())
 }
 
 /// Prints a line of JSON that reports the process's listening addresses to the program that started it.
--- a/crates/daemon/tests/daemon/main.rs
+++ b/crates/daemon/tests/daemon/main.rs
@@ -17,6 +17,7 @@
 mod second_start;
 mod settings;
 mod silence;
+mod stop_signals;
 mod storage_faults;
 mod streams;
 mod support;
--- a/crates/lab/src/cmd/fabric.rs
+++ b/crates/lab/src/cmd/fabric.rs
@@ -6,7 +6,7 @@
 use anyhow::Result;
 use bpaf::Bpaf;
 use comfreyhold_lab::fabric::{Fabric, FabricSettings, PathSettings};
-use comfreyhold_lab::lifetime::StartLine;
+use comfreyhold_lab::lifetime::{StartLine, StopSignals};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::ExitCode;
 
@@ -35,6 +35,7 @@
 }
 
 pub async fn run(args: Args) -> Result<ExitCode> {
+    let signals = StopSignals::install()?;
     let path = PathSettings {
         delay_us: args.delay_us,
         jitter_us: args.jitter_us,
@@ -49,6 +50,6 @@
     let fabric = Fabric::start(settings).await?;
     let addresses = [("packets", fabric.packets()), ("http", fabric.control())];
     StartLine::new("fabric", &addresses).print()?;
-    args.lifetime.wait().await?;
+    args.lifetime.wait(signals).await;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/lab/src/cmd/mod.rs
+++ b/crates/lab/src/cmd/mod.rs
@@ -11,7 +11,7 @@
 
 use anyhow::Result;
 use bpaf::Bpaf;
-use comfreyhold_lab::lifetime::{DEFAULT_RUN_LIMIT, wait_for_stop};
+use comfreyhold_lab::lifetime::{DEFAULT_RUN_LIMIT, StopSignals};
 use comfreyhold_lab::report::Report;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -59,11 +59,10 @@
 }
 
 impl Lifetime {
-    async fn wait(&self) -> Result<()> {
+    async fn wait(&self, signals: StopSignals) {
         let limit = self.run_limit_ms.map_or(DEFAULT_RUN_LIMIT, Duration::from_millis);
-        let reason = wait_for_stop(limit, self.until_input_closes).await?;
+        let reason = signals.wait(limit, self.until_input_closes).await;
         log::info!("stopping: {reason:?}");
-        Ok(())
     }
 }
 
--- a/crates/lab/src/cmd/proxy.rs
+++ b/crates/lab/src/cmd/proxy.rs
@@ -5,7 +5,7 @@
 use super::{Lifetime, lifetime};
 use anyhow::Result;
 use bpaf::Bpaf;
-use comfreyhold_lab::lifetime::StartLine;
+use comfreyhold_lab::lifetime::{StartLine, StopSignals};
 use comfreyhold_lab::packet::Protocol;
 use comfreyhold_lab::proxy::{Proxy, ProxySettings};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -29,6 +29,7 @@
 }
 
 pub async fn run(args: Args) -> Result<ExitCode> {
+    let signals = StopSignals::install()?;
     let settings = ProxySettings::builder()
         .protocol(if args.udp { Protocol::Udp } else { Protocol::Tcp })
         .upstream(args.upstream)
@@ -38,6 +39,6 @@
     let mut proxy = Proxy::start(settings).await?;
     let control = proxy.serve_control(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).await?;
     StartLine::new("proxy", &[("proxy", proxy.address()), ("http", control)]).print()?;
-    args.lifetime.wait().await?;
+    args.lifetime.wait(signals).await;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/lab/src/cmd/target.rs
+++ b/crates/lab/src/cmd/target.rs
@@ -5,7 +5,7 @@
 use super::{Lifetime, lifetime};
 use anyhow::Result;
 use bpaf::Bpaf;
-use comfreyhold_lab::lifetime::StartLine;
+use comfreyhold_lab::lifetime::{StartLine, StopSignals};
 use comfreyhold_lab::service_time::ServiceTime;
 use comfreyhold_lab::target::{ColdOverload, ColdStart, Target, TargetSettings};
 use comfreyhold_types::prelude::*;
@@ -76,11 +76,12 @@
 }
 
 pub async fn run(args: Args) -> Result<ExitCode> {
+    let signals = StopSignals::install()?;
     let lifetime = args.lifetime.clone();
     let target = Target::start(settings(args)).await?;
     let address = SocketAddr::from(target.address());
     StartLine::new("target", &[("http", address), ("packets", address)]).print()?;
-    lifetime.wait().await?;
+    lifetime.wait(signals).await;
     target.stop(DRAIN_TIMEOUT).await;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/lab/src/cmd/up.rs
+++ b/crates/lab/src/cmd/up.rs
@@ -7,7 +7,7 @@
 use anyhow::{Context as _, Result};
 use bpaf::Bpaf;
 use comfreyhold_lab::daemon_settings;
-use comfreyhold_lab::lifetime::StartLine;
+use comfreyhold_lab::lifetime::{StartLine, StopSignals};
 use comfreyhold_lab::up::{Deployment, UpSettings};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -25,6 +25,7 @@
 }
 
 pub async fn run(args: Args) -> Result<ExitCode> {
+    let signals = StopSignals::install()?;
     let text = std::fs::read_to_string(&args.settings)
         .with_context(|| format!("read {}", args.settings.display()))?;
     let settings: UpSettings = serde_yaml_ng::from_str(&text)
@@ -34,7 +35,7 @@
     let mut addresses = vec![("packets", fabric.packets()), ("fabric", fabric.control())];
     addresses.extend(deployment.plan.daemons.iter().map(|d| (d.name.as_str(), d.http)));
     StartLine::new("up", &addresses).print()?;
-    args.lifetime.wait().await?;
+    args.lifetime.wait(signals).await;
     deployment.stop().await?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/lab/src/lifetime.rs
+++ b/crates/lab/src/lifetime.rs
@@ -6,7 +6,7 @@
 use std::io::{Read as _, Write as _};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Run limit of a process that is given none, so that it does not outlive a failed test for long.
 pub const DEFAULT_RUN_LIMIT: Duration = Duration::from_secs(900);
@@ -63,20 +63,35 @@
     InputClosed,
 }
 
-/// Waits for SIGTERM, SIGINT or the run limit. `watch_input` also waits for the end of standard input.
-///
-/// # Errors
-/// The signal handlers can't be installed.
-pub async fn wait_for_stop(limit: Duration, watch_input: bool) -> Result<StopReason> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut int = signal(SignalKind::interrupt())?;
-    let input = wait_for_input_end(watch_input);
-    Ok(tokio::select! {
-        _ = term.recv() => StopReason::Signal,
-        _ = int.recv() => StopReason::Signal,
-        () = input => StopReason::InputClosed,
-        () = tokio::time::sleep(limit) => StopReason::RunLimit,
-    })
+/// Handlers of SIGTERM and SIGINT. A process installs them before its start line: until then, a signal ends it without an
+/// orderly stop, and the program that has read the line may send one at once.
+#[derive(Debug)]
+pub struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    /// Installs the handlers.
+    ///
+    /// # Errors
+    /// The handlers can't be installed.
+    pub fn install() -> Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits for a signal or the run limit. `watch_input` also waits for the end of standard input.
+    pub async fn wait(mut self, limit: Duration, watch_input: bool) -> StopReason {
+        tokio::select! {
+            _ = self.terminate.recv() => StopReason::Signal,
+            _ = self.interrupt.recv() => StopReason::Signal,
+            () = wait_for_input_end(watch_input) => StopReason::InputClosed,
+            () = tokio::time::sleep(limit) => StopReason::RunLimit,
+        }
+    }
 }
 
 async fn wait_for_input_end(watch: bool) {
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -2,14 +2,19 @@
 //! conditions.
 
 use crate::lifetime::StartLine;
-use anyhow::{Context as _, Result, bail};
+use anyhow::{Context as _, Result, anyhow, bail};
 use std::ffi::OsStr;
 use std::fs::File;
 use std::future::Future;
+use std::io::{ErrorKind, Write as _};
+use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt as _, BufReader};
+use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
 
 /// Limit for all threads of a process to pause after the signal `STOP`.
@@ -197,6 +202,48 @@
     wait_for(what, limit, || std::future::ready(condition().then_some(()))).await
 }
 
+/// Starts a program whose standard output is full, so that it can't print its start line. Sends `TERM` once it accepts
+/// connections at the address, then reads its output, and waits for its end.
+///
+/// # Errors
+/// The program can't be started, accepts no connection or does not end within the limit.
+pub async fn stop_before_start_line(
+    mut command: Command,
+    address: SocketAddr,
+) -> Result<ExitStatus> {
+    let (reader, output) = full_output()?;
+    let mut child = command.stdin(Stdio::piped()).stdout(output).kill_on_drop(true).spawn()?;
+    drop(command);
+    let id = child.id().context("the program has ended")?;
+    let connect = || async move { TcpStream::connect(address).await.ok() };
+    drop(wait_for("the program accepts connections", WAIT_LIMIT, connect).await?);
+    let status = Command::new("kill").args(["-TERM".to_owned(), id.to_string()]).status().await?;
+    if !status.success() {
+        bail!("signal TERM to process {id} failed: {status}");
+    }
+    let drain = std::thread::spawn(move || std::io::copy(&mut &reader, &mut std::io::sink()));
+    let status = tokio::time::timeout(WAIT_LIMIT, child.wait()).await;
+    let status = status.with_context(|| format!("no end within {WAIT_LIMIT:?}"))??;
+    drain.join().map_err(|_| anyhow!("the thread that reads the output panicked"))??;
+    Ok(status)
+}
+
+/// Returns an output to which a write blocks until the stream beside it is read.
+fn full_output() -> std::io::Result<(UnixStream, Stdio)> {
+    let (reader, mut writer) = UnixStream::pair()?;
+    writer.set_nonblocking(true)?;
+    let full = loop {
+        if let Err(error) = writer.write(&[b' '; 4_096]) {
+            break error;
+        }
+    };
+    if full.kind() != ErrorKind::WouldBlock {
+        return Err(full);
+    }
+    writer.set_nonblocking(false)?;
+    Ok((reader, OwnedFd::from(writer).into()))
+}
+
 /// Whether all threads of a process are stopped, according to their `stat` files.
 fn is_stopped(id: u32) -> bool {
     let Ok(threads) = std::fs::read_dir(format!("/proc/{id}/task")) else { return false };
--- a/crates/lab/tests/lab/load.rs
+++ b/crates/lab/tests/lab/load.rs
@@ -9,7 +9,10 @@
 use comfreyhold_lab::scenario::wait_until;
 use comfreyhold_lab::service_time::ServiceTime;
 use comfreyhold_lab::target::{Target, TargetSettings};
+use socket2::{Domain, Socket, Type};
 use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::process::Command;
@@ -53,10 +56,21 @@
     load::run(settings, "test").await.expect("load")
 }
 
-/// Returns an address that refuses connections, since its listener is closed.
-async fn refusing_address() -> SocketAddr {
-    let listener = TcpListener::bind(loopback()).await.expect("bind");
-    listener.local_addr().expect("address")
+/// An address that refuses connections: its socket is bound and does not listen. The port stays taken, so that no
+/// other test is given it. A listener that was closed would not do: a process that is starting at the time inherits a
+/// copy, which accepts connections until its program begins.
+struct RefusingAddress(Socket);
+
+impl RefusingAddress {
+    fn new() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("socket");
+        socket.bind(&loopback().into()).expect("bind");
+        Self(socket)
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.0.local_addr().expect("address").as_socket().expect("an IP address")
+    }
 }
 
 /// Guards against checks that fail although no fault occurred.
@@ -177,13 +191,45 @@
     assert!(report.checks.holds(), "{}", report.table());
 }
 
+/// Connections that are attempted while other processes start. Of addresses whose listener was closed, 32 to 39
+/// accepted the connection.
+const ATTEMPTS: u32 = 4_000;
+
+/// Threads that start processes at the same time.
+const PROCESS_STARTERS: usize = 8;
+
+/// Guards against a refusing address that accepts connections because a process that was starting at the time
+/// inherited its listener, or because another test has been given its port. Requests are then lost instead of resent.
+#[test]
+fn refusing_address_refuses_while_other_processes_start() {
+    let done = AtomicBool::new(false);
+    let accepted = thread::scope(|scope| {
+        for _ in 0..PROCESS_STARTERS {
+            scope.spawn(|| {
+                while !done.load(Ordering::Relaxed) {
+                    std::process::Command::new("true").status().unwrap();
+                }
+            });
+        }
+        let connects = |_: &u32| {
+            let refusing = RefusingAddress::new();
+            std::net::TcpStream::connect(refusing.address()).is_ok()
+        };
+        let accepted = (0..ATTEMPTS).filter(connects).count();
+        done.store(true, Ordering::Relaxed);
+        accepted
+    });
+    assert_eq!(accepted, 0);
+}
+
 /// Guards against requests that fail because one of several entries refuses connections.
 #[tokio::test]
 async fn requests_are_resent_to_a_reachable_entry() {
     let mut tasks = JoinSet::new();
     let target = target(0).await;
     let entry = start_forwarder(&mut tasks, target.address(), Behaviour::Forward).await;
-    let mut settings = settings(vec![refusing_address().await, entry], target.address());
+    let refusing = RefusingAddress::new();
+    let mut settings = settings(vec![refusing.address(), entry], target.address());
     settings.kinds.push(kind("plain", "POST", false));
     let report = run(&settings).await;
     let requests: u64 = report.kinds.values().map(|kind| kind.requests).sum();
--- a/crates/lab/tests/lab/target.rs
+++ b/crates/lab/tests/lab/target.rs
@@ -5,8 +5,9 @@
 use comfreyhold_lab::http::{self, Client, Sent, json, text};
 use comfreyhold_lab::lock;
 use comfreyhold_lab::packet::{self, Content, TcpFields};
+use comfreyhold_lab::ports::Ports;
 use comfreyhold_lab::runlog::{RunOutcome, RunRecord};
-use comfreyhold_lab::scenario::{Process, wait_until};
+use comfreyhold_lab::scenario::{Process, stop_before_start_line, wait_until};
 use comfreyhold_lab::service_time::ServiceTime;
 use comfreyhold_lab::target::{ColdStart, Target, TargetReport, TargetSettings};
 use comfreyhold_lab::target_tasks::Announcement;
@@ -17,6 +18,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::process::Command;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -61,6 +63,17 @@
     assert!(process.terminate(LIMIT).await.unwrap().success());
 }
 
+/// Guards against a process that a signal ends without an orderly stop because it arrives directly after the start
+/// line, or before it: `up` then leaves its daemons running.
+#[tokio::test]
+async fn signal_before_the_start_line_stops_the_process_in_order() {
+    let address = Ports::anywhere().give().unwrap();
+    let mut command = Command::new(program());
+    command.args(["target", "--service", "orders", "--listen", &address.to_string()]);
+    let status = stop_before_start_line(command, address).await.unwrap();
+    assert!(status.success(), "{status}");
+}
+
 /// Guards against stand-in processes that run on after their run limit.
 #[tokio::test]
 async fn binary_stops_at_its_run_limit() {
