--- a/crates/fleet/tests/fleet/link.rs
+++ b/crates/fleet/tests/fleet/link.rs
@@ -1,6 +1,7 @@
 //! An entry that sends over a link of a stated rate.
 
 use crate::feed::{announcement, publication};
+use crate::log_lines;
 use comfreyhold_fleet::control::{Control, ControlHandle};
 use comfreyhold_fleet::entry::{Entry, PacketCodec, PacketError};
 use comfreyhold_fleet::settings::FleetSettings;
@@ -12,7 +13,7 @@
 use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 use tempfile::TempDir;
 use tokio::net::UdpSocket;
@@ -267,31 +268,10 @@
     assert_eq!(deployment.resets(refused.len()).await, refused);
 }
 
-/// Lines of the log about links.
-static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
-
-struct LineLog;
-
-impl log::Log for LineLog {
-    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
-        true
-    }
-
-    fn log(&self, record: &log::Record<'_>) {
-        let line = record.args().to_string();
-        if line.contains("\"kind\":\"link\"") || line.contains("\"reason\":\"link-full\"") {
-            LINES.lock().unwrap().push(line);
-        }
-    }
-
-    fn flush(&self) {}
-}
-
 /// Guards against a full link that operators can't see.
 #[tokio::test]
 async fn a_used_queue_and_refusals_are_logged() {
-    log::set_logger(&LineLog).unwrap();
-    log::set_max_level(log::LevelFilter::Info);
+    log_lines::collect();
     LocalSet::new().run_until(check_log()).await;
 }
 
@@ -301,7 +281,7 @@
     deployment.send_burst().await;
     deployment.forwarded(usize::from(ADMITTED - 1)).await;
     deployment.assert_target_is_quiet().await;
-    let lines = LINES.lock().unwrap().clone();
+    let lines = log_lines::all();
     let find = |parts: &[&str]| {
         let found = lines.iter().any(|line| parts.iter().all(|part| line.contains(part)));
         assert!(found, "no line with {parts:?} in {lines:?}");
--- a/crates/fleet/tests/fleet/load.rs
+++ b/crates/fleet/tests/fleet/load.rs
@@ -63,7 +63,8 @@
     SocketAddr::from((Ipv4Addr::new(127, high, low, host), 7902))
 }
 
-async fn start_control(host: u8, seeds: &[u8], folder: &Path) -> (Rc<Control>, ControlHandle) {
+/// Starts a control daemon on the loopback.
+pub async fn start_control(host: u8, seeds: &[u8], folder: &Path) -> (Rc<Control>, ControlHandle) {
     Control::start(settings(host, seeds, folder, ""), Arc::new(SystemClock)).await.unwrap()
 }
 
@@ -71,7 +72,12 @@
     pool.call(address(to), request, DEADLINE).await.unwrap()
 }
 
-async fn send_report(pool: &ConnectionPool, to: u8, report: LoadReport) -> Result<LoadTotals, u8> {
+/// Sends a report as an entry, and returns the totals or the code of the refusal.
+pub async fn send_report(
+    pool: &ConnectionPool,
+    to: u8,
+    report: LoadReport,
+) -> Result<LoadTotals, u8> {
     match call(pool, to, &FleetRequest::Load(Some(Box::new(report)))).await {
         FleetResponse::Load(result) => result.map(|totals| *totals),
         other => panic!("unexpected response {other:?}"),
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -3,12 +3,14 @@
 
 #![allow(clippy::unwrap_used, clippy::panic)]
 
+mod capacity;
 mod controls;
 mod early_packets;
 mod feed;
 mod late_orders;
 mod link;
 mod load;
+mod log_lines;
 mod peers;
 mod saves;
 mod settings;
