Start no attempt in the last millisecond before its deadline

Cause: an entry started an attempt whenever a slot was granted before its timer had ended the request. A grant that came at the deadline was passed to the target with 0 ms left; the target ran the request, and the caller was told that it may have run (2002). Seen once in 7 runs of answers::faulty_answers_and_bad_input_get_their_codes: "0 ms of 1500 were passed to the target".

Change: with less than a millisecond left, the grant is returned unused, and the request ends as not run.

Measured: the new test of crates/request failed before (an attempt was started with 0 ns left); all tests of the crate pass.

--- a/crates/request/src/client.rs
+++ b/crates/request/src/client.rs
@@ -23,6 +23,10 @@
 /// Longest time between two resends of an acquire.
 pub const MAX_RESEND_INTERVAL: Duration = Duration::from_millis(480);
 
+/// Time before the deadline from which no attempt is started. Targets are told the remaining time in whole milliseconds:
+/// with less, one was told 0 ms and ran a request whose caller was answered at the same moment.
+const MIN_REMAINING: Duration = Duration::from_millis(1);
+
 /// Longest time between two messages to a dispatcher at which requests wait. It grants only to
 /// entries whose last message is at most [`crate::dispatcher::ENTRY_TIMEOUT`] old.
 pub const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(25);
@@ -226,11 +230,12 @@
         let allowed = !fenced && self.directory.is_domain_allowed(pool.domain);
         let Some(mut request) = self.take_request(attempt.request) else { return false };
         let mut used = false;
+        let remaining = request.params.deadline.saturating_duration_since(now);
+        let startable = allowed && remaining >= MIN_REMAINING;
         request.stage = match request.stage {
-            AttemptStage::Queued(queued, _) if queued.id == attempt && allowed => {
+            AttemptStage::Queued(queued, _) if queued.id == attempt && startable => {
                 used = true;
                 request.granted_attempts += 1;
-                let remaining = request.params.deadline.saturating_duration_since(now);
                 out.push(Action::Start { attempt, target, incarnation, remaining });
                 AttemptStage::Granted(queued.granted(grant, target))
             }
--- a/crates/request/tests/client.rs
+++ b/crates/request/tests/client.rs
@@ -12,7 +12,7 @@
 use comfreyhold_types::profile::RetryRule;
 use common::{address, ms};
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 const SERVICE: ServiceId = ServiceId(1);
 
@@ -363,3 +363,26 @@
     let expected = [ResultCode::DeadlineBeforeStart, ResultCode::DeadlineWhileRunning];
     assert_eq!(codes, BTreeSet::from(expected));
 }
+
+/// Guards against a request that runs although no time is left for its answer, and whose caller is told that it may
+/// have run: a grant in the last millisecond before the deadline, or after it, is returned unused.
+#[test]
+fn a_grant_at_the_deadline_starts_nothing() {
+    let t = Instant::now();
+    let late =
+        [ms(5_000), ms(5_000) - Duration::from_micros(1), ms(4_999) + Duration::from_micros(1)];
+    for (after, starts) in late.map(|after| (after, false)).into_iter().chain([(ms(4_999), true)]) {
+        let mut client = client(t, &[(1, 5)]);
+        let mut out = Vec::new();
+        client.begin(t, request(t, false), &mut out);
+        let (_, attempt) = sent_acquire(&out).expect("an acquire");
+        let actions = client.handle(t + after, grant(attempt, 1, 1));
+        let started = actions.iter().any(|action| matches!(action, Action::Start { .. }));
+        assert_eq!(started, starts, "{after:?}: {actions:?}");
+        assert_eq!(released(&actions), (!starts).then_some(SlotOutcome::Unused), "{after:?}");
+        // A call at the deadline ends the request itself.
+        let over = [actions, client.handle(t + ms(5_000), Event::Tick)].concat();
+        // Nothing was written, so that nothing has run.
+        assert_eq!(finished(&over), Some(ResultCode::DeadlineBeforeStart), "{after:?}: {over:?}");
+    }
+}
