Share the plays of the overload and capacity tests between threads

Cause: the plays of a test ran one after another; the longest test decided the time of its file.

Every play, check, bound and seed is as it was.

--- a/crates/flow/tests/capacity.rs
+++ b/crates/flow/tests/capacity.rs
@@ -4,6 +4,8 @@
 #![allow(clippy::unwrap_used)]
 
 mod capacity_support;
+#[allow(dead_code)]
+mod parallel;
 
 use capacity_support::figures::SIZES;
 use capacity_support::{CHANGE, CHANGE_INTERVAL, Figures, Play, Scenario, Size, Way};
@@ -25,8 +27,8 @@
 /// Runs all ways to place in a scenario at one size, and prints a line of the table for each.
 fn compare(size: Size, scenario: Scenario, seed: u64) -> Vec<(Way, Figures)> {
     let mut results = Vec::new();
-    for way in Way::iter() {
-        let mut figures = Play::new(size, scenario, way, seed).run();
+    let plays = parallel::map(Way::iter(), |way| (way, Play::new(size, scenario, way, seed).run()));
+    for (way, mut figures) in plays {
         let bound = if scenario == Scenario::Refusing { 0.1 } else { 0.5 };
         let has_change = matches!(scenario, Scenario::Changing | Scenario::Refusing);
         let left = figures.follows(CHANGE, |share| share < bound).filter(|_| has_change);
@@ -56,8 +58,8 @@
 ) -> Vec<Figures> {
     let position = results.iter().position(|(way, _)| *way == Way::Learned).unwrap();
     let first = results.swap_remove(position).1;
-    let others = SEEDS[1..].iter().map(|seed| Play::new(size, scenario, Way::Learned, *seed).run());
-    std::iter::once(first).chain(others).collect()
+    let run = |seed: &u64| Play::new(size, scenario, Way::Learned, *seed).run();
+    std::iter::once(first).chain(parallel::map(&SEEDS[1..], run)).collect()
 }
 
 fn figures_of(results: &[(Way, Figures)], way: Way) -> &Figures {
@@ -86,7 +88,8 @@
     for (size, factor) in SIZES.map(|size| (size, 2.0)).into_iter().chain([(SIZES[1], 4.5)]) {
         let size = Size { per_s: size.per_s * factor, ..size };
         let play = |way| Play::new(size, Scenario::Even, way, SEEDS[0]).run();
-        let (learned, announced) = (play(Way::Learned), play(Way::Announced));
+        let mut plays = parallel::map([Way::Learned, Way::Announced], play).into_iter();
+        let (learned, announced) = (plays.next().unwrap(), plays.next().unwrap());
         println!(
             "even, {} entries, load x {factor}: late {:.3} and {:.3} without learning, refusals {} and {}, uneven {:.4}",
             size.entries,
--- a/crates/flow/tests/overload.rs
+++ b/crates/flow/tests/overload.rs
@@ -6,6 +6,8 @@
 #![allow(clippy::unwrap_used)]
 
 mod overload_support;
+#[allow(dead_code)]
+mod parallel;
 
 use overload_support::{Load, Outcomes, Play};
 use std::time::Duration;
@@ -19,32 +21,43 @@
     Duration::from_secs_f64(seconds)
 }
 
-fn play(deployment: (usize, usize, u32), load: Load, seed: u64, limited: bool) -> Outcomes {
+/// Entries, targets and slots of a target; load; and seed.
+type Case = ((usize, usize, u32), Load, u64);
+
+fn play((deployment, load, seed): Case, limited: bool) -> Outcomes {
     Play::new(deployment, load, seed, limited).run()
 }
 
+/// Plays each case with the limit and without it.
+fn play_both(cases: &[Case]) -> Vec<(Outcomes, Outcomes)> {
+    let plays = cases.iter().cloned().flat_map(|case| [(case.clone(), true), (case, false)]);
+    let mut outcomes = parallel::map(plays, |(case, limited)| play(case, limited)).into_iter();
+    std::iter::from_fn(|| Some((outcomes.next()?, outcomes.next()?))).collect()
+}
+
 /// Guards against queues in which every request becomes late: all callers send several times as much for some
 /// seconds. With the limit, at least half as many again are served in time, and at most a twentieth more go
 /// without an answer.
 #[test]
 fn a_burst_is_served_in_time_as_far_as_the_slots_allow() {
-    for deployment in DEPLOYMENTS {
-        // Three times what all slots together can do.
-        let load = Load {
-            utilisation: 0.35,
-            burst: Some((seconds(2.0)..seconds(5.0), 3.0 / 0.35)),
-            ..Load::default()
-        };
+    // Three times what all slots together can do.
+    let load = Load {
+        utilisation: 0.35,
+        burst: Some((seconds(2.0)..seconds(5.0), 3.0 / 0.35)),
+        ..Load::default()
+    };
+    let mut cases = Vec::new();
+    // The largest deployment takes longest, so it begins first.
+    for deployment in DEPLOYMENTS.into_iter().rev() {
         let seeds = if deployment.0 > 30 { &SEEDS[..1] } else { &SEEDS[..] };
-        for seed in seeds {
-            let with = play(deployment, load.clone(), *seed, true);
-            let without = play(deployment, load.clone(), *seed, false);
-            let context =
-                format!("{deployment:?}, seed {seed}: {with:?} without the limit {without:?}");
-            assert!(with.in_time * 2 >= without.in_time * 3, "{context}");
-            assert!(with.unserved * 20 <= without.unserved * 21, "{context}");
-            assert!(with.refused_by_targets < without.refused_by_targets / 2, "{context}");
-        }
+        cases.extend(seeds.iter().map(|seed| (deployment, load.clone(), *seed)));
+    }
+    for ((deployment, _, seed), (with, without)) in cases.iter().zip(play_both(&cases)) {
+        let context =
+            format!("{deployment:?}, seed {seed}: {with:?} without the limit {without:?}");
+        assert!(with.in_time * 2 >= without.in_time * 3, "{context}");
+        assert!(with.unserved * 20 <= without.unserved * 21, "{context}");
+        assert!(with.refused_by_targets < without.refused_by_targets / 2, "{context}");
     }
 }
 
@@ -58,10 +71,9 @@
         let load = Load { utilisation: 0.7, outage: Some(outage.clone()), ..Load::default() };
         let (mut with_total, mut without_total, mut begun_total) = (0, 0, 0);
         let seeds = if deployment.0 > 5 { &SEEDS[..1] } else { &SEEDS[..] };
-        for seed in seeds.iter().copied() {
+        let cases: Vec<Case> = seeds.iter().map(|seed| (deployment, load.clone(), *seed)).collect();
+        for (with, without) in play_both(&cases) {
             let after = outage.end + seconds(0.5)..outage.end + seconds(1.5);
-            let with = play(deployment, load.clone(), seed, true);
-            let without = play(deployment, load.clone(), seed, false);
             with_total += with.in_time_of(&after);
             without_total += without.in_time_of(&after);
             begun_total += with.begun_in(&after);
@@ -79,7 +91,8 @@
 /// times as long, with targets that answer nothing, and with entries that start anew one after another.
 #[test]
 fn without_overload_nothing_is_refused_or_held() {
-    for deployment in DEPLOYMENTS {
+    let mut cases: Vec<Case> = Vec::new();
+    for deployment in DEPLOYMENTS.into_iter().rev() {
         let loads = [
             Load { utilisation: 0.5, ..Load::default() },
             Load { utilisation: 0.4, slow_share: 0.15, ..Load::default() },
@@ -88,15 +101,14 @@
         ];
         // The largest deployment takes as long as the others together.
         let loads = if deployment.0 > 30 { &loads[..1] } else { &loads[..] };
-        for load in loads {
-            let outcomes = play(deployment, load.clone(), 5, true);
-            let context = format!("{deployment:?}, {load:?}: {outcomes:?}");
-            assert_eq!(outcomes.refused_by_entries, 0, "{context}");
-            // A restarted entry may hold an opening for a moment until it knows that there is room.
-            assert!(outcomes.held * 200 <= outcomes.begun.len(), "{context}");
-            let without = play(deployment, load.clone(), 5, false);
-            assert!(outcomes.in_time * 100 >= without.in_time * 99, "{context} {without:?}");
-        }
+        cases.extend(loads.iter().map(|load| (deployment, load.clone(), 5)));
+    }
+    for ((deployment, load, _), (outcomes, without)) in cases.iter().zip(play_both(&cases)) {
+        let context = format!("{deployment:?}, {load:?}: {outcomes:?}");
+        assert_eq!(outcomes.refused_by_entries, 0, "{context}");
+        // A restarted entry may hold an opening for a moment until it knows that there is room.
+        assert!(outcomes.held * 200 <= outcomes.begun.len(), "{context}");
+        assert!(outcomes.in_time * 100 >= without.in_time * 99, "{context} {without:?}");
     }
 }
 
@@ -109,7 +121,7 @@
         ..Load::default()
     };
     for seed in SEEDS {
-        let outcomes = play(DEPLOYMENTS[0], load.clone(), seed, true);
+        let outcomes = play((DEPLOYMENTS[0], load.clone(), seed), true);
         assert!(outcomes.refused_by_entries > 0, "the load is too low to show anything");
         assert_eq!(outcomes.run_after_refusal, 0);
     }
