--- a/crates/fleet/tests/fleet/capacity.rs
+++ b/crates/fleet/tests/fleet/capacity.rs
@@ -172,7 +172,7 @@
 
 async fn check_slow_target(metrics: PrometheusHandle) {
     log_lines::collect();
-    let mut deployment = Deployment::start(81, 8, metrics).await;
+    let mut deployment = Deployment::start(201, 8, metrics).await;
     let none = 0..=0;
     for _ in 0..8 {
         deployment.report(&none).await;
@@ -208,7 +208,7 @@
 
 async fn check_series(metrics: PrometheusHandle) {
     log_lines::collect();
-    let mut deployment = Deployment::start(91, 600, metrics).await;
+    let mut deployment = Deployment::start(211, 600, metrics).await;
     let all_slow = |range: RangeInclusive<u64>| {
         move |slots: &BTreeMap<u64, f64>| {
             let is_slow = |id: u64| slots.get(&id).is_some_and(|slots| *slots < 1.0);
