Hold no openings up for attempts from before an entry's start

Cause, from their reset lines: 34 to 68 requests counted as in flight at each entry, of which nearly all were openings that callers had given up, and flows that had fallen silent; the limit was 16 to 22. The rule that a target's load beyond the allowance is left out had hidden them before, until it was restricted to slow targets.

Openings without an answer now count for 0.2 s after their last copy (1 s before), silent flows with one request for 1 s (3 s), and an entry leaves out what any target has beyond its allowance for 2 s after its first opening. The new test fails without the change; those of silent_flows follow the new times, those of the reserve start 2 s after the entry.

--- a/crates/flow/src/cookie/admission/share.rs
+++ b/crates/flow/src/cookie/admission/share.rs
@@ -26,6 +26,11 @@
 /// Time in which an entry that has started has no demand of its own to go by.
 const JOIN_PERIOD: Duration = Duration::from_secs(1);
 
+/// Time after an entry's first opening in which its requests in flight include attempts that their callers give up: an
+/// attempt lasts 1.4 s, and its packets may have waited for the entry. After a loss of power on 37 entries, shares
+/// refused 12,000 openings in 4 s for these.
+const START_PERIOD: Duration = Duration::from_secs(2);
+
 /// Weight of the newest totals in the entry's part of its domain. An interval of 250 ms has few openings at a
 /// small entry.
 const PART_WEIGHT: f64 = 0.2;
@@ -141,7 +146,7 @@
         if age >= JOIN_PERIOD && totals.domain_per_s > 0.0 {
             share.own_part = own_part(totals);
         }
-        share.scan(input, now);
+        share.scan(input, age, now);
         share.update_domain_part(input, totals, usual);
         share
     }
@@ -158,7 +163,7 @@
         let is_new = totals.received != self.received;
         let is_due = now >= self.scanned + SCAN_INTERVAL;
         if is_due {
-            self.scan(input, now);
+            self.scan(input, age, now);
         }
         if is_new {
             let interval = totals.received.saturating_duration_since(self.received);
@@ -242,11 +247,11 @@
         }
     }
 
-    fn scan(&mut self, input: &ShareInput<'_>, now: Instant) {
+    fn scan(&mut self, input: &ShareInput<'_>, age: Duration, now: Instant) {
         (self.in_flight, self.forwarded) = (0.0, 0.0);
         let (mut ready, mut all) = (0.0, 0.0);
         for (_, target) in input.directory.iter_service(input.service) {
-            self.in_flight += target.load * served_part(target, now);
+            self.in_flight += target.load * served_part(target, age, now);
             if takes_flows(target, input) {
                 let slots = admission_slots(target, now);
                 all += slots;
@@ -361,8 +366,9 @@
 }
 
 /// Part of a target's load that counts against the share. Requests that pile up at a slow target take no place elsewhere.
-fn served_part(target: &Target, now: Instant) -> f64 {
-    if target.effective_slots(now) >= target.announced_slots() {
+/// Nor do requests beyond it at an entry that has just started: they are attempts that callers made while nothing ran.
+fn served_part(target: &Target, age: Duration, now: Instant) -> f64 {
+    if age >= START_PERIOD && target.effective_slots(now) >= target.announced_slots() {
         return 1.0;
     }
     let allowed = admission_slots(target, now) * ALLOWED_PER_SLOT;
--- a/crates/flow/src/cookie/flows.rs
+++ b/crates/flow/src/cookie/flows.rs
@@ -20,15 +20,15 @@
 /// shows the answer; a request without one has been abandoned by then.
 const MAX_SINGLE_REQUEST_TIME: Duration = Duration::from_secs(3);
 
-/// Time after the last packet for which an opening without an answer counts as load. Its copies come within 800 ms of
-/// each other; after that its caller has given the attempt up.
-const MAX_OPENING_TIME: Duration = Duration::from_secs(1);
-
-/// Time after the last packet for which a flow with one request counts as load between the packets that show it. Its
-/// caller has given the request up by then, or a download would have been acknowledged further. Without it, the flows that
-/// callers left without a word in a loss of power counted until the idle timeout of 15 s, and shares refused openings at
-/// a thirtieth of the slots in use.
-const MAX_SILENT_TIME: Duration = Duration::from_secs(3);
+/// Time after the last packet for which an opening without an answer counts as load. A target that accepts it answers within
+/// a round trip; otherwise the caller's next copy comes after 200 ms and counts anew.
+const MAX_OPENING_TIME: Duration = Duration::from_millis(200);
+
+/// Time after the last packet for which a flow with one request counts as load between the packets that show it. By then
+/// its request is late, and a download would have been acknowledged further. Without it, the flows that callers left
+/// without a word in a loss of power counted until the idle timeout of 15 s, and shares refused openings at a thirtieth
+/// of the slots in use.
+const MAX_SILENT_TIME: Duration = Duration::from_secs(1);
 
 /// Time for which a finished flow is kept, so that its last packets reach the same target.
 const FINISHED_RETENTION: Duration = Duration::from_secs(3);
--- a/crates/flow/tests/admission_reserve.rs
+++ b/crates/flow/tests/admission_reserve.rs
@@ -23,6 +23,9 @@
 /// Requests that may be in flight at all targets of two slots.
 const LIMIT: f64 = 60.0;
 
+/// Time after its first opening in which an entry counts as just started.
+const START: Duration = Duration::from_secs(2);
+
 const TOP: u8 = 1;
 const LOWER: u8 = 2;
 
@@ -67,6 +70,14 @@
         Self { control: AdmissionControl::default(), directory, now, last_port: 0 }
     }
 
+    /// An entry that has run for longer than its start takes.
+    fn running() -> Self {
+        let mut fixture = Self::new();
+        fixture.control.record_forwarded(SERVICE, fixture.now);
+        fixture.now += START;
+        fixture
+    }
+
     /// Spreads requests in flight of both priorities over all targets.
     fn set_load(&mut self, top: f64, lower: f64) {
         let parts = [(TOP, top), (LOWER, lower)].map(|(p, load)| (p, load / f64::from(TARGETS)));
@@ -135,7 +146,7 @@
 /// a highest priority without a limit.
 #[test]
 fn the_highest_priority_is_limited_by_its_own_requests() {
-    let mut fixture = Fixture::new();
+    let mut fixture = Fixture::running();
     fixture.set_load(0.0, LIMIT);
     assert!(!fixture.admits(LOWER), "the limit is in use");
     assert!(fixture.admits(TOP));
@@ -155,7 +166,7 @@
 /// without a bound.
 #[test]
 fn what_the_highest_priority_is_expected_to_ask_for_is_kept_free() {
-    let mut fixture = Fixture::new();
+    let mut fixture = Fixture::running();
     fixture.set_load(0.0, 0.0);
     assert!(fixture.admits(LOWER));
     fixture.run_top(100);
@@ -177,7 +188,7 @@
 /// Guards against slots that stay empty for urgent openings that no longer come.
 #[test]
 fn an_unused_reserve_is_given_back_within_a_second() {
-    let mut fixture = Fixture::new();
+    let mut fixture = Fixture::running();
     fixture.set_load(0.0, 0.0);
     assert!(fixture.admits(LOWER));
     fixture.run_top(200);
@@ -191,10 +202,26 @@
     assert!(fixture.admits(LOWER));
 }
 
+/// Guards against an entry that starts after a loss of power and refuses all openings, because callers have given up those
+/// that it forwarded first: what a target has beyond its allowance counts from 2 s on.
+#[test]
+fn attempts_from_before_the_start_hold_no_opening_up() {
+    let mut fixture = Fixture::new();
+    fixture.control.record_forwarded(SERVICE, fixture.now);
+    // On one target in two, which leaves half of the limit.
+    for (number, target) in fixture.directory.iter_mut().enumerate() {
+        let load = if number % 2 == 0 { 0.4 * LIMIT } else { 0.0 };
+        set_load(target, [(TOP, 0.0), (LOWER, load)]);
+    }
+    assert!(fixture.admits(LOWER));
+    fixture.now += START;
+    assert!(!fixture.admits(LOWER));
+}
+
 /// Guards against a highest priority that fills the limit and starves the others.
 #[test]
 fn others_keep_a_fifth_of_the_requests() {
-    let mut fixture = Fixture::new();
+    let mut fixture = Fixture::running();
     assert!(fixture.admits(TOP));
     fixture.set_load(LIMIT, 0.2 * LIMIT);
     assert!(fixture.admits(LOWER));
@@ -205,7 +232,7 @@
 /// Guards against a service with routes of one priority that has a reserve.
 #[test]
 fn a_single_priority_has_no_reserve() {
-    let mut fixture = Fixture::new();
+    let mut fixture = Fixture::running();
     fixture.run_top(100);
     assert_eq!(fixture.status().reserve, Some(0.0));
     fixture.set_load(0.5 * LIMIT, 0.5 * LIMIT);
@@ -216,7 +243,7 @@
 /// targets have free slots.
 #[test]
 fn requests_at_slow_targets_take_no_place_elsewhere() {
-    let mut fixture = Fixture::new();
+    let mut fixture = Fixture::running();
     let now = fixture.now;
     for target in fixture.directory.iter_mut() {
         let is_slow = target.spec.id.0 <= 3;
