--- a/review/standin-2/cold_restart.rs
+++ b/review/standin-2/cold_restart.rs
@@ -12,7 +12,7 @@
 
 const ZONES: [&str; 2] = ["za", "zb"];
 const BACKENDS_PER_ZONE: u8 = 3;
-const REQUESTS_PER_S: f64 = 40.0;
+const REQUESTS_PER_S: f64 = 60.0;
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
 /// Cold period of a backend, and the requests that it then bears in a second.
