--- a/review/standin-2/cluster.rs
+++ b/review/standin-2/cluster.rs
@@ -51,6 +51,8 @@
     pub heartbeat_ms: u64,
     /// Rate of the entries' links, in Mbit/s.
     pub entry_mbps: f64,
+    /// Machines with a disk that may be lost at once.
+    pub tolerated: usize,
     /// Whether the control daemons listen behind proxies for the other processes.
     pub has_proxies: bool,
 }
@@ -63,11 +65,15 @@
             entries_per_zone: 1,
             heartbeat_ms: 770,
             entry_mbps: 1_000.0,
+            tolerated: 1,
             has_proxies: false,
         }
     }
 }
 
+/// Tells process ids, which change with each start.
+pub type ProcessIds = Arc<dyn Fn() -> Vec<u32> + Send + Sync>;
+
 /// Children by machine; `None` while the process of a machine does not run.
 type Children = Arc<Mutex<Vec<Option<Child>>>>;
 
@@ -77,6 +83,7 @@
     pub block: u8,
     heartbeat_ms: u64,
     entry_mbps: f64,
+    tolerated: usize,
     has_proxies: bool,
     folder: PathBuf,
     children: Children,
@@ -106,8 +113,17 @@
             machines.push(Machine { role: Role::Entry, name: format!("front-{index}"), zone, ip });
         }
         let children = Arc::new(Mutex::new(machines.iter().map(|_| None).collect()));
-        let Shape { heartbeat_ms, entry_mbps, has_proxies, .. } = *shape;
-        Ok(Self { machines, block, heartbeat_ms, entry_mbps, has_proxies, folder, children })
+        let Shape { heartbeat_ms, entry_mbps, tolerated, has_proxies, .. } = *shape;
+        Ok(Self {
+            machines,
+            block,
+            heartbeat_ms,
+            entry_mbps,
+            tolerated,
+            has_proxies,
+            folder,
+            children,
+        })
     }
 
     /// Starts the processes of all machines.
@@ -120,12 +136,12 @@
         (Ipv4Addr::new(127, self.block, 5, machine.ip.octets()[3]), EXCHANGE_PORT).into()
     }
 
-    /// Tells the process ids of the entries, at any time.
-    pub fn entry_ids(&self) -> Arc<dyn Fn() -> Vec<u32> + Send + Sync> {
-        let (entries, children) = (self.with_role(Role::Entry), Arc::clone(&self.children));
+    /// Tells the process ids of some machines, at any time.
+    pub fn process_ids(&self, machines: Vec<usize>) -> ProcessIds {
+        let children = Arc::clone(&self.children);
         Arc::new(move || {
             let children = children.lock().unwrap_or_else(PoisonError::into_inner);
-            entries.iter().filter_map(|index| children[*index].as_ref()).map(Child::id).collect()
+            machines.iter().filter_map(|index| children[*index].as_ref()).map(Child::id).collect()
         })
     }
 
@@ -222,7 +238,7 @@
             text += &format!("  readiness: \"{ip}:{READINESS_PORT}\"\n");
         }
         text += &format!("announce_interval_ms: {}\n", self.heartbeat_ms);
-        text += "tolerate:\n  instances: 1\nbounds:\n  stop_s: 6\n";
+        text += &format!("tolerate:\n  instances: {}\nbounds:\n  stop_s: 6\n", self.tolerated);
         let mbps = if machine.role == Role::Entry { self.entry_mbps } else { 1_000.0 };
         text += &format!("limits:\n  link_mbps: {mbps:.1}\n");
         Ok(text)
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,8 +6,10 @@
 mod backend;
 mod client;
 mod cluster;
+mod core_cut;
 mod http;
 mod operator;
+mod owner;
 mod packet;
 mod record;
 mod slow_link;
@@ -16,6 +18,7 @@
 mod damaged_config;
 mod grown_config;
 mod slow_recovery;
+mod split_core;
 
 use record::Record;
 use std::path::Path;
@@ -51,6 +54,7 @@
         "grown-config" => grown_config::run(&record, with_trouble),
         "damaged-config" => damaged_config::run(&record, with_trouble),
         "slow-recovery" => slow_recovery::run(&record, with_trouble),
+        "split-core" => split_core::run(&record, with_trouble),
         "cold-restart" => cold_restart::run(&record, with_trouble),
         other => Err(format!("there is no case {other:?}")),
     };
--- a/review/standin-2/slow_link.rs
+++ b/review/standin-2/slow_link.rs
@@ -1,11 +1,11 @@
 //! A proxy before the control daemons, which gives each entry a link of a stated rate. Connections of other processes pass
 //! at full speed.
 
+use crate::cluster::ProcessIds;
+use crate::owner::owner_of;
 use std::collections::BTreeMap;
-use std::fs;
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -16,20 +16,17 @@
 /// Time at which the link of each entry is free again, by process id.
 type Links = Arc<Mutex<BTreeMap<u32, Instant>>>;
 
-/// Tells which processes are entries at the moment.
-pub type EntryIds = Arc<dyn Fn() -> Vec<u32> + Send + Sync>;
-
 /// Proxies of all control daemons.
 #[derive(Clone)]
 pub struct SlowLinks {
     bits_per_s: f64,
-    entries: EntryIds,
+    entries: ProcessIds,
     links: Links,
 }
 
 impl SlowLinks {
     /// Links of `mbps` for the processes that `entries` names.
-    pub fn new(mbps: f64, entries: EntryIds) -> Self {
+    pub fn new(mbps: f64, entries: ProcessIds) -> Self {
         Self { bits_per_s: mbps * 1_000_000.0, entries, links: Links::default() }
     }
 
@@ -51,7 +48,7 @@
         let Ok(server) = TcpStream::connect_timeout(&to, Duration::from_millis(300)) else {
             return;
         };
-        let entry = self.entry_of(&client);
+        let entry = owner_of(&client, &(self.entries)());
         let (Ok(client_copy), Ok(server_copy)) = (client.try_clone(), server.try_clone()) else {
             return;
         };
@@ -91,33 +88,4 @@
         drop(links);
         std::thread::sleep(wait);
     }
-
-    /// The entry that opened a connection; `None` if it was opened by another process.
-    fn entry_of(&self, client: &TcpStream) -> Option<u32> {
-        let (SocketAddr::V4(peer), SocketAddr::V4(own)) =
-            (client.peer_addr().ok()?, client.local_addr().ok()?)
-        else {
-            return None;
-        };
-        let socket = format!("socket:[{}]", inode_of(peer, own)?);
-        let is_socket = |to: PathBuf| to.as_os_str() == &socket[..];
-        (self.entries)().into_iter().find(|id| {
-            let files = fs::read_dir(format!("/proc/{id}/fd")).into_iter().flatten().flatten();
-            files.filter_map(|file| fs::read_link(file.path()).ok()).any(is_socket)
-        })
-    }
-}
-
-/// Inode of the socket between two addresses at the first one, from the table of this machine's connections.
-fn inode_of(local: SocketAddrV4, remote: SocketAddrV4) -> Option<String> {
-    let text = |address: SocketAddrV4| {
-        let ip = u32::from_le_bytes(address.ip().octets());
-        format!("{ip:08X}:{:04X}", address.port())
-    };
-    let (local, remote) = (text(local), text(remote));
-    let table = fs::read_to_string("/proc/net/tcp").ok()?;
-    table.lines().map(|row| row.split_whitespace().collect::<Vec<_>>()).find_map(|fields| {
-        let is_row = fields.get(1) == Some(&&local[..]) && fields.get(2) == Some(&&remote[..]);
-        is_row.then(|| fields.get(9).map(|inode| (*inode).to_owned()))?
-    })
 }
--- a/review/standin-2/slow_recovery.rs
+++ b/review/standin-2/slow_recovery.rs
@@ -37,7 +37,7 @@
     let entry_mbps = ENTRY_MBPS;
     let shape = Shape { zones: ZONES.to_vec(), entry_mbps, has_proxies: true, ..Shape::default() };
     let cluster = Cluster::new(&shape).map_err(|error| error.to_string())?;
-    let links = SlowLinks::new(ENTRY_MBPS, cluster.entry_ids());
+    let links = SlowLinks::new(ENTRY_MBPS, cluster.process_ids(cluster.with_role(Role::Entry)));
     for index in cluster.with_role(Role::Control) {
         let machine = &cluster.machines[index];
         let listen = SocketAddr::from((machine.ip, EXCHANGE_PORT));
