Accept and replicate configurations up to one limit

Cause: the door took documents of up to 4 MiB, and a message of a daemon holds 1 MiB. The proposer's own voter accepted the value (document, table and former services, 1.3 MB), and the calls to the other voters failed before they were sent. The operator's retries left such a value at each voter, so that each read was unsettled and each round began with a value that can't be sent. Change: one set of limits beside the route table. A document has 2 MiB at most, a table of entries 512 KiB, and what is kept of former services and withdrawn domains is bounded, so that the largest value fits a message (4 MiB), which the compiler checks. A round does not write a value that the other voters can't receive.

--- a/crates/daemon/src/reply.rs
+++ b/crates/daemon/src/reply.rs
@@ -1,6 +1,6 @@
 //! Builds HTTP responses and reads request bodies for gotham handlers.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use comfreyhold_types::prelude::ResultCode;
 use gotham::helpers::http::Body;
 use gotham::hyper::{Response, StatusCode, header};
@@ -12,6 +12,9 @@
 /// Response header with the number of the result code.
 pub const RESULT_CODE_HEADER: &str = "x-result-code";
 
+/// Size up to which a document that is too large is read to its end, in documents of the maximum size.
+const MAX_DROPPED_DOCUMENTS: usize = 16;
+
 /// Why a request body could not be read.
 #[derive(Debug, Error)]
 pub enum BodyError {
@@ -42,6 +45,27 @@
     }
 }
 
+/// Reads a document to its end. What follows the limit is read too, and dropped: a connection that is closed with unread
+/// bytes is reset, and its caller may lose the response that names the limit.
+///
+/// # Errors
+/// [`BodyError`] if the body exceeds `limit` bytes or ends early.
+pub async fn read_document(mut body: Body, limit: usize) -> Result<Bytes, BodyError> {
+    let mut document = BytesMut::new();
+    let mut received = 0_usize;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| BodyError::Incomplete(error.to_string()))?;
+        let Ok(data) = frame.into_data() else { continue };
+        received = received.saturating_add(data.len());
+        if received <= limit {
+            document.extend_from_slice(&data);
+        } else if received > limit.saturating_mul(MAX_DROPPED_DOCUMENTS) {
+            break;
+        }
+    }
+    if received > limit { Err(BodyError::TooLarge(limit)) } else { Ok(document.freeze()) }
+}
+
 /// Creates a JSON response. A value that can't be serialized gives [`ResultCode::BadFrame`].
 pub fn json<T: Serialize>(code: ResultCode, value: &T) -> Response<Body> {
     match serde_json::to_vec(value) {
--- a/crates/fleet/src/control/operations.rs
+++ b/crates/fleet/src/control/operations.rs
@@ -9,7 +9,7 @@
 use comfreyhold_types::announcement::{Announcement, AnnouncementError};
 use comfreyhold_types::codes::ResultCode;
 use comfreyhold_types::keys::TargetId;
-use comfreyhold_types::routes::{RoutePublication, StateChange};
+use comfreyhold_types::routes::{RoutePublication, SharedState, StateChange};
 use serde_json::json;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -206,6 +206,11 @@
         if has_gone(&mut reply).await {
             return self.record_abandoned(&order);
         }
+        if !self.is_within_limits(&order) {
+            self.record("order-refused", || order_fields(&order));
+            let _ = reply.send(Err(RegisterError::TooLarge));
+            return;
+        }
         let operation = RegisterOperation::Change(order.clone());
         tokio::select! {
             () = reply.closed() => self.record_abandoned(&order),
@@ -216,6 +221,13 @@
         }
     }
 
+    /// Whether the newest state known can take an order.
+    fn is_within_limits(&self, order: &StateChange) -> bool {
+        let StateChange::Withdraw { domain, out: true } = order else { return true };
+        let newest = self.register.newest_known();
+        newest.map_or_else(SharedState::default, |value| value.state.clone()).can_withdraw(domain)
+    }
+
     /// Carries out the end of a target, on the same conditions as an order: a target that has gone may have had it
     /// carried out elsewhere, and may have started again under its id.
     async fn serve_end(
--- a/crates/fleet/src/control/register.rs
+++ b/crates/fleet/src/control/register.rs
@@ -9,6 +9,10 @@
     AddressedRequest, Ballot, DiskId, RegisterRequest, RegisterResponse, RegisterValue, Replica,
 };
 use comfreyhold_types::codes::ResultCode;
+use comfreyhold_types::routes::{
+    MAX_DOMAIN_NAME_BYTES, MAX_PUBLICATION_BYTES, MAX_TABLE_BYTES, MAX_WITHDRAWN,
+};
+use comfreyhold_wire::envelope::{MAX_BODY_BYTES, encode_body};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use rand::RngExt;
@@ -48,6 +52,19 @@
 /// instead of whole tables.
 const MAX_CHOSEN_VALUES: usize = 8;
 
+/// Space for the voters and the remaining fields of the largest value, in bytes.
+const VOTERS_ALLOWANCE: usize = 4 * 1024;
+
+/// A value with a publication of the maximum size fits into a message: its document, its table, the former services, of
+/// which those of present routes are smaller than the table, and the withdrawn domains.
+const _: () = assert!(
+    MAX_PUBLICATION_BYTES
+        + 2 * MAX_TABLE_BYTES
+        + MAX_WITHDRAWN * (MAX_DOMAIN_NAME_BYTES + 2)
+        + VOTERS_ALLOWANCE
+        <= MAX_BODY_BYTES
+);
+
 /// Why the register could not be read or changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum RegisterError {
@@ -63,6 +80,12 @@
     /// The change is no longer wanted. It has not been made, and will not be.
     #[error("the order has waited for too long; it was not carried out")]
     Expired,
+    /// The state would exceed a limit. The change has not been made.
+    #[error(
+        "the shared state has a limit: {MAX_WITHDRAWN} withdrawn domains with names of \
+         {MAX_DOMAIN_NAME_BYTES} bytes, and {MAX_BODY_BYTES} bytes in all"
+    )]
+    TooLarge,
 }
 
 impl RegisterError {
@@ -72,6 +95,7 @@
         match self {
             Self::NoQuorum | Self::Contention | Self::NotJoined => ResultCode::NoQuorum,
             Self::Expired => ResultCode::OrderExpired,
+            Self::TooLarge => ResultCode::DocumentTooLarge,
         }
     }
 }
@@ -250,8 +274,11 @@
             let Some(response) = response else { continue };
             match round.handle_response(from, response) {
                 RoundProgress::Send(requests) => {
-                    if round.is_writing() && !requests.is_empty() && !is_wanted() {
-                        return Ok(RoundOutcome::Unwanted);
+                    if round.is_writing() && !requests.is_empty() {
+                        if !is_wanted() {
+                            return Ok(RoundOutcome::Unwanted);
+                        }
+                        check_size(&requests)?;
                     }
                     calls.extend(call_all(requests));
                 }
@@ -358,3 +385,14 @@
         }
     }
 }
+
+/// Checks that the other voters can receive a value. One that only the local voter accepts would be proposed again by each
+/// later round, and never be chosen.
+fn check_size(requests: &VoterRequests) -> Result<(), RegisterError> {
+    let Some((to, request)) = requests.first() else { return Ok(()) };
+    let addressed = AddressedRequest { to: to.disk, request: request.clone() };
+    encode_body(&FleetRequest::Vote(addressed)).map(|_| ()).map_err(|error| {
+        log::error!("register: a value can't be sent to the voters: {error}");
+        RegisterError::TooLarge
+    })
+}
--- a/crates/types/src/routes.rs
+++ b/crates/types/src/routes.rs
@@ -11,10 +11,30 @@
 use strum::{Display, EnumString};
 use thiserror::Error;
 
+/// Maximum size of a published document, in bytes: about 12,000 routes. Together with the other limits of this module it
+/// bounds the shared state, so that what is accepted can be replicated, stored and sent.
+pub const MAX_PUBLICATION_BYTES: usize = 2 * 1024 * 1024;
+
+/// Maximum size of a route table as it is sent to entries, in bytes. Over the slowest link of an entry (1.5 Mbit/s) that
+/// takes 2.8 s, and a publication has to be in effect after 4 s.
+pub const MAX_TABLE_BYTES: usize = 512 * 1024;
+
+/// Maximum number of withdrawn failure domains.
+pub const MAX_WITHDRAWN: usize = 256;
+
+/// Maximum length of the name of a withdrawn failure domain, in bytes.
+pub const MAX_DOMAIN_NAME_BYTES: usize = 255;
+
 /// Maximum number of service addresses in [`FormerServices`], unless more than that have a route now. Beyond
 /// it, addresses without a route are dropped: a flow outlives its route only by seconds.
 const MAX_FORMER_ADDRESSES: usize = 4_096;
 
+/// Size from which [`FormerServices`] holds nothing but the services of present routes, in bytes.
+const MAX_FORMER_BYTES: usize = 256 * 1024;
+
+/// Size of a service address in [`FormerServices`], beside its services, in bytes.
+const FORMER_ADDRESS_BYTES: usize = 8;
+
 /// Kind of the requests of a route, which decides whether they may be repeated.
 #[derive(
     Clone,
@@ -131,6 +151,16 @@
     /// The route with this name has no destination with a weight above 0.
     #[error("route {0:?} has no destination with a weight above 0")]
     NoDestination(String),
+    /// The document or its route table is too large.
+    #[error("the {part} of {bytes} bytes exceeds the limit of {limit}")]
+    TooLarge {
+        /// Part that is too large.
+        part: &'static str,
+        /// Its size in bytes.
+        bytes: usize,
+        /// Its maximum size in bytes.
+        limit: usize,
+    },
 }
 
 impl RouteError {
@@ -139,6 +169,7 @@
     pub fn code(&self) -> ResultCode {
         match self {
             Self::Unreadable(_) => ResultCode::BadDocument,
+            Self::TooLarge { .. } => ResultCode::DocumentTooLarge,
             _ => ResultCode::BadField,
         }
     }
@@ -294,6 +325,24 @@
     pub table: Arc<RouteTable>,
 }
 
+impl RoutePublication {
+    /// Builds a publication from a document and the table parsed from it.
+    ///
+    /// # Errors
+    /// The document exceeds [`MAX_PUBLICATION_BYTES`], or the table [`MAX_TABLE_BYTES`].
+    pub fn new(document: Vec<u8>, table: RouteTable) -> Result<Self, RouteError> {
+        check_size("document", document.len(), MAX_PUBLICATION_BYTES)?;
+        let encoded = postcard::to_stdvec(&table);
+        let encoded = encoded.map_err(|error| RouteError::Unreadable(error.to_string()))?;
+        check_size("route table", encoded.len(), MAX_TABLE_BYTES)?;
+        Ok(Self { document: Arc::new(document), table: Arc::new(table) })
+    }
+}
+
+fn check_size(part: &'static str, bytes: usize, limit: usize) -> Result<(), RouteError> {
+    if bytes > limit { Err(RouteError::TooLarge { part, bytes, limit }) } else { Ok(()) }
+}
+
 /// Services that each service address has led to in any publication so far. Packets of open flows are
 /// forwarded to these services only.
 pub type FormerServices = BTreeMap<SocketAddrV4, BTreeSet<String>>;
@@ -338,6 +387,13 @@
         declared.chain(self.former.values().flatten()).map(String::as_str)
     }
 
+    /// Whether a failure domain can be withdrawn without exceeding the limits of the state.
+    #[must_use]
+    pub fn can_withdraw(&self, domain: &DomainName) -> bool {
+        self.withdrawn.contains(domain)
+            || (self.withdrawn.len() < MAX_WITHDRAWN && domain.0.len() <= MAX_DOMAIN_NAME_BYTES)
+    }
+
     /// Applies a change and returns whether the state differs afterwards. A repeated change has no effect.
     pub fn apply(&mut self, change: &StateChange) -> bool {
         let changed = match change {
@@ -359,15 +415,32 @@
             let weighted = route.destinations.iter().filter(|d| d.weight > 0);
             services.extend(weighted.map(|d| d.service.clone()));
         }
-        let routes = &publication.table.routes;
-        while former.len() > MAX_FORMER_ADDRESSES.max(routes.len()) {
-            let Some(unrouted) = former.keys().find(|address| !routes.contains_key(address)) else {
-                break;
-            };
-            let unrouted = *unrouted;
-            former.remove(&unrouted);
-        }
+        limit_former(former, &publication.table.routes);
         self.publication = Some(publication.clone());
         true
     }
 }
+
+/// Drops services that addresses have led to, until the limits hold: first those of addresses without a route.
+fn limit_former(former: &mut FormerServices, routes: &BTreeMap<SocketAddrV4, Arc<Route>>) {
+    let size = |names: &BTreeSet<String>| {
+        FORMER_ADDRESS_BYTES + names.iter().map(|name| name.len() + 1).sum::<usize>()
+    };
+    let mut addresses = former.len();
+    let mut bytes: usize = former.values().map(size).sum();
+    let max_addresses = MAX_FORMER_ADDRESSES.max(routes.len());
+    former.retain(|address, names| {
+        let is_kept = (addresses <= max_addresses && bytes <= MAX_FORMER_BYTES)
+            || routes.contains_key(address);
+        if !is_kept {
+            addresses -= 1;
+            bytes -= size(names);
+        }
+        is_kept
+    });
+    if bytes > MAX_FORMER_BYTES {
+        for (address, names) in former {
+            names.retain(|name| routes.get(address).is_some_and(|route| route.leads_to(name)));
+        }
+    }
+}
--- a/crates/wire/src/envelope.rs
+++ b/crates/wire/src/envelope.rs
@@ -10,8 +10,9 @@
 /// Protocol version of this build. Messages of other versions are refused.
 pub const PROTOCOL_VERSION: u16 = 1;
 
-/// Maximum size of a message body, in bytes. Larger ones are neither sent nor accepted.
-pub const MAX_BODY_BYTES: usize = 1024 * 1024;
+/// Maximum size of a message body, in bytes. Larger ones are neither sent nor accepted. The largest message carries the
+/// whole state that operators have declared.
+pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
 /// Subsystem that handles a message.
 #[derive(
