Let a large message take the time that its bytes need

Cause: a call had a fixed deadline (1.1 s for what an entry asks, 0.8 s for a vote, 0.75 s between the older daemons), while the message that answers it grows with the configuration. 213 KB need 1.14 s on such a link. The caller closed the connection, which threw the copy away, and began anew at the next daemon. Change: when a deadline passes, a call goes on if its connection has moved 64 KiB/s since, a third of the slowest link. A silent peer is found as before; one that went silent within a large message, one deadline later. Heartbeats move less than that. Requests get the time that they need at 1 MiB/s beside their deadline, since the kernel's buffers hide how far a request has come. Test: wire/exchange::a_message_that_takes_longer_than_the_deadline_arrives fails before ("response timed out", 256 KiB at 1.5 Mbit/s with 200 ms) and passes now, five runs of five; a_call_on_a_connection_that_hardly_moves_times_out holds before and now.

--- a/crates/fleet/src/connections.rs
+++ b/crates/fleet/src/connections.rs
@@ -16,6 +16,10 @@
 /// delays packets by some hundred milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Rate at which a request arrives at least, in bytes per second. Large requests are those of proposers, which send a value
+/// to several voters over one link (170 Mbit/s or more), and voters decode and sync it with a part of a core.
+const MIN_REQUEST_BYTES_PER_S: f64 = 1024.0 * 1024.0;
+
 /// Interval at which connections are checked for use. Messages to daemons that are no partners follow each other within a
 /// second when many targets change, and otherwise after minutes.
 const UNUSED_AFTER: Duration = Duration::from_secs(10);
@@ -41,7 +45,8 @@
 }
 
 impl ConnectionPool {
-    /// Sends a request and waits for the response.
+    /// Sends a request and waits for the response. A large request has more time than `deadline`, and so has a response as
+    /// long as the connection moves bytes.
     ///
     /// # Errors
     /// No response within `deadline`, a broken connection, or an error code from the receiver.
@@ -84,8 +89,11 @@
         let client = Rc::clone(
             self.clients.borrow_mut().entry(to).or_insert_with(|| Rc::new(ExchangeClient::new(to))),
         );
-        let timeouts =
-            CallTimeouts { connect: self.connect_timeout.get().min(deadline), response: deadline };
+        let transfer = Duration::from_secs_f64(body.len() as f64 / MIN_REQUEST_BYTES_PER_S);
+        let timeouts = CallTimeouts {
+            connect: self.connect_timeout.get().min(deadline),
+            response: deadline + transfer,
+        };
         let call = async {
             let response = client.call(TOPIC, body, timeouts).await?;
             Ok((decode_body::<FleetResponse>(&response)?, response.len()))
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,6 +12,7 @@
 #[rustfmt::skip]
 pub mod peer_capnp;
 mod peer_link;
+pub mod progress;
 mod server;
 pub mod stats;
 pub mod transport;
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -3,6 +3,7 @@
 
 use crate::envelope::{Envelope, MAX_BODY_BYTES};
 use crate::peer_capnp::peer;
+use crate::progress::{ByteCount, CountedStream};
 use crate::stats::TransportStats;
 use crate::transport::Inbox;
 use capnp::capability::FromClientHook;
@@ -123,15 +124,17 @@
     });
 }
 
-/// Creates an RPC client on a connection. The returned system must be polled while the client is used.
+/// Creates an RPC client on a connection whose bytes are counted in `moved`. The returned system must be polled while the
+/// client is used.
 ///
 /// # Errors
 /// `TCP_NODELAY` can't be set.
 pub fn new_rpc_client<C: FromClientHook>(
     stream: TcpStream,
+    moved: ByteCount,
 ) -> std::io::Result<(C, RpcSystem<rpc_twoparty_capnp::Side>)> {
     stream.set_nodelay(true)?;
-    let (reader, writer) = stream.compat().split();
+    let (reader, writer) = CountedStream::new(stream.compat(), moved).split();
     let side = rpc_twoparty_capnp::Side::Client;
     let network = twoparty::VatNetwork::new(reader, writer, side, reader_options());
     let mut rpc_system = RpcSystem::new(Box::new(network), None);
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -21,6 +21,10 @@
 const SHORT_TIMEOUT: Duration = Duration::from_millis(200);
 const REFUSED_TOPIC: u16 = 9;
 
+/// Topic whose response is [`LARGE`].
+const LARGE_TOPIC: u16 = 8;
+static LARGE: [u8; 256 * 1_024] = [7; 256 * 1_024];
+
 struct Echo;
 
 impl Responder for Echo {
@@ -29,8 +33,12 @@
         topic: u16,
         body: Vec<u8>,
     ) -> LocalBoxFuture<'static, Result<Vec<u8>, ResultCode>> {
-        let refused = topic == REFUSED_TOPIC;
-        async move { if refused { Err(ResultCode::BadFrame) } else { Ok(body) } }.boxed_local()
+        let response = match topic {
+            REFUSED_TOPIC => Err(ResultCode::BadFrame),
+            LARGE_TOPIC => Ok(LARGE.to_vec()),
+            _ => Ok(body),
+        };
+        std::future::ready(response).boxed_local()
     }
 }
 
@@ -99,6 +107,66 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Rate of the slowest link of an instance, in bytes per second (1.5 Mbit/s).
+const SLOWEST_LINK_BYTES_PER_S: f64 = 187_500.0;
+
+/// Starts a proxy to `upstream` that delivers at a rate, in each direction.
+async fn start_slow_proxy(upstream: SocketAddr, bytes_per_s: f64) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::task::spawn_local(async move {
+        loop {
+            let (client, _) = listener.accept().await.unwrap();
+            let server = TcpStream::connect(upstream).await.unwrap();
+            let (client_read, client_write) = client.into_split();
+            let (server_read, server_write) = server.into_split();
+            tokio::task::spawn_local(forward_slowly(client_read, server_write, bytes_per_s));
+            tokio::task::spawn_local(forward_slowly(server_read, client_write, bytes_per_s));
+        }
+    });
+    address
+}
+
+async fn forward_slowly(
+    mut from: tokio::net::tcp::OwnedReadHalf,
+    mut to: tokio::net::tcp::OwnedWriteHalf,
+    bytes_per_s: f64,
+) {
+    let mut buf = [0; 4_096];
+    while let Ok(len @ 1..) = from.read(&mut buf).await {
+        tokio::time::sleep(Duration::from_secs_f64(len as f64 / bytes_per_s)).await;
+        if to.write_all(&buf[..len]).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Guards against a large message that is given up and begun anew each time, since it takes longer than the deadline of a
+/// call over a slow link (review/7).
+#[tokio::test]
+async fn a_message_that_takes_longer_than_the_deadline_arrives() {
+    let test = async {
+        let proxy = start_slow_proxy(start_server().await, SLOWEST_LINK_BYTES_PER_S).await;
+        let client = ExchangeClient::new(proxy);
+        // It takes more than a second, and the call has 200 ms.
+        let response = client.call(LARGE_TOPIC, b"", timeouts(SHORT_TIMEOUT)).await;
+        assert!(response.as_ref().is_ok_and(|body| *body == LARGE), "{:?}", response.err());
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a peer that moves a few bytes now and then and keeps a call waiting for ever.
+#[tokio::test]
+async fn a_call_on_a_connection_that_hardly_moves_times_out() {
+    let test = async {
+        let proxy = start_slow_proxy(start_server().await, 16.0 * 1_024.0).await;
+        let client = ExchangeClient::new(proxy);
+        let response = client.call(LARGE_TOPIC, b"", timeouts(SHORT_TIMEOUT)).await;
+        assert!(matches!(response, Err(WireError::Disconnected(_))), "{:?}", response.err());
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// Guards against a refusal that is returned as a response or closes the connection, and against sending
 /// bodies that the peer would refuse.
 #[tokio::test]
