Send large route tables in parts, once to each entry

With its deadline mended, a copy still began anew whenever its connection broke, was sent by both control daemons that an entry watches, and held up all other changes of the same daemon: 0.64 MB, the most that the limits allow, take 3.4 s alone and 6.8 s twice over 1.5 Mbit/s, and a drain has 4 s. Change: declarations whose encoding exceeds 16 KiB are offered in the response to a long poll. The entry fetches them in parts of 8 KiB from one daemon at a time, while its long polls go on. A copy is named by its base, its change number and a hash, so that another daemon can send the rest after a failed call; a copy that entries still fetch stays in the daemon's cache while newer declarations are published. Tables of up to some 300 routes are sent as before. An entry limits the former services as the control daemons do: it kept each service that an address had led to.

--- a/crates/fleet/src/control/copies.rs
+++ b/crates/fleet/src/control/copies.rs
@@ -5,7 +5,7 @@
 use super::turns::Turn;
 use super::{Control, LARGE_FLEET, LONG_POLL_TIMEOUT};
 use crate::counters::MessageKind;
-use crate::messages::{EntryUpdate, FleetResponse, WatchCursor};
+use crate::messages::{CopyPart, EntryUpdate, FleetResponse, PartRequest, WatchCursor};
 use comfreyhold_consensus::register::Ballot;
 use comfreyhold_membership::announcements::Announcements;
 use comfreyhold_wire::envelope::encode_body;
@@ -66,6 +66,25 @@
         self.encodings.borrow_mut().update(&feed, cursor, sharing, self.clock.now())
     }
 
+    /// Handles an entry's request for a part of declarations. The first part of a large copy needs a turn; an entry that gets
+    /// none is told that there is none, and is offered the declarations again.
+    pub(super) async fn encoded_part(&self, request: &PartRequest) -> Result<Vec<u8>, WireError> {
+        let mut part = self.next_part(request)?;
+        let is_first = part.as_ref().is_some_and(|p| p.offset == 0 && p.key.base.is_none());
+        if is_first && self.is_large_fleet() {
+            let turn = self.entry_turns.borrow_mut().assign(rand::random(), self.clock.now());
+            part = if wait_for_turn(turn).await { self.next_part(request)? } else { None };
+        }
+        encode_body(&FleetResponse::Part(part))
+    }
+
+    fn next_part(&self, request: &PartRequest) -> Result<Option<CopyPart>, WireError> {
+        let cursor = WatchCursor { change: request.change, ..WatchCursor::default() };
+        let targets = self.targets.borrow();
+        let feed = self.feed_state(&targets, &cursor);
+        self.encodings.borrow_mut().part(&feed, request, self.clock.now())
+    }
+
     /// Whether a full copy needs a turn.
     fn is_limited(&self, body: &[u8]) -> bool {
         self.is_large_fleet() && body.len() >= MIN_LIMITED_BYTES
--- a/crates/fleet/src/control/encodings.rs
+++ b/crates/fleet/src/control/encodings.rs
@@ -6,7 +6,7 @@
 
 use super::feed::FeedState;
 use crate::counters::MessageKind;
-use crate::messages::{EntryUpdate, FleetResponse, WatchCursor};
+use crate::messages::{CopyKey, CopyPart, EntryUpdate, FleetResponse, PartRequest, WatchCursor};
 use comfreyhold_consensus::register::{Ballot, RegisterValue};
 use comfreyhold_membership::announcements::{Announcements, TargetReport};
 use comfreyhold_wire::envelope::{MAX_BODY_BYTES, encode_body};
@@ -15,10 +15,19 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Maximum number of encodings kept of each part. Entries follow a daemon within a few revisions.
 const MAX_KEPT: usize = 4;
 
+/// Size from which encoded declarations are offered, and sent in parts, in bytes. Smaller ones hold up the other changes on
+/// the slowest link (1.5 Mbit/s) for less than a tenth of a second.
+const MIN_OFFERED_BYTES: usize = 16 * 1024;
+
+/// Size of a part, in bytes. It takes the slowest link 44 ms, in which neither changes of targets nor callers' packets
+/// arrive.
+const PART_BYTES: usize = 8 * 1024;
+
 /// Time after which an unused encoding is dropped, and after which a full copy is encoded anew. It covers a common
 /// start, and bounds the memory at rest.
 const KEPT_FOR: Duration = Duration::from_secs(5);
@@ -77,8 +86,7 @@
 
 /// Encoded declarations, as an `Option`.
 struct EncodedDeclarations {
-    ballot: Ballot,
-    base: Option<u64>,
+    key: CopyKey,
     used: Instant,
     is_full: bool,
     bytes: Vec<u8>,
@@ -115,24 +123,24 @@
             ..EntryUpdate::default()
         };
         let mut body = encode_body(&FleetResponse::News(Box::new(empty)))?;
-        // The last two bytes are the number of targets and the absent declarations.
-        body.truncate(body.len().saturating_sub(2));
+        // The last three bytes are the number of targets, the absent declarations and the absent offer.
+        body.truncate(body.len().saturating_sub(3));
         let mut count = 0;
         if since < revision || since == 0 {
             count = self.append_targets(&mut body, feed.targets, since, sharing, now)?;
         } else {
             append(&mut body, &0_usize)?;
         }
-        let is_full_table = self.append_declarations(&mut body, feed, cursor, now)?;
+        let appended = self.append_declarations(&mut body, feed, cursor, now)?;
         if body.len() > MAX_BODY_BYTES {
             return Err(WireError::FrameTooLarge(body.len()));
         }
-        let kind = match (all_targets, count, is_full_table) {
+        let kind = match (all_targets, count, appended) {
             (true, ..) => MessageKind::WatchFull,
-            (false, 0, None) => MessageKind::WatchIdle,
+            (false, 0, Appended::Nothing) => MessageKind::WatchIdle,
             _ => MessageKind::WatchChanges,
         };
-        let is_full_copy = all_targets || is_full_table == Some(true);
+        let is_full_copy = all_targets || appended == Appended::FullTable;
         Ok(EncodedUpdate { body, kind, is_full_copy })
     }
 
@@ -212,41 +220,100 @@
         Ok(count)
     }
 
-    /// Appends the declarations if they are newer than the entry's. Returns whether they have the whole table; `None`
-    /// if they are not newer.
-    fn append_declarations(
+    /// Returns the next part of the copy that an entry has begun, or else the first one of the newest declarations. `None`
+    /// if they are not newer than the entry's.
+    ///
+    /// # Errors
+    /// The declarations can't be encoded.
+    pub fn part(
         &mut self,
-        body: &mut Vec<u8>,
         feed: &FeedState<'_>,
-        cursor: &WatchCursor,
+        request: &PartRequest,
         now: Instant,
-    ) -> Result<Option<bool>, WireError> {
-        let is_newer = |value: &&Arc<RegisterValue>| value.state.change > cursor.change;
-        let Some(value) = feed.chosen.as_ref().filter(is_newer) else {
-            body.push(0);
-            return Ok(None);
-        };
-        let base = feed.base.as_ref().map(|base| base.state.change);
-        let is_same =
-            |encoded: &EncodedDeclarations| encoded.ballot == value.ballot && encoded.base == base;
-        let index = match self.declarations.iter().position(is_same) {
+    ) -> Result<Option<CopyPart>, WireError> {
+        let is_begun = |encoded: &EncodedDeclarations| Some(encoded.key) == request.begun;
+        let index = match self.declarations.iter().position(is_begun) {
             Some(index) => index,
             None => {
-                self.counts.declarations += 1;
-                let declarations = feed.declarations(cursor);
-                let is_full = declarations.as_ref().is_some_and(|update| update.has_full_table());
-                let mut bytes = Vec::new();
-                append(&mut bytes, &declarations)?;
-                let (ballot, used) = (value.ballot, now);
-                let encoded = EncodedDeclarations { ballot, base, used, is_full, bytes };
-                push_bounded(&mut self.declarations, encoded)
+                let cursor = WatchCursor { change: request.change, ..WatchCursor::default() };
+                match self.newer_declarations(feed, &cursor, now)? {
+                    Some(index) => index,
+                    None => return Ok(None),
+                }
             }
         };
-        let Some(encoded) = self.declarations.get_mut(index) else { return Ok(None) };
+        // A copy that entries still fetch becomes the last one to be dropped, whenever it was made.
+        let Some(mut encoded) = self.declarations.remove(index) else { return Ok(None) };
         encoded.used = now;
+        self.declarations.push_back(encoded);
+        let Some(encoded) = self.declarations.back() else { return Ok(None) };
+        let is_begun = Some(encoded.key) == request.begun;
+        let offset = usize::try_from(request.offset).unwrap_or(usize::MAX);
+        let offset = if is_begun && offset < encoded.bytes.len() { offset } else { 0 };
+        let bytes = encoded.bytes.iter().skip(offset).take(PART_BYTES).copied().collect();
+        Ok(Some(CopyPart { key: encoded.key, offset: offset as u64, bytes }))
+    }
+
+    /// Appends the declarations if they are newer than the entry's, or offers them if they are large.
+    fn append_declarations(
+        &mut self,
+        body: &mut Vec<u8>,
+        feed: &FeedState<'_>,
+        cursor: &WatchCursor,
+        now: Instant,
+    ) -> Result<Appended, WireError> {
+        let is_offered = feed.chosen.as_ref().is_some_and(|v| v.state.change <= cursor.offered);
+        let index = if is_offered { None } else { self.newer_declarations(feed, cursor, now)? };
+        let Some(encoded) = index.and_then(|index| self.declarations.get_mut(index)) else {
+            body.extend([0, 0]);
+            return Ok(Appended::Nothing);
+        };
+        encoded.used = now;
+        if encoded.bytes.len() > MIN_OFFERED_BYTES {
+            body.push(0);
+            append(body, &Some(encoded.key.change))?;
+            return Ok(Appended::Offer);
+        }
         body.extend_from_slice(&encoded.bytes);
-        Ok(Some(encoded.is_full))
+        body.push(0);
+        Ok(if encoded.is_full { Appended::FullTable } else { Appended::Difference })
     }
+
+    /// Encodes the declarations, unless that is done already. Returns the position of the encoding; `None` if they are not
+    /// newer than the entry's.
+    fn newer_declarations(
+        &mut self,
+        feed: &FeedState<'_>,
+        cursor: &WatchCursor,
+        now: Instant,
+    ) -> Result<Option<usize>, WireError> {
+        let is_newer = |value: &&Arc<RegisterValue>| value.state.change > cursor.change;
+        let Some(value) = feed.chosen.as_ref().filter(is_newer) else { return Ok(None) };
+        let change = value.state.change;
+        let base = feed.base.as_ref().map(|base| base.state.change);
+        let is_same = |e: &EncodedDeclarations| (e.key.base, e.key.change) == (base, change);
+        if let Some(index) = self.declarations.iter().position(is_same) {
+            return Ok(Some(index));
+        }
+        self.counts.declarations += 1;
+        let declarations = feed.declarations(cursor);
+        let is_full = declarations.as_ref().is_some_and(|update| update.has_full_table());
+        let mut bytes = Vec::new();
+        append(&mut bytes, &declarations)?;
+        let (length, hash) = (bytes.len() as u64, xxh3_64(&bytes));
+        let key = CopyKey { base, change, length, hash };
+        let encoded = EncodedDeclarations { key, used: now, is_full, bytes };
+        Ok(Some(push_bounded(&mut self.declarations, encoded)))
+    }
+}
+
+/// What was appended to an update for newer declarations.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Appended {
+    Nothing,
+    Difference,
+    FullTable,
+    Offer,
 }
 
 impl EncodedTargets {
--- a/crates/fleet/src/control/feed.rs
+++ b/crates/fleet/src/control/feed.rs
@@ -22,8 +22,10 @@
     /// Whether anything has changed since the entry's cursor.
     #[must_use]
     pub fn has_update(&self, cursor: &WatchCursor) -> bool {
-        let has_newer_value =
-            self.chosen.as_ref().is_some_and(|value| value.state.change > cursor.change);
+        let has_newer_value = self
+            .chosen
+            .as_ref()
+            .is_some_and(|value| value.state.change > cursor.change.max(cursor.offered));
         has_newer_value
             || cursor.source != self.incarnation
             || self.targets.revision() > cursor.targets
@@ -41,6 +43,7 @@
             all_targets,
             targets: self.targets.changed_since(since, now),
             declarations: self.declarations(cursor),
+            offer: None,
         }
     }
 
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -295,6 +295,7 @@
         let response = match request {
             FleetRequest::Watch(cursor) => return self.encoded_update(cursor).await,
             FleetRequest::Newest(known) => return (kind, self.encoded_newest(known).await),
+            FleetRequest::Part(request) => return (kind, self.encoded_part(&request).await),
             other => self.handle_request(other).await,
         };
         (kind, encode_body(&response))
@@ -304,7 +305,9 @@
     async fn handle_request(self: Rc<Self>, request: FleetRequest) -> FleetResponse {
         match request {
             // Encoded by `encoded_response`.
-            FleetRequest::Watch(_) | FleetRequest::Newest(_) => FleetResponse::Done,
+            FleetRequest::Watch(_) | FleetRequest::Newest(_) | FleetRequest::Part(_) => {
+                FleetResponse::Done
+            }
             FleetRequest::Vote(addressed) => {
                 FleetResponse::Vote(self.voter.handle_request(addressed).await)
             }
--- a/crates/fleet/src/counters.rs
+++ b/crates/fleet/src/counters.rs
@@ -46,6 +46,8 @@
     LoadSum,
     /// Heartbeat between control daemons of a large fleet.
     Relay,
+    /// Part of declarations that are too large for one message.
+    Part,
 }
 
 /// One end of a message exchange.
@@ -88,6 +90,7 @@
             FleetRequest::Load(Some(_)) => Self::LoadReport,
             FleetRequest::LoadSum(_) => Self::LoadSum,
             FleetRequest::Relay(_) => Self::Relay,
+            FleetRequest::Part(_) => Self::Part,
         }
     }
 
@@ -96,7 +99,10 @@
     pub fn of_update(update: &EntryUpdate) -> Self {
         if update.all_targets {
             Self::WatchFull
-        } else if update.targets.is_empty() && update.declarations.is_none() {
+        } else if update.targets.is_empty()
+            && update.declarations.is_none()
+            && update.offer.is_none()
+        {
             Self::WatchIdle
         } else {
             Self::WatchChanges
--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -5,7 +5,9 @@
 pub mod explain;
 mod link;
 mod load;
+mod offers;
 mod packets;
+pub mod partial_copy;
 pub mod view;
 mod waiting;
 mod watch;
@@ -25,6 +27,7 @@
 use explain::ExplainHandle;
 use link::EntryLink;
 use load::LoadExchange;
+use offers::Offers;
 use packets::ReceiveState;
 use serde_json::json;
 use std::cell::{Cell, RefCell};
@@ -106,6 +109,7 @@
     /// Wakes the sources that wait until the first one has received the routes.
     first_routes: Notify,
     load: LoadExchange,
+    offers: Offers,
     explain_handle: ExplainHandle,
 }
 
@@ -158,6 +162,7 @@
             readiness: Readiness::default(),
             first_routes: Notify::new(),
             load: LoadExchange::new(settings.exchange_address(), started_ms),
+            offers: Offers::default(),
             explain_handle,
         });
         entry.record("start", || json!({"settings": settings.summary()}));
@@ -169,6 +174,7 @@
         tokio::task::spawn_local(Rc::clone(&entry).run_deferred());
         tokio::task::spawn_local(Rc::clone(&entry).run_link());
         tokio::task::spawn_local(Rc::clone(&entry).run_load());
+        tokio::task::spawn_local(Rc::clone(&entry).run_offers());
         tokio::task::spawn_local(Rc::clone(&entry).run_explain(explain_rx));
         Ok(entry)
     }
--- a/crates/fleet/src/entry/view.rs
+++ b/crates/fleet/src/entry/view.rs
@@ -1,11 +1,12 @@
 //! Merges the updates that an entry receives from several control daemons.
 
-use crate::messages::{EntryUpdate, IncarnationId, RouteUpdate, WatchCursor};
+use crate::messages::{DeclarationUpdate, EntryUpdate, IncarnationId, RouteUpdate, WatchCursor};
 use comfreyhold_flow::cookie::balancer::Routing;
 use comfreyhold_flow::cookie::directory::TargetSpec;
 use comfreyhold_membership::announcements::TargetReport;
 use comfreyhold_types::announcement::{Announcement, Availability};
 use comfreyhold_types::keys::TargetId;
+use comfreyhold_types::routes::limit_former;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -31,6 +32,8 @@
     /// effect when all sources have restarted and report an older state.
     left: BTreeMap<TargetId, (Announcement, Instant)>,
     routing: Routing,
+    /// Change number up to which declarations were offered, and are fetched; 0 if none are.
+    offered: u64,
 }
 
 /// Changes of the merged state by one update.
@@ -47,7 +50,7 @@
     #[must_use]
     pub fn new(sources: usize) -> Self {
         let sources = vec![SourceState::default(); sources];
-        Self { sources, left: BTreeMap::new(), routing: Routing::default() }
+        Self { sources, ..Self::default() }
     }
 
     /// Routing from the newest declarations received.
@@ -64,9 +67,20 @@
             source: state.map(|state| state.incarnation).unwrap_or_default(),
             targets: state.map(|state| state.revision).unwrap_or_default(),
             change: self.routing.change,
+            offered: self.offered,
         }
     }
 
+    /// Records that declarations are fetched that were offered, so that they are not offered again.
+    pub fn record_offer(&mut self, change: u64) {
+        self.offered = self.offered.max(change);
+    }
+
+    /// Records that no declarations are fetched any more.
+    pub fn forget_offers(&mut self) {
+        self.offered = 0;
+    }
+
     /// Applies a source's response to the long poll with `cursor`.
     pub fn apply(
         &mut self,
@@ -75,7 +89,8 @@
         update: EntryUpdate,
         now: Instant,
     ) -> ViewChanges {
-        let routing = self.apply_routing(cursor, &update);
+        let declarations = update.declarations.as_ref();
+        let routing = declarations.is_some_and(|d| self.apply_declarations(cursor.change, d));
         let Some(state) = self.sources.get_mut(source) else { return ViewChanges::default() };
         let mut affected: BTreeSet<TargetId> =
             update.targets.iter().map(|report| report.announcement.id).collect();
@@ -95,9 +110,9 @@
         ViewChanges { targets, routing }
     }
 
-    /// Applies newer declarations. Returns whether the routing has changed.
-    fn apply_routing(&mut self, cursor: &WatchCursor, update: &EntryUpdate) -> bool {
-        let Some(declarations) = &update.declarations else { return false };
+    /// Applies newer declarations. A difference is one to the declarations with the change number `base`. Returns whether
+    /// the routing has changed.
+    pub fn apply_declarations(&mut self, base: u64, declarations: &DeclarationUpdate) -> bool {
         if declarations.change <= self.routing.change {
             return false;
         }
@@ -107,17 +122,19 @@
             RouteUpdate::Difference(difference) => {
                 // Another source may have brought newer declarations since the long poll was sent; the
                 // difference does not apply to them.
-                if cursor.change != self.routing.change {
+                if base != self.routing.change {
                     return false;
                 }
                 let Some(base) = &self.routing.table else { return false };
+                let table = base.with_difference(difference.clone());
                 let mut former = Arc::clone(&self.routing.former);
                 let services = Arc::make_mut(&mut former);
                 for route in &difference.changed {
                     let names = route.destinations.iter().map(|d| d.service.clone());
                     services.entry(route.address).or_default().extend(names);
                 }
-                (Some(Arc::new(base.with_difference(difference.clone()))), former)
+                limit_former(services, &table.routes);
+                (Some(Arc::new(table)), former)
             }
         };
         let change = declarations.change;
--- a/crates/fleet/src/entry/watch.rs
+++ b/crates/fleet/src/entry/watch.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Deadline for the response to a query or a long poll. A daemon holds a long poll for [`LONG_POLL_TIMEOUT`]
 /// while nothing changes.
@@ -17,7 +17,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Retry interval after a failed call.
-const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+pub(super) const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Timeout for establishing a connection until the routes are known. After a loss of power the daemons start
 /// at the same time, and those that are up respond within a few milliseconds.
@@ -26,8 +26,8 @@
 /// Retry interval after a failed call until the routes are known.
 const JOIN_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Head start of the first source in fetching the targets and routes. Both sources at the same time would
-/// take twice as long over a slow link.
+/// Head start of the first source in fetching the targets and small route tables. Both sources at the same time
+/// would take twice as long over a slow link.
 const FIRST_SOURCE_HEAD_START: Duration = Duration::from_millis(400);
 
 /// Number of long polls between two queries for the live control daemons, after which the entry also checks
@@ -149,6 +149,7 @@
         if update.source != cursor.source {
             self.record("control-watched", || json!({"control": control}));
         }
+        let offer = update.offer;
         let changes = self.view.borrow_mut().apply(source, cursor, update, now);
         for spec in changes.targets {
             let target = spec.clone();
@@ -168,22 +169,30 @@
                 });
             }
         }
+        if let Some(change) = offer {
+            self.record_offer(source, control, change);
+        }
         if changes.routing {
-            let routing = self.view.borrow().routing().clone();
-            let (change, withdrawn) = (routing.change, routing.withdrawn.clone());
-            let version = routing.table.as_ref().map(|table| table.version);
-            if self.balancer.borrow_mut().set_routing(routing, now) {
-                self.first_routes.notify_waiters();
-                self.record("declarations", || {
-                    json!({
-                        "change": change,
-                        "version": version,
-                        "withdrawn": withdrawn,
-                        "control": control,
-                    })
-                });
-            }
+            self.apply_routing(control, now);
         }
         self.update_readiness();
     }
+
+    /// Passes newer declarations on to the balancer.
+    pub(super) fn apply_routing(&self, control: SocketAddr, now: Instant) {
+        let routing = self.view.borrow().routing().clone();
+        let (change, withdrawn) = (routing.change, routing.withdrawn.clone());
+        let version = routing.table.as_ref().map(|table| table.version);
+        if self.balancer.borrow_mut().set_routing(routing, now) {
+            self.first_routes.notify_waiters();
+            self.record("declarations", || {
+                json!({
+                    "change": change,
+                    "version": version,
+                    "withdrawn": withdrawn,
+                    "control": control,
+                })
+            });
+        }
+    }
 }
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -141,6 +141,8 @@
     /// The sender's heartbeat in a large fleet; the response carries the receiver's. A daemon that refuses it gets
     /// `Hello`.
     Relay(Box<RelayHello>),
+    /// An entry's request for the next part of newer declarations.
+    Part(PartRequest),
 }
 
 /// A response of a control daemon, with one variant for each kind of result.
@@ -165,6 +167,9 @@
     Load(Result<Box<LoadTotals>, u8>),
     /// Response to `Relay`.
     Relay(Box<RelayHello>),
+    /// Response to `Part`: the part requested, or the first one of the newest declarations if the copy that was begun is no
+    /// longer kept. `None` if the receiver has no newer declarations, or sends no copy at the moment.
+    Part(Option<CopyPart>),
 }
 
 /// Position up to which an entry has received changes from one control daemon.
@@ -176,6 +181,8 @@
     pub targets: u64,
     /// Change number of the entry's declarations, which all daemons share; 0 if it has none.
     pub change: u64,
+    /// Change number up to which declarations were offered to the entry, which fetches them in parts; 0 if it fetches none.
+    pub offered: u64,
 }
 
 /// Changes since an entry's cursor.
@@ -189,8 +196,46 @@
     pub all_targets: bool,
     /// Changed targets, or all of them.
     pub targets: Vec<TargetReport>,
-    /// Newer declarations; absent if the entry has the newest ones.
+    /// Newer declarations; absent if the entry has the newest ones, or if they are offered.
     pub declarations: Option<DeclarationUpdate>,
+    /// Change number of newer declarations that are too large for one message. The entry fetches them in parts.
+    pub offer: Option<u64>,
+}
+
+/// An entry's request for a part of declarations that are newer than its own.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartRequest {
+    /// Change number of the entry's declarations; 0 if it has none.
+    pub change: u64,
+    /// Copy that the entry has begun to receive, if any.
+    pub begun: Option<CopyKey>,
+    /// Number of bytes of that copy that the entry has.
+    pub offset: u64,
+}
+
+/// Identifies the encoding of declarations. Daemons that hold the same declarations encode them alike, so that any of them
+/// can send the next part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CopyKey {
+    /// Change number of the declarations that the encoding is a difference to; `None` if it is complete.
+    pub base: Option<u64>,
+    /// Change number of the encoded declarations.
+    pub change: u64,
+    /// Length of the encoding, in bytes.
+    pub length: u64,
+    /// Hash of the encoding.
+    pub hash: u64,
+}
+
+/// A part of encoded declarations.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CopyPart {
+    /// The encoding that it is a part of.
+    pub key: CopyKey,
+    /// Position of the part in it.
+    pub offset: u64,
+    /// The bytes from there on.
+    pub bytes: Vec<u8>,
 }
 
 /// Declarations that are newer than the entry's.
--- a/crates/fleet/tests/decoders/samples.rs
+++ b/crates/fleet/tests/decoders/samples.rs
@@ -5,8 +5,8 @@
     Voters,
 };
 use comfreyhold_fleet::messages::{
-    ControlState, DeclarationUpdate, EntryUpdate, FleetRequest, FleetResponse, Hello,
-    IncarnationId, RouteUpdate, WatchCursor,
+    ControlState, CopyKey, CopyPart, DeclarationUpdate, EntryUpdate, FleetRequest, FleetResponse,
+    Hello, IncarnationId, PartRequest, RouteUpdate, WatchCursor,
 };
 use comfreyhold_load::messages::VERSION;
 use comfreyhold_load::{
@@ -152,6 +152,10 @@
     }
 }
 
+fn copy_key() -> CopyKey {
+    CopyKey { base: Some(1), change: 2, length: 6, hash: 7 }
+}
+
 /// A request of each kind.
 pub fn requests() -> Vec<FleetRequest> {
     let vote = |request| FleetRequest::Vote(AddressedRequest { to: DiskId(1), request });
@@ -164,11 +168,17 @@
         FleetRequest::Announced(vec![announcement(1), announcement(2)]),
         FleetRequest::Announcements(vec![TargetId(1), TargetId(70_000)]),
         FleetRequest::LastAnnouncement(TargetId(1)),
-        FleetRequest::Watch(WatchCursor { source: IncarnationId(7), targets: 300, change: 2 }),
+        FleetRequest::Watch(WatchCursor {
+            source: IncarnationId(7),
+            targets: 300,
+            change: 2,
+            offered: 3,
+        }),
         FleetRequest::Controls,
         FleetRequest::Load(None),
         FleetRequest::Load(Some(Box::new(report()))),
         FleetRequest::LoadSum(Box::new(sum())),
+        FleetRequest::Part(PartRequest { change: 2, begun: Some(copy_key()), offset: 3 }),
     ]
 }
 
@@ -183,6 +193,7 @@
             all_targets: true,
             targets: vec![report],
             declarations: Some(DeclarationUpdate { change: 2, withdrawn, routes }),
+            offer: Some(3),
         }))
     };
     vec![
@@ -200,5 +211,6 @@
         FleetResponse::Controls(vec![(address(1), domain()), (address(2), domain())]),
         FleetResponse::Load(Ok(Box::new(totals()))),
         FleetResponse::Load(Err(LoadError::Stale.code())),
+        FleetResponse::Part(Some(CopyPart { key: copy_key(), offset: 3, bytes: vec![1, 2, 3] })),
     ]
 }
--- a/crates/fleet/tests/fleet/encodings.rs
+++ b/crates/fleet/tests/fleet/encodings.rs
@@ -107,6 +107,7 @@
             source: if is_new { IncarnationId(1) } else { SOURCE },
             targets: self.targets.revision().saturating_sub(revisions),
             change: change.saturating_sub(changes),
+            offered: 0,
         }
     }
 
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod early_packets;
 mod encodings;
 mod feed;
+mod large_tables;
 mod late_orders;
 mod link;
 mod load;
--- a/crates/types/src/routes.rs
+++ b/crates/types/src/routes.rs
@@ -422,7 +422,7 @@
 }
 
 /// Drops services that addresses have led to, until the limits hold: first those of addresses without a route.
-fn limit_former(former: &mut FormerServices, routes: &BTreeMap<SocketAddrV4, Arc<Route>>) {
+pub fn limit_former(former: &mut FormerServices, routes: &BTreeMap<SocketAddrV4, Arc<Route>>) {
     let size = |names: &BTreeSet<String>| {
         FORMER_ADDRESS_BYTES + names.iter().map(|name| name.len() + 1).sum::<usize>()
     };
