Leave control daemons that are cut off from the majority

Cause: an entry keeps its two control daemons as long as they answer. A daemon without a majority answered long polls as if nothing had changed; neither its answers nor its list of live daemons said that it learned nothing any more. Ruled out: news that the three withheld. Entries that watched one of them had the new route. It says so in each response to a long poll (one byte), at once when it changes, and leaves itself out of its list of live daemons otherwise. If neither of an entry's daemons is informed, the second source looks for one, and tries each once in 5 s; the first one keeps the daemon of its domain, which targets may announce themselves to alone. The entry reports its load to an informed daemon. A relay of a large fleet that is not informed is replaced like a silent one: the heartbeats say it too.

--- a/crates/fleet/src/control/copies.rs
+++ b/crates/fleet/src/control/copies.rs
@@ -23,7 +23,13 @@
 
     fn feed_state<'a>(&self, targets: &'a Announcements, cursor: &WatchCursor) -> FeedState<'a> {
         let base = if cursor.change > 0 { self.register.chosen_at(cursor.change) } else { None };
-        FeedState { incarnation: self.incarnation, targets, chosen: self.register.chosen(), base }
+        FeedState {
+            incarnation: self.incarnation,
+            is_informed: self.is_informed(),
+            targets,
+            chosen: self.register.chosen(),
+            base,
+        }
     }
 
     /// Handles an entry's long poll: returns at once if something has changed since its cursor, and otherwise
@@ -32,12 +38,15 @@
         &self,
         cursor: WatchCursor,
     ) -> (MessageKind, Result<Vec<u8>, WireError>) {
+        let was_informed = self.was_informed.get();
         let change = tokio::time::timeout(LONG_POLL_TIMEOUT, async {
             loop {
                 let changed = self.changed.notified();
                 tokio::pin!(changed);
                 changed.as_mut().enable();
-                if self.feed_state(&self.targets.borrow(), &cursor).has_update(&cursor) {
+                let has_update =
+                    self.feed_state(&self.targets.borrow(), &cursor).has_update(&cursor);
+                if has_update || self.was_informed.get() != was_informed {
                     return;
                 }
                 changed.await;
@@ -50,7 +59,7 @@
             Ok(update) if update.is_full_copy && self.is_limited(&update.body) => {
                 let turn = self.entry_turns.borrow_mut().assign(rand::random(), self.clock.now());
                 if !wait_for_turn(turn).await {
-                    return (MessageKind::WatchIdle, encode_unchanged(&cursor));
+                    return (MessageKind::WatchIdle, encode_unchanged(&cursor, self.is_informed()));
                 }
                 // The state may have changed meanwhile.
                 kind_and_body(self.encode_update(&cursor))
@@ -123,9 +132,9 @@
 }
 
 /// Encodes an update that leaves an entry where its cursor is. It sends its next long poll then.
-fn encode_unchanged(cursor: &WatchCursor) -> Result<Vec<u8>, WireError> {
+fn encode_unchanged(cursor: &WatchCursor, is_informed: bool) -> Result<Vec<u8>, WireError> {
     let (source, revision) = (cursor.source, cursor.targets);
-    let unchanged = EntryUpdate { source, revision, ..EntryUpdate::default() };
+    let unchanged = EntryUpdate { source, revision, is_informed, ..EntryUpdate::default() };
     encode_body(&FleetResponse::News(Box::new(unchanged)))
 }
 
--- a/crates/fleet/src/control/encodings.rs
+++ b/crates/fleet/src/control/encodings.rs
@@ -120,6 +120,7 @@
             source: feed.incarnation,
             revision,
             all_targets,
+            is_informed: feed.is_informed,
             ..EntryUpdate::default()
         };
         let mut body = encode_body(&FleetResponse::News(Box::new(empty)))?;
--- a/crates/fleet/src/control/feed.rs
+++ b/crates/fleet/src/control/feed.rs
@@ -10,6 +10,8 @@
 pub struct FeedState<'a> {
     /// Current incarnation of the daemon.
     pub incarnation: IncarnationId,
+    /// Whether the daemon learns new declarations.
+    pub is_informed: bool,
     /// Targets known to the daemon.
     pub targets: &'a Announcements,
     /// Newest value learned to be chosen.
@@ -41,6 +43,7 @@
             source: self.incarnation,
             revision: self.targets.revision(),
             all_targets,
+            is_informed: self.is_informed,
             targets: self.targets.changed_since(since, now),
             declarations: self.declarations(cursor),
             offer: None,
--- a/crates/fleet/src/control/gossip.rs
+++ b/crates/fleet/src/control/gossip.rs
@@ -66,6 +66,7 @@
             };
             tokio::time::sleep(interval).await;
             let now = self.observe_activity();
+            self.check_contact(now);
             if let Some(value) = self.register.newest_known() {
                 // The seeds may all be down, while the voters are also known from the local disk.
                 let voters = value.voters.all();
@@ -212,6 +213,9 @@
         if self.register.learn_accepted(ballot) {
             return self.notify_chosen();
         }
+        let mut contact = self.contact.get();
+        contact.record_named(ballot, self.register.chosen_ballot(), self.clock.now());
+        self.contact.set(contact);
         let fetches = self.value_fetches.get();
         if self.is_large_fleet() && fetches >= MAX_VALUE_FETCHES {
             return;
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! A control daemon: replicates the operators' declarations with the other control daemons, collects the
 //! targets' announcements, and sends changes of both to the entries that watch it.
 
+pub mod contact;
 mod copies;
 pub mod encodings;
 pub mod feed;
@@ -37,6 +38,7 @@
 use comfreyhold_wire::envelope::{decode_body, encode_body};
 use comfreyhold_wire::error::WireError;
 use comfreyhold_wire::exchange::{self, Responder};
+use contact::Contact;
 use encodings::Encodings;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
@@ -115,6 +117,9 @@
     operations: mpsc::Sender<operations::QueuedOperation>,
     saves: Saves,
     stalls: Cell<StallMonitor>,
+    contact: Cell<Contact>,
+    /// Whether this daemon learned new declarations at the last check.
+    was_informed: Cell<bool>,
     /// Wakes the entries' long polls.
     changed: Notify,
     encodings: RefCell<Encodings>,
@@ -161,6 +166,8 @@
             peers: RefCell::new(Peers::new(address, &seeds, clock.now())),
             saves: Saves::new(targets.revision()),
             stalls: Cell::new(StallMonitor::new(clock.now())),
+            contact: Cell::new(Contact::new(clock.now())),
+            was_informed: Cell::new(true),
             settings,
             clock,
             decision_log: DecisionLog::default(),
@@ -247,6 +254,7 @@
             chosen: self.register.chosen_ballot(),
             targets: self.targets.borrow().digests(),
             peers: self.live_peers().into_iter().sample(&mut rand::rng(), PEERS_PER_HEARTBEAT),
+            is_informed: self.is_informed(),
         }
     }
 
@@ -263,7 +271,30 @@
         }
     }
 
+    /// Whether this daemon learns new declarations.
+    fn is_informed(&self) -> bool {
+        self.contact.get().is_informed(self.clock.now())
+    }
+
+    /// Checks whether a majority of the voters is heard. Wakes the entries' long polls if this daemon no longer learns new
+    /// declarations, or does so again.
+    fn check_contact(&self, now: Instant) {
+        let mut contact = self.contact.get();
+        let has_majority = self.live_majority(now).is_some_and(|(has_majority, _)| has_majority);
+        contact.record_majority(has_majority, now);
+        self.contact.set(contact);
+        let is_informed = contact.is_informed(now);
+        if self.was_informed.replace(is_informed) != is_informed {
+            metrics::gauge!("control_informed").set(f64::from(u8::from(is_informed)));
+            self.record("informed", || json!({"informed": is_informed, "majority": has_majority}));
+            self.changed.notify_waiters();
+        }
+    }
+
     fn notify_chosen(&self) {
+        let mut contact = self.contact.get();
+        contact.record_learned(self.register.chosen_ballot(), self.clock.now());
+        self.contact.set(contact);
         self.changed.notify_waiters();
         let Some(value) = self.register.chosen() else { return };
         self.release_held(&value.state);
@@ -278,12 +309,14 @@
         });
     }
 
-    /// Addresses and failure domains of the live control daemons, including this one.
+    /// Addresses and failure domains of the live control daemons, including this one unless it no longer learns new
+    /// declarations.
     fn live_controls(&self, now: Instant) -> Vec<(SocketAddr, DomainName)> {
         let peers = self.peers.borrow();
         let live = peers.live(PEER_TIMEOUT, now);
         let others = live.map(|(address, domain)| (address, domain.clone()));
-        others.chain([(self.me.address, self.domain.clone())]).collect()
+        let local = self.is_informed().then(|| (self.me.address, self.domain.clone()));
+        others.chain(local).collect()
     }
 
     /// Handles a request and encodes the response. Those that many processes ask for are encoded once.
--- a/crates/fleet/src/control/peers/relayed.rs
+++ b/crates/fleet/src/control/peers/relayed.rs
@@ -84,7 +84,7 @@
             Candidate {
                 address: *address,
                 domain: peer.domain().cloned(),
-                is_live: is_heard && !is_silent,
+                is_live: is_heard && !is_silent && peer.is_informed(),
                 is_fixed: self.seeds.contains(address) || voters.contains(address),
                 refuses_relay: peer.refuses_relay() || peer.sends_hello_only(now),
             }
@@ -157,6 +157,11 @@
         is_recent(self.last_hello_request) && !is_recent(self.last_relay)
     }
 
+    /// Whether the daemon learns new declarations, by its last heartbeat. One that does not passes on little else either.
+    fn is_informed(&self) -> bool {
+        self.state.as_ref().is_none_or(|state| state.is_informed)
+    }
+
     fn is_relayed(&self, now: Instant) -> bool {
         self.relayed.as_ref().is_some_and(|relayed| now < relayed.heard_at + RELAYED_TIMEOUT)
     }
--- a/crates/fleet/src/control/relays.rs
+++ b/crates/fleet/src/control/relays.rs
@@ -27,7 +27,7 @@
     pub address: SocketAddr,
     /// Its failure domain, if it is known.
     pub domain: Option<DomainName>,
-    /// Whether it has been heard lately, and has not left heartbeats unanswered.
+    /// Whether it has been heard lately, has not left heartbeats unanswered, and still learns new declarations.
     pub is_live: bool,
     /// Whether heartbeats are exchanged with it in any case: a seed or voter.
     pub is_fixed: bool,
--- a/crates/fleet/src/control/repair.rs
+++ b/crates/fleet/src/control/repair.rs
@@ -70,7 +70,7 @@
 
     /// Whether a majority of the known voters is live, and whether this daemon has the lowest address of all
     /// live daemons. `None` if no voters are known.
-    fn live_majority(&self, now: Instant) -> Option<(bool, bool)> {
+    pub(super) fn live_majority(&self, now: Instant) -> Option<(bool, bool)> {
         let voters = self.register.newest_known()?.voters.clone();
         let peers = self.peers.borrow();
         let live: Vec<Replica> = peers
--- a/crates/fleet/src/entry/controls.rs
+++ b/crates/fleet/src/entry/controls.rs
@@ -10,6 +10,10 @@
 /// Time after a failed call for which a daemon is chosen only if there is no other one.
 const FAILURE_COOLDOWN: Duration = Duration::from_secs(2);
 
+/// Time after which a daemon that is cut off, or did not respond, is tried again in place of another one that is cut off. An
+/// entry that reaches no other one tries each of them once in that time.
+const CUT_OFF_COOLDOWN: Duration = Duration::from_secs(5);
+
 /// Time after which a daemon is forgotten if no other one names it any more.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
@@ -20,6 +24,8 @@
 struct ControlRecord {
     domain: Option<DomainName>,
     last_failed: Option<Instant>,
+    /// When the daemon last said that it learns no new declarations; `None` if it has said otherwise since.
+    last_cut_off: Option<Instant>,
     /// When another daemon last reported it as live.
     last_named: Option<Instant>,
 }
@@ -72,8 +78,28 @@
         }
     }
 
-    /// Chooses the daemon to watch, other than `taken`. Those that have failed recently come last, and those
-    /// of the local domain first if `prefer_local` is set.
+    /// Records whether a daemon learns new declarations.
+    pub fn record_informed(&mut self, address: SocketAddr, is_informed: bool, now: Instant) {
+        if let Some(record) = self.known.get_mut(&address) {
+            record.last_cut_off = (!is_informed).then_some(now);
+        }
+    }
+
+    /// Chooses a daemon that may learn new declarations in place of one that does not, other than `taken`. `None` if all
+    /// have been tried recently.
+    #[must_use]
+    pub fn choose_informed(&self, taken: &[SocketAddr], now: Instant) -> Option<SocketAddr> {
+        let is_recent = |at: Option<Instant>| at.is_some_and(|at| now < at + CUT_OFF_COOLDOWN);
+        let untried = self.known.iter().filter(|(address, record)| {
+            !taken.contains(address)
+                && !is_recent(record.last_failed)
+                && !is_recent(record.last_cut_off)
+        });
+        untried.map(|(address, _)| *address).min_by_key(|address| self.rank(address))
+    }
+
+    /// Chooses the daemon to watch, other than `taken`. Those that have failed recently come last, before them those that
+    /// are cut off, and those of the local domain first if `prefer_local` is set.
     #[must_use]
     pub fn choose(
         &self,
@@ -85,14 +111,15 @@
         available
             .min_by_key(|(address, record)| {
                 let failed = record.last_failed.filter(|failed| now < *failed + FAILURE_COOLDOWN);
+                let cut_off = record.last_cut_off.filter(|at| now < *at + CUT_OFF_COOLDOWN);
                 let is_remote = prefer_local && record.domain.as_ref() != Some(&self.domain);
-                (failed, is_remote, self.rank(address))
+                (failed, cut_off, is_remote, self.rank(address))
             })
             .map(|(address, _)| *address)
     }
 
     /// Whether `current` is of another domain while a daemon of the local domain is live according to the
-    /// other daemons and has not failed recently.
+    /// other daemons and has neither failed nor been cut off recently.
     #[must_use]
     pub fn should_return_to_local(&self, current: SocketAddr, now: Instant) -> bool {
         let domain = |address: &SocketAddr| self.known.get(address).and_then(|r| r.domain.clone());
@@ -101,7 +128,12 @@
             && self.known.values().any(|record| {
                 let failed_recently =
                     record.last_failed.is_some_and(|failed| now < failed + FAILURE_COOLDOWN);
-                record.domain.as_ref() == local && record.last_named.is_some() && !failed_recently
+                let cut_off_recently =
+                    record.last_cut_off.is_some_and(|at| now < at + CUT_OFF_COOLDOWN);
+                record.domain.as_ref() == local
+                    && record.last_named.is_some()
+                    && !failed_recently
+                    && !cut_off_recently
             })
     }
 
--- a/crates/fleet/src/entry/load.rs
+++ b/crates/fleet/src/entry/load.rs
@@ -112,10 +112,14 @@
         }
     }
 
-    /// The daemon that the entry reports to: the one that its first source watches, once the routes are known.
+    /// The daemon that the entry reports to: the one that its first source watches, once the routes are known. One that is
+    /// cut off knows the load of few entries; the entry reports to another one then.
     fn load_control(&self) -> Option<SocketAddr> {
         let is_joined = self.view.borrow().routing().change > 0;
-        self.watched.borrow()[LOCAL_SOURCE].filter(|_| is_joined)
+        let (watched, informed) = (self.watched.borrow(), self.informed.borrow());
+        let informed_first = watched.iter().zip(*informed).find(|(_, informed)| *informed);
+        let control = informed_first.and_then(|(control, _)| *control).or(watched[LOCAL_SOURCE]);
+        control.filter(|_| is_joined)
     }
 
     /// Ends the interval of a report, and sends the report if load is shared or the entry is under pressure.
--- a/crates/fleet/src/entry/mod.rs
+++ b/crates/fleet/src/entry/mod.rs
@@ -90,6 +90,8 @@
     balancer: RefCell<Balancer>,
     /// Control daemon that each source watches at the moment.
     watched: RefCell<[Option<SocketAddr>; WATCHED_CONTROLS]>,
+    /// Whether the daemon that each source watches learns new declarations; `true` until it says otherwise.
+    informed: RefCell<[bool; WATCHED_CONTROLS]>,
     receive_state: RefCell<ReceiveState>,
     link: EntryLink,
     /// Packets received before the entry is ready for the first time; `None` from then on.
@@ -149,6 +151,7 @@
             view: RefCell::new(ControlView::new(WATCHED_CONTROLS)),
             balancer: RefCell::new(Balancer::new(balancer)),
             watched: RefCell::new([None; WATCHED_CONTROLS]),
+            informed: RefCell::new([true; WATCHED_CONTROLS]),
             receive_state: RefCell::new(ReceiveState::default()),
             link: EntryLink::new(settings.link()),
             startup_buffer: RefCell::new(Some(StartupBuffer::default())),
--- a/crates/fleet/src/entry/watch.rs
+++ b/crates/fleet/src/entry/watch.rs
@@ -70,6 +70,8 @@
                 calls = 0;
                 tokio::time::sleep(if is_joined { RETRY_INTERVAL } else { JOIN_RETRY_INTERVAL })
                     .await;
+            } else if self.leave_cut_off(source, control) {
+                calls = 0;
             } else {
                 calls = calls.wrapping_add(1);
             }
@@ -104,6 +106,9 @@
                 let now = self.clock.now();
                 let mut controls = self.controls.borrow_mut();
                 controls.update_live(&live, now);
+                let is_informed = live.iter().any(|(address, _)| *address == control);
+                controls.record_informed(control, is_informed, now);
+                self.informed.borrow_mut()[source] = is_informed;
                 if source == LOCAL_SOURCE && controls.should_return_to_local(control, now) {
                     self.watched.borrow_mut()[source] = None;
                 }
@@ -129,10 +134,34 @@
         chosen
     }
 
+    /// Stops watching a daemon that is cut off from the majority if no source watches one that is not. The local source
+    /// stays where it is while another one looks for such a daemon: targets may announce themselves to the local one only.
+    /// Returns whether the source watches another daemon from now on.
+    fn leave_cut_off(&self, source: usize, control: SocketAddr) -> bool {
+        let watched = *self.watched.borrow();
+        let is_any_informed = watched
+            .iter()
+            .zip(*self.informed.borrow())
+            .any(|(control, is_informed)| control.is_some() && is_informed);
+        let others_look = source == LOCAL_SOURCE && watched.iter().skip(1).any(Option::is_some);
+        if is_any_informed || others_look {
+            return false;
+        }
+        let taken: Vec<SocketAddr> = watched.into_iter().flatten().collect();
+        let next = self.controls.borrow().choose_informed(&taken, self.clock.now());
+        if next.is_some() {
+            self.watched.borrow_mut()[source] = next;
+            self.informed.borrow_mut()[source] = true;
+            self.record("control-cut-off", || json!({"control": control, "next": next}));
+        }
+        next.is_some()
+    }
+
     /// Stops watching a daemon after a failed call.
     fn abandon_control(&self, source: usize, control: SocketAddr, reason: &str) {
         self.controls.borrow_mut().record_failure(control, self.clock.now());
         self.watched.borrow_mut()[source] = None;
+        self.informed.borrow_mut()[source] = true;
         self.record("control-lost", || json!({"control": control, "reason": reason}));
     }
 
@@ -146,6 +175,8 @@
     ) {
         let now = self.clock.now();
         self.last_update.set(now);
+        self.controls.borrow_mut().record_informed(control, update.is_informed, now);
+        self.informed.borrow_mut()[source] = update.is_informed;
         if update.source != cursor.source {
             self.record("control-watched", || json!({"control": control}));
         }
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -42,6 +42,8 @@
     pub targets: TargetDigests,
     /// Some of the live control daemons, for discovery.
     pub peers: Vec<SocketAddr>,
+    /// Whether the daemon learns new declarations.
+    pub is_informed: bool,
 }
 
 /// Heartbeat between control daemons. The response to it is the receiver's heartbeat.
@@ -160,7 +162,8 @@
     Done,
     /// Response to `Watch`.
     News(Box<EntryUpdate>),
-    /// Response to `Controls`: the live control daemons with their failure domains.
+    /// Response to `Controls`: the live control daemons with their failure domains. A daemon that no longer learns new
+    /// declarations leaves itself out.
     Controls(Vec<(SocketAddr, DomainName)>),
     /// Response to `Load`, and to a refused `LoadSum`: the totals, or the code of a
     /// [`LoadError`](comfreyhold_load::LoadError).
@@ -194,6 +197,8 @@
     pub revision: u64,
     /// Whether `targets` holds all targets instead of only the changed ones.
     pub all_targets: bool,
+    /// Whether the daemon learns new declarations. One that is cut off from the majority does not.
+    pub is_informed: bool,
     /// Changed targets, or all of them.
     pub targets: Vec<TargetReport>,
     /// Newer declarations; absent if the entry has the newest ones, or if they are offered.
--- a/crates/fleet/tests/decoders/samples.rs
+++ b/crates/fleet/tests/decoders/samples.rs
@@ -85,6 +85,7 @@
         targets.apply(&announcement(id), now);
     }
     let state = ControlState {
+        is_informed: true,
         replica: Replica { disk: DiskId(1), address: address(1) },
         domain: domain(),
         start: IncarnationId(7),
@@ -191,6 +192,7 @@
             source: IncarnationId(7),
             revision: 300,
             all_targets: true,
+            is_informed: true,
             targets: vec![report],
             declarations: Some(DeclarationUpdate { change: 2, withdrawn, routes }),
             offer: Some(3),
--- a/crates/fleet/tests/fleet/common_start.rs
+++ b/crates/fleet/tests/fleet/common_start.rs
@@ -87,6 +87,7 @@
     for number in 1..=12 {
         let address = SocketAddr::from(([10, 9, 0, number], 7_902));
         let state = ControlState {
+            is_informed: true,
             replica: Replica { disk: DiskId(number.into()), address },
             domain: DomainName::from("b"),
             start: IncarnationId(number.into()),
--- a/crates/fleet/tests/fleet/encodings.rs
+++ b/crates/fleet/tests/fleet/encodings.rs
@@ -94,6 +94,7 @@
         let is_base =
             |v: &&Arc<RegisterValue>| cursor.change > 0 && v.state.change == cursor.change;
         FeedState {
+            is_informed: true,
             incarnation: SOURCE,
             targets: &self.targets,
             chosen: self.values.last().cloned(),
--- a/crates/fleet/tests/fleet/feed.rs
+++ b/crates/fleet/tests/fleet/feed.rs
@@ -88,6 +88,7 @@
         let base =
             self.values.iter().find(|v| v.state.change == cursor.change && cursor.change > 0);
         FeedState {
+            is_informed: true,
             incarnation: self.incarnation,
             targets: &self.targets,
             chosen: self.values.last().cloned(),
--- a/crates/fleet/tests/fleet/large_tables.rs
+++ b/crates/fleet/tests/fleet/large_tables.rs
@@ -100,6 +100,7 @@
         let base =
             self.values.iter().find(|v| cursor.change > 0 && v.state.change == cursor.change);
         let feed = FeedState {
+            is_informed: true,
             incarnation: self.incarnation,
             targets: &self.targets,
             chosen: self.values.last().cloned(),
@@ -118,6 +119,7 @@
     fn part(&mut self, request: &PartRequest) -> Option<CopyPart> {
         let base = self.values.iter().find(|v| v.state.change == request.change);
         let feed = FeedState {
+            is_informed: true,
             incarnation: self.incarnation,
             targets: &self.targets,
             chosen: self.values.last().cloned(),
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod common_start;
 mod controls;
 mod counters;
+mod cut_off;
 mod early_packets;
 mod encodings;
 mod feed;
--- a/crates/fleet/tests/fleet/peers.rs
+++ b/crates/fleet/tests/fleet/peers.rs
@@ -39,6 +39,7 @@
 
 fn state(number: u8, incarnation: u64, peers: &[u8]) -> ControlState {
     ControlState {
+        is_informed: true,
         replica: Replica { disk: DiskId(u64::from(number)), address: address(number) },
         domain: DomainName::from("a"),
         start: IncarnationId(incarnation),
--- a/crates/fleet/tests/relays/links.rs
+++ b/crates/fleet/tests/relays/links.rs
@@ -55,6 +55,7 @@
     id: usize,
 ) -> comfreyhold_fleet::messages::ControlState {
     comfreyhold_fleet::messages::ControlState {
+        is_informed: true,
         replica: comfreyhold_consensus::register::Replica {
             disk: comfreyhold_consensus::register::DiskId(1),
             address: address(id),
--- a/crates/fleet/tests/relays/model/protocol.rs
+++ b/crates/fleet/tests/relays/model/protocol.rs
@@ -21,6 +21,7 @@
         let live = m.peers.live(PEER_TIMEOUT, now).map(|(address, _)| address);
         let peers = live.sample(&mut self.rng, 8);
         ControlState {
+            is_informed: true,
             replica: Replica { disk: DiskId(m.start.0), address: address(member) },
             domain: m.domain.clone(),
             start: m.start,
