Keep targets cold over a restart of their control daemons

Cause: a restart restored a default as a fact. A daemon read its saved targets with a cold period of 0, and the file held the period as announced, not what was left of it. Entries that ran on took that for newer than what they knew, as it came from another incarnation of the daemon. Change: the file holds what is left of a cold period at the save, and a restart keeps it. The time in between is not deducted, since the time of day may jump: a target is cold for a little longer, until it repeats its announcement. An entry keeps the later end of a cold period unless a newer announcement of the target says otherwise, since a target may turn cold after the last save. Looked at and found in order: what else a restart restores. Drains and ends are saved before they are acknowledged, timed-out targets are not saved, and a restored target that does not announce itself counts as silent after two intervals. Test: membership/announcements::restored_target_is_cold_for_as_long_as_it_was_when_it_was_saved and fleet/feed::a_cold_target_stays_cold_while_its_daemons_restart. Both failed before (0 ms in place of 4,000; cold until 1 s in place of 6 s) and pass now; comfreyhold-membership and comfreyhold-fleet pass.

--- a/crates/fleet/src/control/saves.rs
+++ b/crates/fleet/src/control/saves.rs
@@ -49,7 +49,7 @@
             if revision == saves.saved_revision.get() {
                 continue;
             }
-            let targets = self.targets.borrow().announcements_to_save();
+            let targets = self.targets.borrow().announcements_to_save(self.clock.now());
             if self.voter.save_targets(targets).await {
                 saves.saved_revision.set(revision);
                 saves.done.notify_waiters();
--- a/crates/fleet/src/entry/view.rs
+++ b/crates/fleet/src/entry/view.rs
@@ -4,7 +4,7 @@
 use comfreyhold_flow::cookie::balancer::Routing;
 use comfreyhold_flow::cookie::directory::TargetSpec;
 use comfreyhold_membership::announcements::TargetReport;
-use comfreyhold_types::announcement::{Announcement, Availability};
+use comfreyhold_types::announcement::{Announcement, AnnouncementPosition, Availability};
 use comfreyhold_types::keys::TargetId;
 use comfreyhold_types::routes::limit_former;
 use std::collections::{BTreeMap, BTreeSet};
@@ -31,6 +31,8 @@
     /// Newest announcements by which targets stopped taking flows, and when each was received. They stay in
     /// effect when all sources have restarted and report an older state.
     left: BTreeMap<TargetId, (Announcement, Instant)>,
+    /// Ends of the cold periods of targets that are cold, with the positions of their announcements.
+    cold: BTreeMap<TargetId, (AnnouncementPosition, Instant)>,
     routing: Routing,
     /// Change number up to which declarations were offered, and are fetched; 0 if none are.
     offered: u64,
@@ -101,12 +103,18 @@
         state.incarnation = update.source;
         state.revision = update.revision;
         self.left.retain(|_, (_, received)| now < *received + LEFT_RETENTION);
+        self.cold.retain(|_, (_, cold_until)| now < *cold_until);
         for report in &update.targets {
             record_left(&mut self.left, &report.announcement, now);
         }
         let reports = update.targets.into_iter();
         state.reports.extend(reports.map(|report| (report.announcement.id, (report, now))));
-        let targets = affected.into_iter().filter_map(|id| self.merged_target(id)).collect();
+        let mut targets: Vec<TargetSpec> = Vec::new();
+        for id in affected {
+            let Some((mut target, position)) = self.merged_target(id) else { continue };
+            target.cold_until = self.cold_end(id, position, target.cold_until, now);
+            targets.push(target);
+        }
         ViewChanges { targets, routing }
     }
 
@@ -144,14 +152,15 @@
 
     /// Merges the reports of all sources about a target: the last announcement counts, also
     /// one that no source reports any more, and the target is silent only if all of the reports say so.
-    fn merged_target(&self, id: TargetId) -> Option<TargetSpec> {
+    /// Also returns the position of that announcement.
+    fn merged_target(&self, id: TargetId) -> Option<(TargetSpec, AnnouncementPosition)> {
         let reports = || self.sources.iter().filter_map(|source| source.reports.get(&id));
         let (newest, received) =
             reports().max_by_key(|(report, _)| report.announcement.position())?;
         let left = self.left.get(&id).filter(|(left, _)| outlasts(left, &newest.announcement));
         let (announcement, received) =
             left.map_or((&newest.announcement, received), |(left, received)| (left, received));
-        Some(TargetSpec {
+        let target = TargetSpec {
             id,
             born_ms: announcement.stamp.born_ms,
             service: announcement.service.clone(),
@@ -161,7 +170,30 @@
             availability: announcement.availability,
             cold_until: *received + Duration::from_millis(announcement.cold_ms),
             silent: reports().all(|(report, _)| report.silent),
-        })
+        };
+        Some((target, announcement.position()))
+    }
+
+    /// Returns the end of a target's cold period. An announcement that is no newer than the one which stated a later end does
+    /// not shorten it: daemons that have restarted may report what they had saved before.
+    fn cold_end(
+        &mut self,
+        id: TargetId,
+        position: AnnouncementPosition,
+        reported: Instant,
+        now: Instant,
+    ) -> Instant {
+        let known = self.cold.get(&id).filter(|(known, _)| position <= *known);
+        let (position, cold_until) = match known {
+            Some((known, cold_until)) => (*known, reported.max(*cold_until)),
+            None => (position, reported),
+        };
+        if now < cold_until {
+            self.cold.insert(id, (position, cold_until));
+        } else {
+            self.cold.remove(&id);
+        }
+        cold_until
     }
 }
 
--- a/crates/fleet/tests/fleet/feed.rs
+++ b/crates/fleet/tests/fleet/feed.rs
@@ -197,6 +197,43 @@
     }
 }
 
+/// Guards against a cold target that gets the flows of a warm one because daemons have restarted from a save of before it
+/// turned cold, and against a target that stays cold although it has said otherwise (review/9).
+#[test]
+fn a_cold_target_stays_cold_while_its_daemons_restart() {
+    let (mut daemon, mut view, now) = (Daemon::new(1), ControlView::new(1), Instant::now());
+    let cold = Announcement { cold_ms: 6_000, ..announcement(1, 5, Availability::Serving) };
+    daemon.targets.apply(&cold, now);
+    daemon.send_update(&mut view, 0, now);
+    let cold_until = |view: &mut ControlView, daemon: &Daemon, at| {
+        let cursor = view.cursor(0);
+        let update = daemon.feed_state(&cursor).update(&cursor, at);
+        view.apply(0, &cursor, update, at).targets[0].cold_until
+    };
+    for (incarnation, saved_sequence) in [(2, 5), (3, 4)] {
+        let mut restarted = Daemon::new(incarnation);
+        let saved = announcement(1, saved_sequence, Availability::Serving);
+        restarted.targets.restore(vec![saved], SILENT_AFTER, now);
+        let at = now + Duration::from_secs(1);
+        let kept = cold_until(&mut view, &restarted, at);
+        assert_eq!(kept, now + Duration::from_secs(6), "number {saved_sequence}");
+    }
+    let mut restarted = Daemon::new(4);
+    let warm = announcement(1, 6, Availability::Serving);
+    restarted.targets.apply(&warm, now);
+    let at = now + Duration::from_secs(2);
+    assert_eq!(cold_until(&mut view, &restarted, at), at, "it has said that it is warm");
+    // So has a later incarnation.
+    daemon
+        .targets
+        .apply(&Announcement { cold_ms: 9_000, ..announcement(1, 7, warm.availability) }, at);
+    let mut later = announcement(1, 1, Availability::Serving);
+    later.stamp.born_ms += 1;
+    let mut restarted = Daemon::new(5);
+    restarted.targets.apply(&later, at);
+    assert_eq!(cold_until(&mut view, &restarted, at), at);
+}
+
 /// Guards against a restarted target that stays out because its earlier incarnation has ended.
 #[test]
 fn a_later_incarnation_of_an_ended_target_is_used() {
--- a/crates/membership/src/announcements.rs
+++ b/crates/membership/src/announcements.rs
@@ -175,11 +175,11 @@
 
     /// Restores the records saved by an earlier run of this process, whose services a publication had named. A
     /// record times out after `trust` unless the target repeats its announcement, and is not sent to other daemons
-    /// before that repetition.
+    /// before that repetition. A target is cold for as long as it was when it was saved: the time since then is not known,
+    /// as the time of day may jump.
     pub fn restore(&mut self, saved: Vec<Announcement>, trust: Duration, now: Instant) {
         let Some(last_seen) = (now + trust).checked_sub(self.timeout) else { return };
-        for mut announcement in saved.into_iter().filter(|saved| saved.check().is_ok()) {
-            announcement.cold_ms = 0;
+        for announcement in saved.into_iter().filter(|saved| saved.check().is_ok()) {
             self.named_services.insert(announcement.service.clone());
             if self.apply(&announcement, now) == AnnouncementOutcome::Changed
                 && let Some(record) = self.records.get_mut(&announcement.id)
@@ -190,12 +190,12 @@
         }
     }
 
-    /// Returns the announcements to save for `restore` after a restart: those of targets that have not timed
-    /// out.
+    /// Returns the announcements to save for `restore` after a restart, with the remaining cold periods: those of targets
+    /// that have not timed out.
     #[must_use]
-    pub fn announcements_to_save(&self) -> Vec<Announcement> {
+    pub fn announcements_to_save(&self, now: Instant) -> Vec<Announcement> {
         let records = self.records.values().filter(|record| !record.is_timed_out);
-        records.map(|record| record.announcement.clone()).collect()
+        records.map(|record| record.current_announcement(now)).collect()
     }
 
     /// Applies an announcement and returns its effect.
--- a/crates/membership/tests/announcements.rs
+++ b/crates/membership/tests/announcements.rs
@@ -188,7 +188,7 @@
     before.apply(&announcement(2, 100, 7, 2), now);
     let trust = Duration::from_secs(2);
     let mut after = empty();
-    after.restore(before.announcements_to_save(), trust, now);
+    after.restore(before.announcements_to_save(now), trust, now);
     assert_eq!(after.live_count(), 2);
     assert!(after.all(now).is_empty());
     let (revision, digests) = (after.revision(), after.digests());
@@ -203,6 +203,35 @@
     assert_eq!(after.check_timeouts(now + trust), vec![TargetId(2)]);
 }
 
+/// Guards against a cold target that counts as warm after a restart of its daemon, until it repeats its announcement
+/// (review/9), and against one that stays cold although it says otherwise.
+#[test]
+fn restored_target_is_cold_for_as_long_as_it_was_when_it_was_saved() {
+    let (mut before, now) = (empty(), Instant::now());
+    let cold = Announcement { cold_ms: 6_000, ..announcement(1, 100, 7, 1) };
+    before.apply(&cold, now);
+    before.apply(&announcement(2, 100, 7, 2), now);
+    let saved_at = now + Duration::from_secs(2);
+    let saved = before.announcements_to_save(saved_at);
+    let mut after = empty();
+    let started = saved_at + Duration::from_secs(1);
+    after.restore(saved, Duration::from_secs(2), started);
+    let cold_ms = |records: &Announcements, at| {
+        let reports = records.changed_since(0, at);
+        reports.iter().map(|report| report.announcement.cold_ms).collect::<Vec<_>>()
+    };
+    assert_eq!(cold_ms(&after, started), [4_000, 0]);
+    assert_eq!(cold_ms(&after, started + Duration::from_secs(4)), [0, 0]);
+    let warm = announcement(1, 100, 8, 1);
+    assert_eq!(after.apply(&warm, started), AnnouncementOutcome::Changed);
+    assert_eq!(cold_ms(&after, started), [0, 0]);
+    // A target that was warm by the time of the save is warm.
+    let saved = before.announcements_to_save(now + Duration::from_secs(6));
+    let mut after = empty();
+    after.restore(saved, Duration::from_secs(2), now + Duration::from_secs(7));
+    assert_eq!(cold_ms(&after, now + Duration::from_secs(7)), [0, 0]);
+}
+
 /// Guards against daemons that exchange all targets for a difference in one, or none despite a difference.
 #[test]
 fn difference_changes_the_digest_of_its_group() {
@@ -266,7 +295,7 @@
     let (mut before, now) = (empty(), Instant::now());
     before.apply(&announcement(1, 100, 7, 1), now);
     let mut after = empty();
-    after.restore(before.announcements_to_save(), Duration::from_secs(2), now);
+    after.restore(before.announcements_to_save(now), Duration::from_secs(2), now);
     assert!(after.refresh(&[repetition(&announcement(1, 100, 7, 1))], now).is_empty());
     assert_eq!(after.digests(), before.digests());
 }
--- a/crates/types/src/announcement.rs
+++ b/crates/types/src/announcement.rs
@@ -108,6 +108,10 @@
     pub cold_ms: u64,
 }
 
+/// Position among the announcements of one target: the start of its incarnation, whether it is the end of that, and its
+/// number.
+pub type AnnouncementPosition = (u64, bool, u64);
+
 impl Announcement {
     /// Checks that each field is in its range.
     ///
@@ -144,7 +148,7 @@
     /// Position among the announcements of one target: by start, and then by number. The end of an incarnation comes
     /// last, whatever its number: a daemon that reports an end may have missed the numbers before it.
     #[must_use]
-    pub fn position(&self) -> (u64, bool, u64) {
+    pub fn position(&self) -> AnnouncementPosition {
         let is_end = self.availability == Availability::Ended;
         (self.stamp.born_ms, is_end, self.stamp.sequence)
     }
