Send small changes to voters without the value they change

Cause: each round sent the whole value, 2.5 MB, to each voter. A round that was preempted also forgot the newest value that voters had sent it, and received it again from each of them in the next one. Change: a voter whose promise says that it holds the newest value gets the changes, unless they hold a publication, and derives the value itself. Two values never have the same ballot, and a promise keeps a voter from accepting another one in between. One that promises late gets its request then. A preempted round keeps the newest value as the base of the next one.

--- a/crates/consensus/src/register/acceptor.rs
+++ b/crates/consensus/src/register/acceptor.rs
@@ -84,6 +84,19 @@
                 let write = Some(AcceptorWrite::Value(Arc::clone(value)));
                 Decision { write, response: RegisterResponse::Accepted }
             }
+            RegisterRequest::AcceptChange(change) if change.ballot < self.promised => {
+                respond(RegisterResponse::Rejected { promised: self.promised })
+            }
+            RegisterRequest::AcceptChange(change) if self.accepted_ballot() == change.ballot => {
+                respond(RegisterResponse::Accepted)
+            }
+            RegisterRequest::AcceptChange(change) => {
+                let base = self.accepted.as_ref().filter(|value| value.ballot == change.base);
+                // The promise keeps the voter from accepting another value in between.
+                let Some(base) = base else { return respond(RegisterResponse::Unavailable) };
+                let write = Some(AcceptorWrite::Value(Arc::new(change.apply_to(base))));
+                Decision { write, response: RegisterResponse::Accepted }
+            }
             RegisterRequest::Read => respond(RegisterResponse::Newest(self.accepted_ballot())),
             RegisterRequest::Fetch => respond(RegisterResponse::Fetched(self.accepted.clone())),
         }
--- a/crates/consensus/src/register/mod.rs
+++ b/crates/consensus/src/register/mod.rs
@@ -11,7 +11,7 @@
 pub mod round;
 pub mod store;
 
-use comfreyhold_types::routes::SharedState;
+use comfreyhold_types::routes::{SharedState, StateChange};
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
 use std::collections::BTreeSet;
@@ -118,6 +118,37 @@
     pub state: SharedState,
 }
 
+/// A value as changes to another one. It is small where the value is not.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ValueChange {
+    /// Ballot of the new value.
+    pub ballot: Ballot,
+    /// Ballot of the value that is changed. Two values never have the same one.
+    pub base: Ballot,
+    /// Changes of its state, applied in this order.
+    pub changes: Vec<StateChange>,
+    /// Voters of the new value.
+    pub voters: Voters,
+}
+
+impl ValueChange {
+    /// Whether the changes hold no publication, which is as large as the value.
+    #[must_use]
+    pub fn is_small(&self) -> bool {
+        !self.changes.iter().any(|change| matches!(change, StateChange::Publish(_)))
+    }
+
+    /// Applies the changes to the value that they are meant for.
+    #[must_use]
+    pub fn apply_to(&self, base: &RegisterValue) -> RegisterValue {
+        let mut state = base.state.clone();
+        for change in &self.changes {
+            state.apply(change);
+        }
+        RegisterValue { ballot: self.ballot, voters: self.voters.clone(), state }
+    }
+}
+
 /// A request to a voter.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RegisterRequest {
@@ -134,6 +165,8 @@
     Read,
     /// Asks for the newest accepted value.
     Fetch,
+    /// Asks to accept a value that the voter derives from the one which it has accepted last.
+    AcceptChange(Arc<ValueChange>),
 }
 
 /// Response of a voter to a [`RegisterRequest`].
--- a/crates/consensus/src/register/round.rs
+++ b/crates/consensus/src/register/round.rs
@@ -5,7 +5,9 @@
 //! the new voters, and completed before a further change. A proposer that knows only older voters therefore
 //! always reaches a voter whose response contains the newer ones.
 
-use super::{Ballot, DiskId, RegisterRequest, RegisterResponse, RegisterValue, Replica, Voters};
+use super::{
+    Ballot, DiskId, RegisterRequest, RegisterResponse, RegisterValue, Replica, ValueChange, Voters,
+};
 use comfreyhold_types::routes::StateChange;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -50,7 +52,13 @@
 
 enum RoundPhase {
     Prepare,
-    Accept { value: Arc<RegisterValue>, includes_proposal: bool, accepted: BTreeSet<DiskId> },
+    Accept {
+        value: Arc<RegisterValue>,
+        /// The value as changes to the newest one.
+        change: Arc<ValueChange>,
+        includes_proposal: bool,
+        accepted: BTreeSet<DiskId>,
+    },
 }
 
 /// One round of a proposer.
@@ -92,6 +100,12 @@
         self.ballot
     }
 
+    /// Newest value received so far, also from voters that are no quorum.
+    #[must_use]
+    pub fn newest(&self) -> &Arc<RegisterValue> {
+        &self.newest
+    }
+
     /// Whether the round has its promises and writes a value.
     #[must_use]
     pub fn is_writing(&self) -> bool {
@@ -109,6 +123,10 @@
             {
                 self.handle_promise(from, accepted, value)
             }
+            RegisterResponse::Promised { accepted, .. } => {
+                self.promised.insert(from, accepted);
+                RoundProgress::Send(self.late_request(from))
+            }
             RegisterResponse::Accepted => self.handle_accepted(from),
             _ => RoundProgress::Send(Vec::new()),
         }
@@ -146,35 +164,63 @@
 
     fn start_accept_phase(&mut self) -> RoundProgress {
         let was_chosen = self.newest_was_chosen();
-        let (next, includes_proposal) = self.next_value(was_chosen);
-        if was_chosen && next.state == self.newest.state && next.voters == self.newest.voters {
+        let (change, includes_proposal) = self.next_change(was_chosen);
+        let value = change.apply_to(&self.newest);
+        if was_chosen && value.state == self.newest.state && value.voters == self.newest.voters {
             return RoundProgress::Chosen { value: Arc::clone(&self.newest), next: None };
         }
-        let value = Arc::new(RegisterValue { ballot: self.ballot, ..next });
-        let request = RegisterRequest::Accept(Arc::clone(&value));
         let voters = value.voters.all();
-        self.phase = RoundPhase::Accept { value, includes_proposal, accepted: BTreeSet::new() };
-        RoundProgress::Send(voters.into_iter().map(|voter| (voter, request.clone())).collect())
+        let (value, change, accepted) = (Arc::new(value), Arc::new(change), BTreeSet::new());
+        self.phase = RoundPhase::Accept { value, change, includes_proposal, accepted };
+        let requests = voters.into_iter().filter_map(|voter| self.accept_request(voter));
+        RoundProgress::Send(requests.collect())
     }
 
-    /// Value to write, and whether it includes the proposal.
-    fn next_value(&self, was_chosen: bool) -> (RegisterValue, bool) {
-        let mut next = RegisterValue::clone(&self.newest);
-        if next.voters.is_changing() && !was_chosen {
-            return (next, false);
-        }
-        for change in &self.proposal.changes {
-            next.state.apply(change);
+    /// Request to accept the value. A voter that holds the newest value gets the changes only, if they are small. One that
+    /// has not promised yet may hold it too, and gets its request with its promise.
+    fn accept_request(&self, voter: Replica) -> Option<(Replica, RegisterRequest)> {
+        let RoundPhase::Accept { value, change, .. } = &self.phase else { return None };
+        let promised = self.promised.get(&voter.disk);
+        let request = match promised {
+            None if change.is_small() && self.contacted.contains(&voter) => return None,
+            // The initial value is on no disk.
+            Some(accepted)
+                if change.is_small()
+                    && *accepted == change.base
+                    && change.base != Ballot::default() =>
+            {
+                RegisterRequest::AcceptChange(Arc::clone(change))
+            }
+            _ => RegisterRequest::Accept(Arc::clone(value)),
+        };
+        Some((voter, request))
+    }
+
+    /// Request to accept the value for a voter that promises when others are asked already.
+    fn late_request(&self, from: DiskId) -> VoterRequests {
+        let RoundPhase::Accept { value, change, .. } = &self.phase else { return Vec::new() };
+        let voter = value.voters.all().into_iter().find(|voter| voter.disk == from);
+        let voter = voter.filter(|_| change.is_small());
+        voter.and_then(|voter| self.accept_request(voter)).into_iter().collect()
+    }
+
+    /// Changes that make the value to write, and whether they include the proposal.
+    fn next_change(&self, was_chosen: bool) -> (ValueChange, bool) {
+        let (ballot, base) = (self.ballot, self.newest.ballot);
+        let voters = &self.newest.voters;
+        if voters.is_changing() && !was_chosen {
+            let voters = voters.clone();
+            return (ValueChange { ballot, base, changes: Vec::new(), voters }, false);
         }
-        let previous = next.voters.current;
+        let previous = voters.current.clone();
         let change = self.proposal.voters.as_ref().filter(|change| change.from == previous);
         let current = change.map_or_else(|| previous.clone(), |change| change.to.clone());
-        next.voters = Voters { current, previous };
-        (next, true)
+        let (changes, voters) = (self.proposal.changes.clone(), Voters { current, previous });
+        (ValueChange { ballot, base, changes, voters }, true)
     }
 
     fn handle_accepted(&mut self, from: DiskId) -> RoundProgress {
-        let RoundPhase::Accept { value, includes_proposal, accepted } = &mut self.phase else {
+        let RoundPhase::Accept { value, includes_proposal, accepted, .. } = &mut self.phase else {
             return RoundProgress::Send(Vec::new());
         };
         accepted.insert(from);
--- a/crates/consensus/tests/register.rs
+++ b/crates/consensus/tests/register.rs
@@ -5,7 +5,7 @@
 mod register_support;
 
 use comfreyhold_consensus::register::repair::{VoterCandidate, next_voters, voters_needed};
-use comfreyhold_consensus::register::{DiskId, Replica};
+use comfreyhold_consensus::register::{DiskId, RegisterRequest, Replica};
 use register_support::{SimulatedFleet, replica};
 use std::collections::BTreeSet;
 
@@ -19,6 +19,50 @@
     }
 }
 
+/// Guards against voters that derive another value from small changes than the one which others receive as a whole, and
+/// against acknowledged publications that are lost by that.
+#[test]
+fn small_changes_give_the_same_value_at_each_voter() {
+    for seed in seeds() {
+        let mut fleet = SimulatedFleet::new(seed, 5, 5);
+        for step in 0..40 {
+            if step % 3 == 0 {
+                fleet.publish_on_random_daemon();
+            } else {
+                fleet.withdraw_on_random_daemon();
+            }
+            fleet.deliver_some_messages();
+            fleet.assert_one_value_per_ballot();
+            if step % 10 == 9 {
+                fleet.heal_and_converge();
+                fleet.assert_one_value_per_ballot();
+                fleet.assert_nothing_lost();
+            }
+        }
+    }
+}
+
+/// Guards against a withdrawal that takes as long as the largest configuration needs to each voter: its caller waits for a
+/// second.
+#[test]
+fn a_small_change_is_sent_without_the_value() {
+    let mut fleet = SimulatedFleet::new(1, 5, 5);
+    fleet.publish_and_converge();
+    while fleet.deliver_next() {}
+    let mut changes = 0;
+    for _ in 0..10 {
+        fleet.withdraw_on_random_daemon();
+        while fleet.deliver_next() {
+            for request in fleet.requests_in_flight() {
+                assert!(!matches!(request, RegisterRequest::Accept(_)), "{request:?}");
+                changes += usize::from(matches!(request, RegisterRequest::AcceptChange(_)));
+            }
+        }
+    }
+    assert!(changes > 0, "no withdrawal changed anything");
+    fleet.assert_one_value_per_ballot();
+}
+
 /// Guards against a later round that loses an acknowledged change, when messages are lost or late and proposers
 /// compete.
 #[test]
--- a/crates/consensus/tests/register_support/mod.rs
+++ b/crates/consensus/tests/register_support/mod.rs
@@ -9,6 +9,7 @@
     AddressedRequest, Ballot, DiskId, RegisterRequest, RegisterResponse, RegisterValue, Replica,
     Voters,
 };
+use comfreyhold_types::keys::DomainName;
 use comfreyhold_types::routes::{RoutePublication, RouteTable, StateChange};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -99,6 +100,26 @@
         self.propose(at, publication(version, &version.to_le_bytes()), Some(version));
     }
 
+    /// Withdraws or restores a failure domain on a random daemon.
+    pub fn withdraw_on_random_daemon(&mut self) {
+        self.version += 1;
+        let domain = DomainName::from(format!("d{}", self.version % 5).as_str());
+        let change = StateChange::Withdraw { domain, out: self.rng.random_bool(0.5) };
+        let at = self.random_daemon();
+        self.propose(at, Proposal { changes: vec![change], voters: None }, None);
+    }
+
+    /// Checks that all daemons which hold a value under the same ballot hold the same one.
+    pub fn assert_one_value_per_ballot(&self) {
+        let mut values: BTreeMap<Ballot, &Arc<RegisterValue>> = BTreeMap::new();
+        let accepted = self.daemons.iter().filter_map(|daemon| daemon.acceptor.accepted());
+        let chosen = self.daemons.iter().filter_map(|daemon| daemon.chosen.as_ref());
+        for value in accepted.chain(chosen) {
+            let known = values.entry(value.ballot).or_insert(value);
+            assert_eq!(*known, value, "seed {}: two values under one ballot", self.seed);
+        }
+    }
+
     /// Publishes different content under one version on two daemons.
     pub fn publish_concurrently(&mut self, version: u64) {
         self.version = version;
@@ -139,6 +160,21 @@
         }
     }
 
+    /// Delivers a message, without loss after `publish_and_converge`. Returns false if there was none.
+    pub fn deliver_next(&mut self) -> bool {
+        let has_messages = !self.messages.is_empty();
+        self.deliver_one();
+        has_messages
+    }
+
+    /// Requests that were sent and have not arrived.
+    pub fn requests_in_flight(&self) -> impl Iterator<Item = &RegisterRequest> {
+        self.messages.iter().filter_map(|message| match message {
+            Message::Request { request, .. } => Some(request),
+            Message::Response { .. } => None,
+        })
+    }
+
     fn deliver_one(&mut self) {
         if self.messages.is_empty() {
             return;
--- a/crates/fleet/src/control/register.rs
+++ b/crates/fleet/src/control/register.rs
@@ -272,9 +272,10 @@
         calls.extend(call_all(requests));
         while let Some((from, response)) = calls.next().await {
             let Some(response) = response else { continue };
+            let was_writing = round.is_writing();
             match round.handle_response(from, response) {
                 RoundProgress::Send(requests) => {
-                    if round.is_writing() && !requests.is_empty() {
+                    if round.is_writing() && !was_writing {
                         if !is_wanted() {
                             return Ok(RoundOutcome::Unwanted);
                         }
@@ -287,6 +288,8 @@
                 }
                 RoundProgress::Preempted(ballot) => {
                     self.highest_ballot.set(self.highest_ballot.get().max(ballot));
+                    // The next round need not receive the newest value again, from each voter.
+                    self.keep_as_base(round.newest());
                     return Ok(RoundOutcome::Preempted { was_written: round.is_writing() });
                 }
             }
@@ -349,19 +352,21 @@
     async fn fetch_newest(&self, read: &QuorumRead) -> bool {
         let Some(holder) = read.newest_value_holder() else { return false };
         match self.call_voter(holder, RegisterRequest::Fetch).await {
-            (_, Some(RegisterResponse::Fetched(Some(value)))) => {
-                let known_ballot =
-                    self.newest_known().map(|known| known.ballot).unwrap_or_default();
-                let is_newer = value.ballot > known_ballot;
-                if is_newer {
-                    *self.base.borrow_mut() = Some(value);
-                }
-                is_newer
-            }
+            (_, Some(RegisterResponse::Fetched(Some(value)))) => self.keep_as_base(&value),
             _ => false,
         }
     }
 
+    /// Keeps a value that a voter holds, chosen or not, if it is newer than the newest known one. Returns whether it is.
+    fn keep_as_base(&self, value: &Arc<RegisterValue>) -> bool {
+        let known_ballot = self.newest_known().map(|known| known.ballot).unwrap_or_default();
+        let is_newer = value.ballot > known_ballot;
+        if is_newer {
+            *self.base.borrow_mut() = Some(Arc::clone(value));
+        }
+        is_newer
+    }
+
     /// Sends a request to a voter, which may be the local one. The response is `None` if the call fails.
     async fn call_voter(
         &self,
@@ -389,7 +394,10 @@
 /// Checks that the other voters can receive a value. One that only the local voter accepts would be proposed again by each
 /// later round, and never be chosen.
 fn check_size(requests: &VoterRequests) -> Result<(), RegisterError> {
-    let Some((to, request)) = requests.first() else { return Ok(()) };
+    let is_whole = |request: &RegisterRequest| matches!(request, RegisterRequest::Accept(_));
+    let Some((to, request)) = requests.iter().find(|(_, request)| is_whole(request)) else {
+        return Ok(());
+    };
     let addressed = AddressedRequest { to: to.disk, request: request.clone() };
     encode_body(&FleetRequest::Vote(addressed)).map(|_| ()).map_err(|error| {
         log::error!("register: a value can't be sent to the voters: {error}");
--- a/crates/fleet/tests/decoders/samples.rs
+++ b/crates/fleet/tests/decoders/samples.rs
@@ -2,7 +2,7 @@
 
 use comfreyhold_consensus::register::{
     AddressedRequest, Ballot, DiskId, RegisterRequest, RegisterResponse, RegisterValue, Replica,
-    Voters,
+    ValueChange, Voters,
 };
 use comfreyhold_fleet::messages::{
     ControlState, CopyKey, CopyPart, DeclarationUpdate, EntryUpdate, FleetRequest, FleetResponse,
@@ -153,6 +153,12 @@
     }
 }
 
+fn change() -> ValueChange {
+    let withdrawal = StateChange::Withdraw { domain: domain(), out: true };
+    let (ballot, voters) = (ballot(), value().voters.clone());
+    ValueChange { ballot, base: Ballot::default(), changes: vec![withdrawal], voters }
+}
+
 fn copy_key() -> CopyKey {
     CopyKey { base: Some(1), change: 2, length: 6, hash: 7 }
 }
@@ -163,6 +169,7 @@
     vec![
         vote(RegisterRequest::Prepare { ballot: ballot(), known: Ballot::default() }),
         vote(RegisterRequest::Accept(value())),
+        vote(RegisterRequest::AcceptChange(Arc::new(change()))),
         FleetRequest::Hello(hello()),
         FleetRequest::Chosen(ballot(), address(1)),
         FleetRequest::Newest(ballot()),
--- a/crates/fleet/tests/fleet/late_orders.rs
+++ b/crates/fleet/tests/fleet/late_orders.rs
@@ -94,8 +94,8 @@
     fn interfere(&self, request: &RegisterRequest) -> Option<FleetResponse> {
         let rejected = match (self.interference.get()?, request) {
             (Interference::FreezeBeforePromise, RegisterRequest::Prepare { .. }) => None,
-            (Interference::PreemptAndFreeze, RegisterRequest::Accept(value)) => {
-                let promised = Ballot { count: value.ballot.count + 1, ..value.ballot };
+            (Interference::PreemptAndFreeze, RegisterRequest::AcceptChange(change)) => {
+                let promised = Ballot { count: change.ballot.count + 1, ..change.ballot };
                 Some(FleetResponse::Vote(RegisterResponse::Rejected { promised }))
             }
             _ => return None,
