Wait for the write of a large value before reading it with a round

Cause: a read that finds no value on a majority ran a round at once. While a large value is written, which takes 1.2 s there, every read is of that kind, and its round preempts the write, which begins anew. Six daemons with reads and repairs of their own kept that up, and one daemon's reads preempted its own rounds. Change: such a read repeats the quorum read for one to three times as long as a round needs for the size of the document, and runs a round only then. A daemon has one proposal at a time, and a read that finds one under way waits for it. The backoff after a preempted round grows with the size too, and a proposal ends after 6 s, when operators have given it up. Test: fleet/contention::a_read_does_not_preempt_the_write_of_a_large_value fails with the wait taken out (the voter had promised the read's round) and passes, three runs of three.

--- a/crates/fleet/src/control/register.rs
+++ b/crates/fleet/src/control/register.rs
@@ -22,6 +22,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
+use tokio::sync::Mutex;
 
 /// Deadline for a voter's response. An operator's call waits one second, so this leaves it time to receive a
 /// response that there is no majority.
@@ -35,6 +36,18 @@
 /// publications on the slowest machines.
 const MAX_PREEMPTED_BACKOFF: Duration = Duration::from_millis(800);
 
+/// Size from which a document makes rounds take noticeably longer, in bytes.
+const LARGE_DOCUMENT_BYTES: usize = 256 * 1024;
+
+/// Document bytes that a round handles in a second, on control daemons with 0.15 of a core and links of 170 Mbit/s.
+const ROUND_BYTES_PER_S: f64 = 1.5 * 1024.0 * 1024.0;
+
+/// Interval between quorum reads while another daemon may be writing a large value.
+const UNSETTLED_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time after which a proposal is not repeated any more. Operators have given it up by then.
+const PROPOSAL_LIFETIME: Duration = Duration::from_secs(6);
+
 /// Maximum number of rounds for one proposal. After that it fails with [`RegisterError::Contention`], and the
 /// caller may retry.
 const MAX_ROUNDS: u32 = 8;
@@ -124,6 +137,8 @@
     base: RefCell<Option<Arc<RegisterValue>>>,
     /// Highest ballot seen so far.
     highest_ballot: Cell<Ballot>,
+    /// Held during a proposal, so that the rounds of this daemon do not preempt each other.
+    proposing: Mutex<()>,
 }
 
 impl Register {
@@ -146,6 +161,7 @@
             chosen: RefCell::new(VecDeque::new()),
             base: RefCell::new(base),
             highest_ballot: Cell::new(highest_ballot),
+            proposing: Mutex::new(()),
         }
     }
 
@@ -228,9 +244,14 @@
         proposal: &Proposal,
         is_wanted: &dyn Fn() -> bool,
     ) -> Result<Arc<RegisterValue>, RegisterError> {
+        let _guard = self.proposing.lock().await;
         let mut proposal = proposal.clone();
         let mut may_take_effect = false;
+        let started = tokio::time::Instant::now();
         for attempt in 1..=MAX_ROUNDS {
+            if started.elapsed() >= PROPOSAL_LIFETIME {
+                break;
+            }
             match self.run_round(proposal.clone(), is_wanted).await? {
                 RoundOutcome::Chosen(value, next) => {
                     self.learn(&value);
@@ -244,10 +265,11 @@
                 RoundOutcome::Unwanted => return Err(RegisterError::Expired),
                 RoundOutcome::Preempted { was_written } => {
                     may_take_effect |= was_written;
-                    let max_backoff = PREEMPTED_BACKOFF.saturating_mul(1 << attempt.min(8));
+                    let round_time = self.round_time();
+                    let backoff = (PREEMPTED_BACKOFF + round_time) * (1 << attempt.min(8));
+                    let max_backoff = MAX_PREEMPTED_BACKOFF + 2 * round_time;
                     let jitter = rand::rng().random::<f64>();
-                    tokio::time::sleep(max_backoff.min(MAX_PREEMPTED_BACKOFF).mul_f64(jitter))
-                        .await;
+                    tokio::time::sleep(backoff.min(max_backoff).mul_f64(jitter)).await;
                 }
             }
         }
@@ -297,13 +319,25 @@
         Ok(RoundOutcome::NoQuorum)
     }
 
+    /// Additional time that a round needs because the newest value is large.
+    fn round_time(&self) -> Duration {
+        let newest = self.newest_known();
+        let publication = newest.as_ref().and_then(|value| value.state.publication.as_ref());
+        let bytes = publication.map_or(0, |publication| publication.document.len());
+        let large_bytes = bytes.saturating_sub(LARGE_DOCUMENT_BYTES);
+        Duration::from_secs_f64(large_bytes as f64 / ROUND_BYTES_PER_S)
+    }
+
     /// Reads the newest value, confirmed by a majority after this call began. Writes only if the responses do
-    /// not show which value is chosen.
+    /// not show which value is chosen. While a large value is written, they don't for a while: the read waits then, since
+    /// its own round would preempt that one.
     ///
     /// # Errors
     /// No majority of the voters responds, no voters are known yet, or other proposers preempt every round.
     pub async fn read_newest(&self) -> Result<Arc<RegisterValue>, RegisterError> {
-        for _ in 0..MAX_QUORUM_READS {
+        let (mut reads, started) = (0, tokio::time::Instant::now());
+        let patience = 1.0 + 2.0 * rand::rng().random::<f64>();
+        while reads < MAX_QUORUM_READS {
             let known = self.newest_known().ok_or(RegisterError::NotJoined)?;
             let is_chosen = known.ballot == self.chosen_ballot() && self.chosen().is_some();
             let (read, outcome) = self.quorum_read(Arc::clone(&known), is_chosen).await;
@@ -314,10 +348,21 @@
                     return Ok(known);
                 }
                 ReadOutcome::Chosen(_) => {
+                    reads += 1;
                     if !self.fetch_newest(&read).await {
                         break;
                     }
                 }
+                ReadOutcome::Unsettled
+                    if started.elapsed() < self.round_time().mul_f64(patience) =>
+                {
+                    tokio::time::sleep(UNSETTLED_RETRY_INTERVAL).await;
+                }
+                ReadOutcome::Unsettled if self.proposing.try_lock().is_err() => {
+                    // A round of this daemon is about to settle it.
+                    reads += 1;
+                    drop(self.proposing.lock().await);
+                }
                 ReadOutcome::Unsettled => break,
             }
         }
--- /dev/null
+++ b/crates/fleet/tests/fleet/contention.rs
@@ -0,0 +1,68 @@
+//! Control daemons that read the register while another one writes a large value.
+
+use crate::saves::{ask, settings, start_with_clock};
+use comfreyhold_consensus::register::{
+    AddressedRequest, Ballot, DiskId, RegisterRequest, RegisterResponse, RegisterValue,
+};
+use comfreyhold_fleet::control::Control;
+use comfreyhold_fleet::messages::{FleetRequest, FleetResponse};
+use comfreyhold_types::clock::SystemClock;
+use comfreyhold_types::routes::{MAX_PUBLICATION_BYTES, RoutePublication, RouteTable, StateChange};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::LocalSet;
+
+/// Newest value that a daemon has learned to be chosen.
+async fn chosen(control: &Rc<Control>) -> Arc<RegisterValue> {
+    match ask(control, &FleetRequest::Newest(Ballot::default())).await {
+        FleetResponse::Newest(Some(value)) => value,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Writes a value to the disk of one voter, as a proposer does.
+async fn write(control: &Rc<Control>, value: &Arc<RegisterValue>, disk: DiskId) {
+    let request = RegisterRequest::Accept(Arc::clone(value));
+    let vote = FleetRequest::Vote(AddressedRequest { to: disk, request });
+    let response = ask(control, &vote).await;
+    assert_eq!(response, FleetResponse::Vote(RegisterResponse::Accepted));
+}
+
+/// Guards against reads that preempt the write of a large value, which takes longer than they do: with several daemons that
+/// read, no value was settled for 20 s, and none of them answered.
+#[tokio::test]
+async fn a_read_does_not_preempt_the_write_of_a_large_value() {
+    LocalSet::new().run_until(check_read_during_write()).await;
+}
+
+async fn check_read_during_write() {
+    let folders = [tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap()];
+    let daemon_settings = [151, 152].map(|host| {
+        let folder = &folders[usize::from(host - 151)];
+        settings(host, &[151, 152], folder.path(), "")
+    });
+    let (first, handle) = start_with_clock(&daemon_settings[0], Arc::new(SystemClock)).await;
+    let (second, _handle) = start_with_clock(&daemon_settings[1], Arc::new(SystemClock)).await;
+    let table = RouteTable { version: 1, ..RouteTable::default() };
+    let document = vec![b' '; MAX_PUBLICATION_BYTES];
+    let publication = RoutePublication::new(document, table).unwrap();
+    while handle.change_declarations(StateChange::Publish(publication.clone())).await.is_err() {}
+    let value = chosen(&first).await;
+    let disks: Vec<DiskId> = daemon_settings
+        .iter()
+        .map(|settings| {
+            let address = settings.exchange_address();
+            value.voters.current.iter().find(|voter| voter.address == address).unwrap().disk
+        })
+        .collect();
+    // Lower than the ballot that a round of the reader would have.
+    let ballot = Ballot { count: value.ballot.count + 1, ..Ballot::default() };
+    let written = Arc::new(RegisterValue { ballot, ..RegisterValue::clone(&value) });
+    write(&second, &written, disks[1]).await;
+    let read = tokio::task::spawn_local(async move { handle.read_publication().await });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    write(&first, &written, disks[0]).await;
+    assert_eq!(read.await.unwrap(), Ok(Some(publication)));
+    assert_eq!(chosen(&first).await.ballot, ballot, "the read has written a value of its own");
+}
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 
 mod capacity;
 mod common_start;
+mod contention;
 mod controls;
 mod counters;
 mod cut_off;
