--- a/crates/fleet/tests/fleet/capacity.rs
+++ b/crates/fleet/tests/fleet/capacity.rs
@@ -64,7 +64,7 @@
 impl Deployment {
     /// Starts a control daemon at `host` and an entry at `host + 1`, with a number of equal targets.
     async fn start(host: u8, targets: u64, metrics: PrometheusHandle) -> Self {
-        let folder = tempfile::tempdir().unwrap();
+        let folder = crate::folders::data_folder();
         let (control, handle) = start_control(host, &[host], folder.path()).await;
         handle.change_declarations(StateChange::Publish(publication(1, &[1]))).await.unwrap();
         for id in 1..=targets {
--- a/crates/fleet/tests/fleet/common_start.rs
+++ b/crates/fleet/tests/fleet/common_start.rs
@@ -72,7 +72,7 @@
 }
 
 async fn check_common_start() {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = crate::folders::data_folder();
     let settings = settings(92, &[92], folder.path(), "");
     let (control, handle) = start_with_clock(&settings, Arc::new(SystemClock)).await;
     let change = StateChange::Publish(publication(1, &[1, 2, 3]));
--- a/crates/fleet/tests/fleet/contention.rs
+++ b/crates/fleet/tests/fleet/contention.rs
@@ -37,7 +37,7 @@
 }
 
 async fn check_read_during_write() {
-    let folders = [tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap()];
+    let folders = [crate::folders::data_folder(), crate::folders::data_folder()];
     let daemon_settings = [151, 152].map(|host| {
         let folder = &folders[usize::from(host - 151)];
         settings(host, &[151, 152], folder.path(), "")
--- a/crates/fleet/tests/fleet/counters.rs
+++ b/crates/fleet/tests/fleet/counters.rs
@@ -86,7 +86,7 @@
     let recorder = PrometheusBuilder::new().build_recorder();
     let metrics = recorder.handle();
     let _guard = metrics::set_default_local_recorder(&recorder);
-    let folder = tempfile::tempdir().unwrap();
+    let folder = crate::folders::data_folder();
     let settings = settings(91, &[91], folder.path(), "");
     let (_control, handle) = start_with_clock(&settings, Arc::new(SystemClock)).await;
     publish(&handle).await;
--- a/crates/fleet/tests/fleet/cut_off.rs
+++ b/crates/fleet/tests/fleet/cut_off.rs
@@ -209,7 +209,7 @@
 /// Starts a deployment with one route that leads nowhere near the packets of [`OneByteCodec`].
 async fn start(first: u8) -> Deployment {
     let hosts: Vec<u8> = (first..).take(DAEMONS).collect();
-    let folders: Vec<TempDir> = hosts.iter().map(|_| tempfile::tempdir().unwrap()).collect();
+    let folders: Vec<TempDir> = hosts.iter().map(|_| crate::folders::data_folder()).collect();
     let daemon_settings = hosts.iter().zip(&folders).map(|(host, folder)| {
         settings(*host, &hosts[..3], folder.path(), "exchange_bind: \"{ip}:7912\"\n")
     });
--- a/crates/fleet/tests/fleet/early_packets.rs
+++ b/crates/fleet/tests/fleet/early_packets.rs
@@ -77,7 +77,7 @@
     for number in [1, 2] {
         caller.send_to(&[number], (ip(1), PACKET_PORT)).await.unwrap();
     }
-    let folder = tempfile::tempdir().unwrap();
+    let folder = crate::folders::data_folder();
     let data_settings = format!("data_folder: {:?}", folder.path());
     let control_settings = settings(2, &data_settings);
     let started = Control::start(control_settings, Arc::new(SystemClock)).await;
--- a/crates/fleet/tests/fleet/large_tables.rs
+++ b/crates/fleet/tests/fleet/large_tables.rs
@@ -293,7 +293,7 @@
 /// Starts an entry on a link of 1.5 Mbit/s before a control daemon with a table near the limit. Returns the time until it
 /// is ready; `None` after [`RECOVERY`].
 async fn time_until_ready(host: u8, max_bytes: usize) -> Option<Duration> {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = crate::folders::data_folder();
     let bind = "exchange_bind: \"{ip}:7909\"\n";
     let control_settings = settings(host, &[host], folder.path(), bind);
     let (_control, handle) = start_with_clock(&control_settings, Arc::new(SystemClock)).await;
--- a/crates/fleet/tests/fleet/late_orders.rs
+++ b/crates/fleet/tests/fleet/late_orders.rs
@@ -50,7 +50,7 @@
 }
 
 async fn check_order_after_freeze() {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = crate::folders::data_folder();
     let clock = Arc::new(ManualClock::new());
     let settings = settings(26, &[26], folder.path(), "");
     let (control, handle) = start_with_clock(&settings, Arc::clone(&clock) as _).await;
@@ -158,7 +158,7 @@
     interference: Interference,
     host: u8,
 ) -> (Rc<Control>, Result<(), RegisterError>) {
-    let folders = [tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap()];
+    let folders = [crate::folders::data_folder(), crate::folders::data_folder()];
     let hosts = [host, host + 1];
     let bind = "exchange_bind: \"{ip}:7905\"\n";
     let voter_settings = settings(hosts[1], &hosts, folders[1].path(), bind);
@@ -201,7 +201,7 @@
 }
 
 async fn check_end_after_freeze() {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = crate::folders::data_folder();
     let clock = Arc::new(ManualClock::new());
     let settings = settings(29, &[29], folder.path(), "");
     let (control, handle) = start_with_clock(&settings, Arc::clone(&clock) as _).await;
@@ -220,7 +220,7 @@
 }
 
 async fn check_late_end() {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = crate::folders::data_folder();
     let settings = settings(30, &[30], folder.path(), "");
     let (control, handle) = start_with_clock(&settings, Arc::new(SystemClock)).await;
     publish(&handle).await;
@@ -239,7 +239,7 @@
 }
 
 async fn check_end_at_another_daemon() {
-    let folders = [tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap()];
+    let folders = [crate::folders::data_folder(), crate::folders::data_folder()];
     let hosts = [31, 32];
     let mut daemons = Vec::new();
     for (host, folder) in hosts.iter().zip(&folders) {
--- a/crates/fleet/tests/fleet/link.rs
+++ b/crates/fleet/tests/fleet/link.rs
@@ -118,7 +118,7 @@
         let clock = Arc::new(ManualClock::new());
         let settings_text = Self::entry_settings(first_host, limits);
         let entry = Entry::start(&settings_text, TestCodec { resets }, clock.clone()).unwrap();
-        let folder = tempfile::tempdir().unwrap();
+        let folder = crate::folders::data_folder();
         let data_settings = format!("data_folder: {:?}", folder.path());
         let control_settings = settings(first_host, first_host + 1, &data_settings);
         let started = Control::start(control_settings, Arc::new(SystemClock)).await;
--- a/crates/fleet/tests/fleet/load.rs
+++ b/crates/fleet/tests/fleet/load.rs
@@ -169,7 +169,7 @@
 }
 
 async fn check_control_daemons() {
-    let folders = [tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap()];
+    let folders = [crate::folders::data_folder(), crate::folders::data_folder()];
     let (_first, handle) = start_control(41, &[41], folders[0].path()).await;
     handle.change_declarations(StateChange::Publish(publication(1, &[1]))).await.unwrap();
     let (_second, _) = start_control(42, &[41], folders[1].path()).await;
@@ -270,7 +270,7 @@
 }
 
 async fn check_entry() {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = crate::folders::data_folder();
     let (relay, _entry) = start_entry(51, folder.path(), true).await;
     wait_for_calls(&relay, 1).await;
     tokio::time::sleep(ms(1_500)).await;
@@ -304,7 +304,7 @@
 }
 
 async fn check_burst() {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = crate::folders::data_folder();
     let (relay, entry) = start_entry(81, folder.path(), true).await;
     wait_for_calls(&relay, 1).await;
     let until = Instant::now() + DEADLINE;
@@ -336,7 +336,7 @@
 }
 
 async fn check_former_daemon() {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = crate::folders::data_folder();
     let (relay, entry) = start_entry(61, folder.path(), false).await;
     wait_for_calls(&relay, 1).await;
     tokio::time::sleep(ms(4_000)).await;
@@ -351,7 +351,7 @@
 }
 
 async fn check_odd_reports() {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = crate::folders::data_folder();
     let (_control, _handle) = start_control(71, &[71], folder.path()).await;
     let pool = ConnectionPool::default();
     let mut other = report(1, 1, true);
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -12,6 +12,7 @@
 mod early_packets;
 mod encodings;
 mod feed;
+mod folders;
 mod large_tables;
 mod late_orders;
 mod link;
--- a/crates/fleet/tests/fleet/saves.rs
+++ b/crates/fleet/tests/fleet/saves.rs
@@ -81,7 +81,7 @@
 }
 
 async fn check_acknowledged_changes() {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = crate::folders::data_folder();
     let (_control, handle) = start(20, folder.path()).await;
     for id in [1, 2] {
         handle.announce(announcement(id, 1, Availability::Serving)).await.unwrap().unwrap();
@@ -110,7 +110,7 @@
 }
 
 async fn check_end_after_restart() {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = crate::folders::data_folder();
     let (control, handle) = start(23, folder.path()).await;
     for id in [1, 2, 3] {
         handle.announce(announcement(id, 1, Availability::Serving)).await.unwrap().unwrap();
@@ -118,7 +118,7 @@
     // A drain is added to a save that holds the other targets.
     handle.announce(announcement(3, 2, Availability::Draining)).await.unwrap().unwrap();
     assert_eq!(saved_availability(&folder, 1), Some(Availability::Serving));
-    let copy = tempfile::tempdir().unwrap();
+    let copy = crate::folders::data_folder();
     let saved = std::fs::read(folder.path().join(TARGETS_FILE)).unwrap();
     std::fs::write(copy.path().join(TARGETS_FILE), saved).unwrap();
     control.stop();
@@ -149,7 +149,7 @@
 }
 
 async fn check_late_news() {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = crate::folders::data_folder();
     let (control, handle) = start(25, folder.path()).await;
     let serving = announcement(1, 3, Availability::Serving);
     handle.announce(serving.clone()).await.unwrap().unwrap();
@@ -182,7 +182,7 @@
 }
 
 async fn check_failed_saves() {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = crate::folders::data_folder();
     let (_control, handle) = start(21, folder.path()).await;
     handle.announce(announcement(1, 1, Availability::Serving)).await.unwrap().unwrap();
     // A folder of this name makes each save fail, as a full disk does. The first save may be done or not.
@@ -208,7 +208,7 @@
 }
 
 async fn check_odd_announcements() {
-    let folder = tempfile::tempdir().unwrap();
+    let folder = crate::folders::data_folder();
     let (_control, handle) = start(22, folder.path()).await;
     let fine = announcement(1, 1, Availability::Serving);
     handle.announce(fine.clone()).await.unwrap().unwrap();
