Count only what a connection receives as progress

Cause: a call went on while its connection moved bytes in either direction. What is sent tells nothing: the kernel takes it in whether the peer reads it or not, so that a peer which had stopped reading was found only once its buffers were full. Change: only received bytes count. The links of the older daemons have their deadline back as it was, since their largest messages come in parts. Test: wire/exchange::a_peer_that_reads_nothing_is_found_while_more_is_sent fails before (no answer within ten times the deadline) and passes now, with the other 5.

--- a/crates/fleet/src/connections.rs
+++ b/crates/fleet/src/connections.rs
@@ -46,7 +46,7 @@
 
 impl ConnectionPool {
     /// Sends a request and waits for the response. A large request has more time than `deadline`, and so has a response as
-    /// long as the connection moves bytes.
+    /// long as the connection receives bytes.
     ///
     /// # Errors
     /// No response within `deadline`, a broken connection, or an error code from the receiver.
--- a/crates/wire/src/exchange.rs
+++ b/crates/wire/src/exchange.rs
@@ -4,7 +4,7 @@
 use crate::envelope::{MAX_BODY_BYTES, PROTOCOL_VERSION};
 use crate::error::WireError;
 use crate::peer_capnp::exchange;
-use crate::progress::{ByteCount, wait_while_moving};
+use crate::progress::{ByteCount, wait_while_receiving};
 use crate::server::{accept_connections, new_rpc_client};
 use comfreyhold_types::prelude::ResultCode;
 use futures_util::future::LocalBoxFuture;
@@ -20,7 +20,7 @@
 pub struct CallTimeouts {
     /// Time in which a connection must be established if none is open.
     pub connect: Duration,
-    /// Time in which the response must arrive once the connection is open. While the connection moves bytes at
+    /// Time in which the response must arrive once the connection is open. While the connection receives bytes at
     /// [`MIN_TRANSFER_BYTES_PER_S`](crate::progress::MIN_TRANSFER_BYTES_PER_S) or more, it begins anew when it is over.
     pub response: Duration,
 }
@@ -39,7 +39,7 @@
 /// An open connection; dropping it ends its RPC task.
 struct Connection {
     client: exchange::Client,
-    moved: ByteCount,
+    received: ByteCount,
     rpc_task: AbortHandle,
 }
 
@@ -69,7 +69,7 @@
     }
 
     /// Sends a request and waits for the response. A call without a response closes the connection, unless the connection
-    /// still moves bytes: a large message takes long over a slow link.
+    /// still receives bytes: a large response takes long over a slow link.
     ///
     /// # Errors
     /// The body is too large, the connection can't be opened or broke, the response timed out, or the peer
@@ -89,12 +89,12 @@
         request.get().set_topic(topic);
         request.get().set_body(body);
         let promise = request.send().promise;
-        let response = match wait_while_moving(&connection.moved, timeouts.response, promise).await
-        {
-            Some(Ok(response)) => response,
-            Some(Err(error)) => return Err(self.disconnect(&connection, error.to_string())),
-            None => return Err(self.disconnect(&connection, "response timed out".to_owned())),
-        };
+        let response =
+            match wait_while_receiving(&connection.received, timeouts.response, promise).await {
+                Some(Ok(response)) => response,
+                Some(Err(error)) => return Err(self.disconnect(&connection, error.to_string())),
+                None => return Err(self.disconnect(&connection, "response timed out".to_owned())),
+            };
         let reader = response.get()?;
         match reader.get_code() {
             0 => Ok(reader.get_body()?.to_vec()),
@@ -121,14 +121,14 @@
             .await
             .map_err(|_| WireError::Disconnected("connect timed out".to_owned()))?
             .map_err(|error| WireError::Disconnected(error.to_string()))?;
-        let moved = ByteCount::default();
-        let (client, rpc_system) = new_rpc_client::<exchange::Client>(stream, moved.clone())?;
+        let received = ByteCount::default();
+        let (client, rpc_system) = new_rpc_client::<exchange::Client>(stream, received.clone())?;
         let task = tokio::task::spawn_local(async move {
             if let Err(error) = rpc_system.await {
                 log::debug!("connection ended with an error: {error}");
             }
         });
-        let connection = Rc::new(Connection { client, moved, rpc_task: task.abort_handle() });
+        let connection = Rc::new(Connection { client, received, rpc_task: task.abort_handle() });
         *self.connection.borrow_mut() = Some(Rc::clone(&connection));
         Ok(connection)
     }
--- a/crates/wire/src/peer_link.rs
+++ b/crates/wire/src/peer_link.rs
@@ -2,7 +2,7 @@
 
 use crate::envelope::Envelope;
 use crate::peer_capnp::peer;
-use crate::progress::{ByteCount, wait_while_moving};
+use crate::progress::ByteCount;
 use crate::server::new_rpc_client;
 use crate::stats::TransportStats;
 use crate::transport::{DELIVERY_TIMEOUT, Inbox};
@@ -28,7 +28,6 @@
 struct Connection {
     client: Rc<peer::Client>,
     broken: Rc<Cell<bool>>,
-    moved: ByteCount,
     rpc_task: AbortHandle,
 }
 
@@ -64,12 +63,12 @@
         while let Some(first) = queue.recv().await {
             let batch = fill_batch(first, &mut queue);
             let Ok(permit) = Arc::clone(&in_flight).acquire_owned().await else { return };
-            let Some((client, broken, moved)) = self.get_or_connect().await else { continue };
+            let Some((client, broken)) = self.get_or_connect().await else { continue };
             self.count_sent(&batch);
             let inbox = Arc::clone(&self.inbox);
             let peer = self.peer;
             tokio::task::spawn_local(async move {
-                let result = deliver_batch(&client, &moved, &batch).await;
+                let result = deliver_batch(&client, &batch).await;
                 drop(permit);
                 if let Err(reason) = result
                     && !broken.replace(true)
@@ -82,7 +81,7 @@
 
     /// Returns the open connection, or a new one if there is none or it is broken. `None` if the attempt to
     /// connect fails; the batch is then lost, which the protocol allows.
-    async fn get_or_connect(&mut self) -> Option<(Rc<peer::Client>, Rc<Cell<bool>>, ByteCount)> {
+    async fn get_or_connect(&mut self) -> Option<(Rc<peer::Client>, Rc<Cell<bool>>)> {
         if self.connection.as_ref().is_some_and(|connection| connection.broken.get()) {
             self.connection = None;
         }
@@ -96,8 +95,7 @@
             }
         }
         let connection = self.connection.as_ref()?;
-        let Connection { client, broken, moved, .. } = connection;
-        Some((Rc::clone(client), Rc::clone(broken), moved.clone()))
+        Some((Rc::clone(&connection.client), Rc::clone(&connection.broken)))
     }
 
     fn count_sent(&self, batch: &[Envelope]) {
@@ -124,32 +122,27 @@
         .await
         .map_err(|_| "connect timed out".to_owned())?
         .map_err(|error| error.to_string())?;
-    let moved = ByteCount::default();
-    let (client, rpc_system) =
-        new_rpc_client::<peer::Client>(stream, moved.clone()).map_err(|error| error.to_string())?;
+    let (client, rpc_system) = new_rpc_client::<peer::Client>(stream, ByteCount::default())
+        .map_err(|error| error.to_string())?;
     let broken = Rc::new(Cell::new(false));
     let broken_flag = Rc::clone(&broken);
     let task = tokio::task::spawn_local(async move {
         let _ = rpc_system.await;
         broken_flag.set(true);
     });
-    Ok(Connection { client: Rc::new(client), broken, moved, rpc_task: task.abort_handle() })
+    Ok(Connection { client: Rc::new(client), broken, rpc_task: task.abort_handle() })
 }
 
-async fn deliver_batch(
-    client: &peer::Client,
-    moved: &ByteCount,
-    batch: &[Envelope],
-) -> Result<(), String> {
+async fn deliver_batch(client: &peer::Client, batch: &[Envelope]) -> Result<(), String> {
     let mut request = client.deliver_request();
     let count = u32::try_from(batch.len()).map_err(|error| error.to_string())?;
     let mut list = request.get().init_envelopes(count);
     for (index, envelope) in (0..count).zip(batch) {
         envelope.write(list.reborrow().get(index));
     }
-    let response = wait_while_moving(moved, DELIVERY_TIMEOUT, request.send().promise)
+    let response = tokio::time::timeout(DELIVERY_TIMEOUT, request.send().promise)
         .await
-        .ok_or_else(|| "delivery not confirmed in time".to_owned())?
+        .map_err(|_| "delivery not confirmed in time".to_owned())?
         .map_err(|error| error.to_string())?;
     let code = response.get().map_err(|error| error.to_string())?.get_code();
     if code != 0 {
--- a/crates/wire/src/progress.rs
+++ b/crates/wire/src/progress.rs
@@ -1,4 +1,5 @@
-//! Tells a slow transfer from a silent peer, by the bytes that a connection moves.
+//! Tells a slow response from a silent peer, by the bytes that a connection receives. Those that it sends tell nothing: the
+//! kernel takes them in whether the peer reads them or not.
 
 use futures_util::io::{AsyncRead, AsyncWrite};
 use std::cell::Cell;
@@ -12,7 +13,7 @@
 /// (1.5 Mbit/s), which packets and another transfer share.
 pub const MIN_TRANSFER_BYTES_PER_S: u64 = 64 * 1024;
 
-/// Number of bytes that a connection has moved in either direction. Clones share it.
+/// Number of bytes that a connection has received. Clones share it.
 #[derive(Clone, Debug, Default)]
 pub struct ByteCount(Rc<Cell<u64>>);
 
@@ -22,36 +23,36 @@
     }
 }
 
-/// Waits for a response on a connection. After each `timeout` the wait goes on if the connection has moved at least
-/// [`MIN_TRANSFER_BYTES_PER_S`] meanwhile, so that a message of any size arrives. `None` if it has moved less.
-pub async fn wait_while_moving<T>(
-    moved: &ByteCount,
+/// Waits for a response on a connection. After each `timeout` the wait goes on if the connection has received at least
+/// [`MIN_TRANSFER_BYTES_PER_S`] meanwhile, so that a message of any size arrives. `None` if it has received less.
+pub async fn wait_while_receiving<T>(
+    received: &ByteCount,
     timeout: Duration,
     response: impl Future<Output = T>,
 ) -> Option<T> {
     let min_bytes = timeout.as_secs_f64() * MIN_TRANSFER_BYTES_PER_S as f64;
     let mut response = pin!(response);
     loop {
-        let before = moved.0.get();
+        let before = received.0.get();
         if let Ok(response) = tokio::time::timeout(timeout, response.as_mut()).await {
             return Some(response);
         }
-        if (moved.0.get().wrapping_sub(before) as f64) < min_bytes {
+        if (received.0.get().wrapping_sub(before) as f64) < min_bytes {
             return None;
         }
     }
 }
 
-/// A stream whose bytes are counted.
+/// A stream whose received bytes are counted.
 pub struct CountedStream<S> {
     inner: S,
-    moved: ByteCount,
+    received: ByteCount,
 }
 
 impl<S> CountedStream<S> {
-    /// Counts the bytes of a stream in `moved`.
-    pub fn new(inner: S, moved: ByteCount) -> Self {
-        Self { inner, moved }
+    /// Counts the bytes that a stream receives.
+    pub fn new(inner: S, received: ByteCount) -> Self {
+        Self { inner, received }
     }
 }
 
@@ -62,7 +63,7 @@
         buf: &mut [u8],
     ) -> Poll<Result<usize>> {
         let read = ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
-        self.moved.add(read);
+        self.received.add(read);
         Poll::Ready(Ok(read))
     }
 }
@@ -73,9 +74,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<Result<usize>> {
-        let written = ready!(Pin::new(&mut self.inner).poll_write(cx, buf))?;
-        self.moved.add(written);
-        Poll::Ready(Ok(written))
+        Pin::new(&mut self.inner).poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -124,17 +124,17 @@
     });
 }
 
-/// Creates an RPC client on a connection whose bytes are counted in `moved`. The returned system must be polled while the
+/// Creates an RPC client on a connection whose received bytes are counted. The returned system must be polled while the
 /// client is used.
 ///
 /// # Errors
 /// `TCP_NODELAY` can't be set.
 pub fn new_rpc_client<C: FromClientHook>(
     stream: TcpStream,
-    moved: ByteCount,
+    received: ByteCount,
 ) -> std::io::Result<(C, RpcSystem<rpc_twoparty_capnp::Side>)> {
     stream.set_nodelay(true)?;
-    let (reader, writer) = CountedStream::new(stream.compat(), moved).split();
+    let (reader, writer) = CountedStream::new(stream.compat(), received).split();
     let side = rpc_twoparty_capnp::Side::Client;
     let network = twoparty::VatNetwork::new(reader, writer, side, reader_options());
     let mut rpc_system = RpcSystem::new(Box::new(network), None);
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -167,6 +167,36 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Guards against a peer that reads nothing and counts as one with a slow link, because the kernel still takes in what is sent
+/// to it.
+#[tokio::test]
+async fn a_peer_that_reads_nothing_is_found_while_more_is_sent() {
+    let test = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let client = Rc::new(ExchangeClient::new(listener.local_addr().unwrap()));
+        let caller = Rc::clone(&client);
+        let first = tokio::task::spawn_local(async move {
+            caller.call(1, b"first", timeouts(SHORT_TIMEOUT)).await
+        });
+        let sender = Rc::clone(&client);
+        tokio::task::spawn_local(async move {
+            loop {
+                // The first call has its connection by the first turn, and the others use it too.
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                let (sender, body) = (Rc::clone(&sender), vec![7; 8 * 1_024]);
+                tokio::task::spawn_local(async move {
+                    // Nothing answers it.
+                    let _ = sender.call(1, &body, timeouts(LONG_TIMEOUT)).await;
+                });
+            }
+        });
+        let ended = tokio::time::timeout(10 * SHORT_TIMEOUT, first).await;
+        assert!(matches!(ended, Ok(Ok(Err(WireError::Disconnected(_))))), "{ended:?}");
+        drop(listener);
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// Guards against a refusal that is returned as a response or closes the connection, and against sending
 /// bodies that the peer would refuse.
 #[tokio::test]
