Keep leaders whose followers' disks are slow

Cause: a follower answered an Append after its sync only, so that a sync of more than 750 ms made it look silent; a new leader was judged by the time at which it had asked for its votes, which are synced too, and stepped down at once; a candidate's wait began before its own vote was synced. Ruled out: log lines that block; processor time as the only cause. Change: a follower whose answer waits for its disk sends Heard at once, which renews leadership and lease and confirms no entry; a leader is judged after an election timeout; a candidate's wait begins with its synced vote; no other election is sought or supported while a vote is being synced; proposals are refused once a majority has synced nothing for 3 s.

--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -178,4 +178,9 @@
         /// Index and voters of the last change of voters in the sender's log.
         config: (Revision, BTreeSet<Voter>),
     },
+    /// Responds at once to an `Append` whose `AppendReply` waits for a sync. It confirms no entry.
+    Heard {
+        /// Copied from the request.
+        sent_us: u64,
+    },
 }
--- a/crates/consensus/src/replica/api.rs
+++ b/crates/consensus/src/replica/api.rs
@@ -24,6 +24,9 @@
     /// Shortest election timeout; the longest is twice that. A leader without responses of a majority for this
     /// time steps down.
     pub election_timeout: Duration,
+    /// Time without a sync on a majority of disks after which a leader refuses proposals. It leads on, since
+    /// another leader would have the same disks.
+    pub sync_timeout: Duration,
     /// Time after which a restarted voter rejoins with responses of half of the other voters. `None` waits for
     /// as many responses as are needed to find every older copy of a folder.
     pub rejoin_grace: Option<Duration>,
@@ -55,6 +58,8 @@
             may_form_voters: false,
             heartbeat_interval: Duration::from_millis(150),
             election_timeout: Duration::from_millis(750),
+            // As long as an operator's call waits for its outcome.
+            sync_timeout: Duration::from_secs(3),
             rejoin_grace: Some(Duration::from_secs(3)),
             entry_count: 0,
             // Longer than an entry needs to restart, recover and reconnect.
--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -20,6 +20,10 @@
 
     pub(super) fn start_pre_vote(&mut self) {
         self.next_tick_at = self.now + self.random_election_timeout();
+        if self.has_unsynced_vote() {
+            // A further term would only add to what the disk has to sync.
+            return;
+        }
         self.leader = None;
         let last = self.log.last();
         if last.index < self.max_reported_revision {
@@ -41,6 +45,16 @@
         }
     }
 
+    fn has_unsynced_vote(&self) -> bool {
+        let is_vote = |(_, item): &(u64, DeferredOutput)| match item {
+            DeferredOutput::LocalVote(term) => *term == self.hard_state.term,
+            DeferredOutput::Send(_, message) => {
+                matches!(message.body, MessageBody::VoteReply { granted: true, .. })
+            }
+        };
+        self.deferred_outputs.iter().any(is_vote)
+    }
+
     fn start_election(&mut self) {
         let vote = Some(self.settings.me);
         self.set_hard_state(HardState { term: self.hard_state.term.next(), vote });
@@ -71,6 +85,7 @@
     pub(super) fn handle_pre_vote(&mut self, sender: Voter, next: Term, last: Position) {
         let granted = next > self.hard_state.term
             && !self.has_recent_leader()
+            && !self.has_unsynced_vote()
             && self.can_vote_for(next, last);
         self.send(sender, MessageBody::PreVoteReply { next, granted });
     }
--- a/crates/consensus/src/replica/leader.rs
+++ b/crates/consensus/src/replica/leader.rs
@@ -17,8 +17,10 @@
     pub(super) next_index: Revision,
     /// Last entry known to be synced on the follower.
     pub(super) match_index: Revision,
-    /// Send time of the latest request that the follower has responded to.
+    /// Send time of the latest request that the follower has responded to, synced or not.
     pub(super) last_acked_send: Option<Instant>,
+    /// Send time of the latest request that the follower has responded to after a sync of all that it held.
+    pub(super) last_synced_send: Option<Instant>,
     /// Incarnation of the follower's process that this progress belongs to.
     pub(super) incarnation: Incarnation,
     pub(super) outgoing_snapshot: Option<OutgoingSnapshot>,
@@ -37,12 +39,23 @@
     pub(super) fn new(last: Revision) -> Self {
         Self { next_index: last.next(), ..Self::default() }
     }
+
+    /// Progress of the same follower after its restart: it responds, and has confirmed nothing.
+    fn restarted(&self, incarnation: Incarnation, last: Revision) -> Self {
+        Self {
+            last_acked_send: self.last_acked_send,
+            last_synced_send: self.last_synced_send,
+            incarnation,
+            ..Self::new(last)
+        }
+    }
 }
 
 /// State that only a leader keeps.
 pub(super) struct LeaderState {
     /// Index of the first entry of the leader's term.
     pub(super) term_start: Revision,
+    pub(super) elected_at: Instant,
     pub(super) progress: BTreeMap<Voter, FollowerProgress>,
     /// Proposals that are not committed yet, by log index.
     pub(super) pending_requests: BTreeMap<Revision, RequestId>,
@@ -63,10 +76,13 @@
         };
         let progress = voters.map(|voter| {
             let last_acked_send = granted.contains_key(&voter).then_some(votes_requested_at);
-            (voter, FollowerProgress { last_acked_send, ..FollowerProgress::new(last) })
+            let last_synced_send = last_acked_send;
+            let new = FollowerProgress::new(last);
+            (voter, FollowerProgress { last_acked_send, last_synced_send, ..new })
         });
         self.role = Role::Leader(Box::new(LeaderState {
             term_start: last.next(),
+            elected_at: self.now,
             progress: progress.collect(),
             pending_requests: BTreeMap::new(),
             replacement: None,
@@ -96,7 +112,15 @@
 
     pub(super) fn leader_tick(&mut self) {
         let Role::Leader(leader) = &self.role else { return };
-        if !self.quorum_responded(leader, self.now, self.settings.election_timeout) {
+        let timeout = self.settings.election_timeout;
+        // The votes may have taken longer than the timeout, and say nothing about who responds now.
+        let had_time = self.now >= leader.elected_at + timeout;
+        if had_time && !self.quorum_responded(leader, self.now, timeout) {
+            log::warn!(
+                "{}: no majority has responded within {} ms",
+                self.settings.me.instance,
+                timeout.as_millis()
+            );
             return self.step_down();
         }
         self.next_tick_at = self.now + self.settings.heartbeat_interval;
@@ -113,12 +137,23 @@
         now: Instant,
         within: Duration,
     ) -> bool {
-        let responded = self.config.1.iter().filter(|voter| {
-            let progress = leader.progress.get(voter);
-            let acked_send = progress.and_then(|progress| progress.last_acked_send);
-            **voter == self.settings.me || acked_send.is_some_and(|sent| now < sent + within)
+        let is_recent = |send: Option<Instant>| send.is_some_and(|sent| now < sent + within);
+        self.is_quorum(leader, |progress| is_recent(progress.last_acked_send))
+    }
+
+    /// Whether a majority has synced what it was sent until `sync_timeout` ago.
+    fn quorum_synced(&self, leader: &LeaderState) -> bool {
+        let timeout = self.settings.sync_timeout;
+        let is_recent = |send: Option<Instant>| send.is_some_and(|sent| self.now < sent + timeout);
+        self.is_quorum(leader, |progress| is_recent(progress.last_synced_send))
+    }
+
+    /// Whether this instance and the followers that `counts` holds for are a majority.
+    fn is_quorum(&self, leader: &LeaderState, counts: impl Fn(&FollowerProgress) -> bool) -> bool {
+        let counted = self.config.1.iter().filter(|voter| {
+            **voter == self.settings.me || leader.progress.get(voter).is_some_and(&counts)
         });
-        responded.count() >= self.majority_size()
+        counted.count() >= self.majority_size()
     }
 
     pub(super) fn replicate_all(&mut self) {
@@ -167,13 +202,26 @@
         u64::try_from((self.now - self.start_time).as_micros()).unwrap_or(u64::MAX)
     }
 
-    /// Records the send time that a response acknowledges, and returns the follower's progress. `None` for a
-    /// response of an earlier incarnation, or to a request that this process has not sent.
+    /// Records the send time that a response after a sync acknowledges, and returns the follower's progress. `None`
+    /// for a response of an earlier incarnation, or to a request that this process has not sent.
     pub(super) fn record_response(
         &mut self,
         sender: Voter,
         incarnation: Incarnation,
         sent_us: u64,
+    ) -> Option<&mut FollowerProgress> {
+        let sent = Some(self.start_time + Duration::from_micros(sent_us));
+        let progress = self.record_heard(sender, incarnation, sent_us)?;
+        progress.last_synced_send = progress.last_synced_send.max(sent);
+        Some(progress)
+    }
+
+    /// As `record_response`, for a response that says nothing about the follower's disk.
+    pub(super) fn record_heard(
+        &mut self,
+        sender: Voter,
+        incarnation: Incarnation,
+        sent_us: u64,
     ) -> Option<&mut FollowerProgress> {
         let last = self.log.last().index;
         let sent = self.start_time + Duration::from_micros(sent_us);
@@ -183,9 +231,7 @@
             return None;
         }
         if incarnation > progress.incarnation {
-            let last_acked_send = progress.last_acked_send;
-            *progress =
-                FollowerProgress { last_acked_send, incarnation, ..FollowerProgress::new(last) };
+            *progress = progress.restarted(incarnation, last);
         }
         progress.last_acked_send = progress.last_acked_send.max(Some(sent));
         Some(progress)
@@ -197,9 +243,7 @@
         let Role::Leader(leader) = &mut self.role else { return };
         let Some(progress) = leader.progress.get_mut(&sender) else { return };
         if incarnation > progress.incarnation {
-            let last_acked_send = progress.last_acked_send;
-            *progress =
-                FollowerProgress { last_acked_send, incarnation, ..FollowerProgress::new(last) };
+            *progress = progress.restarted(incarnation, last);
         }
     }
 
@@ -312,6 +356,9 @@
         if !self.quorum_responded(leader, self.now, self.settings.election_timeout) {
             return Err((ResultCode::NoQuorum, "no majority of control instances answers"));
         }
+        if !self.quorum_synced(leader) {
+            return Err((ResultCode::NoQuorum, "no majority of control instances stores entries"));
+        }
         Ok(leader)
     }
 }
--- a/crates/consensus/src/replica/mod.rs
+++ b/crates/consensus/src/replica/mod.rs
@@ -259,6 +259,9 @@
                 self.merge_incarnations(starts);
                 self.handle_append_reply(sender, message.incarnation, matched, last, sent_us);
             }
+            MessageBody::Heard { sent_us } if message.term == self.hard_state.term => {
+                self.record_heard(sender, message.incarnation, sent_us);
+            }
             MessageBody::ChunkReply { at, next, sent_us }
                 if message.term == self.hard_state.term =>
             {
@@ -300,6 +303,10 @@
                     self.actions.push(Action::Send { to, message })
                 }
                 DeferredOutput::LocalVote(term) if term == self.hard_state.term => {
+                    if matches!(self.role, Role::Candidate { .. }) {
+                        // The others receive the request for their votes only now.
+                        self.next_tick_at = self.now + self.random_election_timeout();
+                    }
                     self.handle_vote_reply(self.settings.me, self.settings.incarnation, true);
                 }
                 DeferredOutput::LocalVote(_) => {}
@@ -356,12 +363,24 @@
                 DeferredOutput::Send(to, message) if self.synced_seq == self.issued_seq => {
                     self.actions.push(Action::Send { to, message });
                 }
-                item => self.deferred_outputs.push_back((self.issued_seq, item)),
+                item => {
+                    self.respond_before_sync(&item);
+                    self.deferred_outputs.push_back((self.issued_seq, item));
+                }
             }
         }
         std::mem::take(&mut self.actions)
     }
 
+    /// Tells the leader that its request has arrived while the response waits for a sync. Only entries need the
+    /// disk: an instance that restarts votes for nobody during an election timeout, whatever it has stored.
+    fn respond_before_sync(&mut self, deferred: &DeferredOutput) {
+        let DeferredOutput::Send(to, message) = deferred else { return };
+        let MessageBody::AppendReply { sent_us, .. } = message.body else { return };
+        let heard = self.build_message(message.to_disk, MessageBody::Heard { sent_us });
+        self.actions.push(Action::Send { to: *to, message: heard });
+    }
+
     fn build_message(&self, to_disk: Option<u64>, body: MessageBody) -> Message {
         Message {
             sender: self.settings.me,
--- a/crates/consensus/tests/leader.rs
+++ b/crates/consensus/tests/leader.rs
@@ -9,7 +9,7 @@
 use comfreyhold_types::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 const PEER: Voter = Voter { instance: InstanceId(2), disk: 2 };
@@ -150,6 +150,70 @@
     assert!(actions.contains(&Action::SteppedDown(Term(3))));
 }
 
+/// Guards against a leader that steps down because its followers' disks are slow, and against proposals that it
+/// accepts although no majority has stored anything for longer than an operator waits.
+#[test]
+fn leader_whose_followers_sync_nothing_leads_on_and_refuses_proposals() {
+    let mut driver = Driver::elected();
+    driver.confirm_entries(3);
+    let mut refused_at_ms = None;
+    for elapsed_ms in (150..=6_000).step_by(150) {
+        let mut actions = driver.advance(Duration::from_millis(150));
+        let heard = MessageBody::Heard { sent_us: 2_000_000 + elapsed_ms * 1_000 };
+        actions.extend(driver.receive_from(PEER, Term(3), heard));
+        assert!(!actions.contains(&Action::SteppedDown(Term(3))), "after {elapsed_ms} ms");
+        assert!(driver.replica.read_is_current(driver.now), "after {elapsed_ms} ms");
+        let request = RequestId(elapsed_ms);
+        let actions = driver.handle(Event::Propose { request, command: Command::Noop });
+        if let [Action::Refused { code, .. }] = actions[..] {
+            assert_eq!(code, ResultCode::NoQuorum);
+            refused_at_ms.get_or_insert(elapsed_ms);
+        }
+    }
+    assert_eq!(refused_at_ms, Some(3_000));
+    driver.receive_from(
+        PEER,
+        Term(3),
+        MessageBody::AppendReply {
+            matched: Some(Revision(4)),
+            last: Revision(4),
+            starts: Incarnations::new(),
+            sent_us: 8_000_000,
+        },
+    );
+    let request = RequestId(9_999);
+    let actions = driver.handle(Event::Propose { request, command: Command::Noop });
+    assert!(!actions.iter().any(|action| matches!(action, Action::Refused { .. })));
+}
+
+/// Guards against a follower that the leader takes for silent while the follower's disk is busy, and against entries
+/// that it confirms before they are synced.
+#[test]
+fn follower_responds_before_its_sync_and_confirms_after_it() {
+    let mut driver = Driver::restarted();
+    let entry = LogEntry { term: Term(3), command: Command::Noop };
+    let prev = Position { term: Term(2), index: Revision(2) };
+    let marks = BTreeMap::new();
+    let body =
+        MessageBody::Append { prev, entries: vec![entry], commit: Revision(0), sent_us: 7, marks };
+    let message =
+        Message { sender: PEER, incarnation: Incarnation(1), to_disk: None, term: Term(3), body };
+    let sent = |actions: Vec<Action>| -> Vec<MessageBody> {
+        let bodies = actions.into_iter().filter_map(|action| match action {
+            Action::Send { message, .. } => Some(message.body),
+            _ => None,
+        });
+        bodies.collect()
+    };
+    let before = sent(driver.replica.handle(driver.now, Event::Message(message)));
+    assert_eq!(before, [MessageBody::Heard { sent_us: 7 }]);
+    let after = sent(driver.handle(Event::Persisted(u64::MAX)));
+    assert!(matches!(
+        after[..],
+        [MessageBody::AppendReply { matched: Some(Revision(3)), sent_us: 7, .. }]
+    ));
+}
+
 /// Guards against electing a leader that lacks accepted entries, for example because its folder is an older copy,
 /// with the vote of another instance that lacks them too.
 #[test]
--- a/crates/consensus/tests/schedules.rs
+++ b/crates/consensus/tests/schedules.rs
@@ -83,3 +83,31 @@
 fn disks_that_are_full_in_turn_stop_no_majority() {
     run_all(FaultKind::FullDisks, 12_000);
 }
+
+/// Guards against lost entries, stale reads and two leaders when votes and entries are synced late.
+#[test]
+fn log_stays_consistent_on_slow_disks() {
+    run_all(FaultKind::SlowDisks, 12_000);
+}
+
+/// Guards against leaders that step down because the disks of their followers are slow: with each of them the
+/// entries lose their leases.
+#[test]
+fn slow_disks_depose_no_leader() {
+    for seed in seeds() {
+        let step_downs =
+            SimulatedNetwork::new(seed, FaultKind::SlowDisks).run_with_slow_syncs(2, 6_000);
+        assert_eq!(step_downs, 0, "seed {seed}: leaders stepped down on slow disks");
+    }
+}
+
+/// Guards against elections that never end because each vote is synced only after the candidate has given up, and
+/// against elected leaders that step down at once because their votes took long.
+#[test]
+fn leader_is_replaced_on_slow_disks() {
+    for seed in seeds() {
+        let mut network = SimulatedNetwork::new(seed, FaultKind::SlowDisks);
+        network.run_with_slow_syncs(1, 1_000);
+        assert!(network.replaces_crashed_leader_within(8_000), "seed {seed}: no leader");
+    }
+}
--- a/crates/consensus/tests/support/checks.rs
+++ b/crates/consensus/tests/support/checks.rs
@@ -33,6 +33,7 @@
     max_acknowledged: Revision,
     pub accepted_count: usize,
     pub stale_count: usize,
+    pub step_down_count: usize,
 }
 
 impl Checks {
@@ -48,6 +49,7 @@
             max_acknowledged: Revision(0),
             accepted_count: 0,
             stale_count: 0,
+            step_down_count: 0,
         }
     }
 
--- a/crates/consensus/tests/support/mod.rs
+++ b/crates/consensus/tests/support/mod.rs
@@ -16,6 +16,9 @@
 /// Length of a simulation step.
 const STEP_MS: u64 = 5;
 
+/// Shortest election timeout of the simulated instances.
+const ELECTION_TIMEOUT_MS: u64 = 300;
+
 /// Faults that a schedule injects in addition to loss, delay, duplication, blocked links and crashes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum FaultKind {
@@ -29,6 +32,8 @@
     LongIsolation,
     /// The disks are full for some seconds each, one instance after another.
     FullDisks,
+    /// Each sync takes up to twice the election timeout.
+    SlowDisks,
 }
 
 struct Member {
@@ -67,6 +72,8 @@
     pending_replacement: Option<RequestId>,
     /// Number of disks that were full so far.
     filled_count: u64,
+    /// Range of the time that a sync takes, in milliseconds.
+    sync_ms: std::ops::Range<u64>,
     next_request: u64,
     pub checks: Checks,
 }
@@ -93,6 +100,11 @@
             lost_voter: None,
             pending_replacement: None,
             filled_count: 0,
+            sync_ms: if faults == FaultKind::SlowDisks {
+                0..2 * ELECTION_TIMEOUT_MS
+            } else {
+                0..20
+            },
             next_request: 1,
             checks: Checks::new(seed),
         };
@@ -132,6 +144,30 @@
         self.checks.check_converged(live.collect(), self.now());
     }
 
+    /// Elects a leader on fast disks and then runs with syncs that take up to `timeouts` election timeouts, and at
+    /// least half of that, without any other fault. Returns how often a leader stepped down meanwhile.
+    pub fn run_with_slow_syncs(&mut self, timeouts: u64, ms: u64) -> usize {
+        self.faults_paused = true;
+        self.loss_rate = 0.0;
+        self.sync_ms = 0..20;
+        self.run_for_ms(2_500);
+        assert!(self.leader().is_some(), "seed {}: no leader on fast disks", self.seed);
+        let before = self.checks.step_down_count;
+        let slowest = timeouts * ELECTION_TIMEOUT_MS;
+        self.sync_ms = slowest / 2..slowest;
+        self.run_for_ms(ms);
+        self.checks.step_down_count - before
+    }
+
+    /// Crashes the leader for `ms`, and returns whether the others have another one at the end.
+    pub fn replaces_crashed_leader_within(&mut self, ms: u64) -> bool {
+        let Some(leader) = self.leader() else { return false };
+        self.crash(leader);
+        self.members.get_mut(&leader).unwrap().restart_at_ms = self.now_ms + 2 * ms;
+        self.run_for_ms(ms);
+        self.leader().is_some()
+    }
+
     fn run_for_ms(&mut self, ms: u64) {
         let end = self.now_ms + ms;
         while self.now_ms < end {
@@ -176,7 +212,7 @@
                 ReplicaSettings::new(me, Incarnation(member.incarnation), members.clone());
             settings.may_form_voters = true;
             settings.heartbeat_interval = Duration::from_millis(50);
-            settings.election_timeout = Duration::from_millis(300);
+            settings.election_timeout = Duration::from_millis(ELECTION_TIMEOUT_MS);
             let waits_for_all = self.faults == FaultKind::OldCopies;
             settings.rejoin_grace = (!waits_for_all).then_some(Duration::from_secs(1));
             settings.snapshot_interval = 8 + self.seed % 30;
@@ -244,7 +280,7 @@
         match action {
             Action::Send { to, message } => self.send(id, to, message),
             Action::Persist { seq, batch } => {
-                let due = self.now_ms + self.rng.random_range(0..20);
+                let due = self.now_ms + self.rng.random_range(self.sync_ms.clone());
                 let member = self.members.get_mut(&id).unwrap();
                 let due = member.unsynced.last().map_or(due, |(last, ..)| due.max(*last));
                 member.unsynced.push((due, seq, batch));
@@ -270,7 +306,7 @@
                 self.finish_replacement(request, false);
                 self.checks.record_unknown(request);
             }
-            Action::SteppedDown(_) => {}
+            Action::SteppedDown(_) => self.checks.step_down_count += 1,
         }
     }
 
