--- a/review/standin-3/cluster.rs
+++ b/review/standin-3/cluster.rs
@@ -78,6 +78,17 @@
         self.child.as_ref().map(Child::id)
     }
 
+    /// Sends SIGTERM and waits until the process has ended. Kills it after `grace`, as the platform does.
+    pub fn stop(&mut self, grace: Duration) {
+        let Some(pid) = self.pid() else { return };
+        let _ = Command::new("kill").args(["-TERM", &pid.to_string()]).status();
+        let end = Instant::now() + grace;
+        while !self.has_ended() && Instant::now() < end {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        self.kill();
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
@@ -146,6 +157,15 @@
         Ok(Daemon { name, ip, role, metrics_port, settings, log, child: None })
     }
 
+    /// Adds a control daemon with an empty folder at a new address. It is told the seeds, and that it is not the first start.
+    pub fn add_control(&mut self) -> std::io::Result<()> {
+        let number = self.controls.len() as u8;
+        let mut daemon = self.daemon("control", number, self.net.ip(1 + number), false)?;
+        daemon.start()?;
+        self.controls.push(daemon);
+        Ok(())
+    }
+
     /// After the first start, no daemon is told that it is the first one.
     pub fn end_first_start(&self) -> std::io::Result<()> {
         for daemon in self.controls.iter().chain(&self.entries) {
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod packet;
 mod record;
+mod replace;
 mod restart;
 
 use record::Record;
@@ -36,6 +37,7 @@
     };
     record.line(&format!("case {case}, trouble {with_trouble}"));
     let result = match case.as_str() {
+        "replace" => replace::run(with_trouble, &record),
         "restart" => restart::run(with_trouble, &record),
         _ => Err(format!("there is no case {case}")),
     };
