--- a/review/standin-3/backend.rs
+++ b/review/standin-3/backend.rs
@@ -37,7 +37,6 @@
 
 /// A running backend. It crashes when it is dropped: it forgets its flows and says nothing.
 pub struct Backend {
-    pub start: u64,
     stop: Arc<AtomicBool>,
     threads: Vec<JoinHandle<()>>,
 }
@@ -78,7 +77,7 @@
             std::thread::spawn(move || packets.serve_packets()),
             std::thread::spawn(move || beats.send_heartbeats()),
         ];
-        Self { start, stop, threads }
+        Self { stop, threads }
     }
 
     /// Ends the process without a word.
--- a/review/standin-3/cluster.rs
+++ b/review/standin-3/cluster.rs
@@ -4,7 +4,7 @@
 use crate::record::{Record, random};
 use std::fs::{self, File};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -43,6 +43,7 @@
     role: &'static str,
     metrics_port: u16,
     settings: PathBuf,
+    data: PathBuf,
     log: PathBuf,
     child: Option<Child>,
 }
@@ -74,7 +75,7 @@
         Ok(())
     }
 
-    pub fn pid(&self) -> Option<u32> {
+    fn pid(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
     }
 
@@ -96,6 +97,12 @@
         }
     }
 
+    /// Ends the process with its disk.
+    pub fn lose_disk(&mut self) -> std::io::Result<()> {
+        self.kill();
+        fs::remove_dir_all(&self.data)
+    }
+
     /// Whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         self.child.as_mut().is_some_and(|child| child.try_wait().is_ok_and(|status| status.is_some()))
@@ -154,7 +161,7 @@
         fs::write(&settings, text)?;
         let log = self.folder.join(format!("{name}.log"));
         let metrics_port = if role == "entry" { 9464 } else { 9465 };
-        Ok(Daemon { name, ip, role, metrics_port, settings, log, child: None })
+        Ok(Daemon { name, ip, role, metrics_port, settings, data, log, child: None })
     }
 
     /// Adds a control daemon with an empty folder at a new address. It is told the seeds, and that it is not the first start.
@@ -209,13 +216,6 @@
         }
         true
     }
-
-    /// Copies the logs of the daemons beside the record, for the reader.
-    pub fn keep_logs(&self, to: &Path) {
-        for daemon in self.controls.iter().chain(&self.entries) {
-            let _ = fs::copy(&daemon.log, to.join(format!("{}.log", daemon.name)));
-        }
-    }
 }
 
 impl Drop for Cluster {
--- a/review/standin-3/replace.rs
+++ b/review/standin-3/replace.rs
@@ -1,5 +1,6 @@
 //! Two machines of the core are replaced as planned work: their successors start first and have their time to catch up, then
-//! the former ones are stopped in order, one after the other. The configuration is read back at the end.
+//! the former ones are stopped in order, one after the other. With `VARIANT=disk`, one is replaced, and another one loses its
+//! disk then. The configuration is read back at the end.
 
 use crate::Verdict;
 use crate::cluster::Cluster;
@@ -11,6 +12,8 @@
 /// `graceS` and `catchUpS` of the site file.
 const GRACE: Duration = Duration::from_secs(6);
 const CATCH_UP: Duration = Duration::from_secs(4);
+/// Time for which a machine without its disk is down; the site file has up to 3 s.
+const DOWN: Duration = Duration::from_secs(1);
 /// Pause after the end of the first process.
 const GAP: Duration = Duration::from_secs(1);
 /// Time from the last removal to the end of the day: more than `ackMs` + `recoverS`.
@@ -51,12 +54,11 @@
         return Err("the second configuration was not acknowledged".to_owned());
     }
     if with_trouble {
-        for _ in 0..2 {
-            let mut former = cluster.controls.remove(0);
-            record.line(&format!("SIGTERM to {}", former.name));
-            former.stop(GRACE);
-            record.line(&format!("{} has ended and is removed", former.name));
-            std::thread::sleep(GAP);
+        remove_first(&mut cluster, record);
+        if std::env::var("VARIANT").is_ok_and(|variant| variant == "disk") {
+            lose_disk_of_first(&mut cluster, record).map_err(text)?;
+        } else {
+            remove_first(&mut cluster, record);
         }
     }
     std::thread::sleep(UNTIL_END);
@@ -71,6 +73,26 @@
     Ok(Verdict { broken: usize::from(!is_read), tried: 1 })
 }
 
+/// Stops the first machine in order, for good.
+fn remove_first(cluster: &mut Cluster, record: &Record) {
+    let mut former = cluster.controls.remove(0);
+    record.line(&format!("SIGTERM to {}", former.name));
+    former.stop(GRACE);
+    record.line(&format!("{} has ended and is removed", former.name));
+    std::thread::sleep(GAP);
+}
+
+/// The first machine loses its disk and is back at its address after a second.
+fn lose_disk_of_first(cluster: &mut Cluster, record: &Record) -> std::io::Result<()> {
+    let daemon = &mut cluster.controls[0];
+    daemon.lose_disk()?;
+    record.line(&format!("{} loses its disk", daemon.name));
+    std::thread::sleep(DOWN);
+    daemon.start()?;
+    record.line(&format!("{} is back", daemon.name));
+    Ok(())
+}
+
 /// Reads the configuration at one daemon after the other. Returns whether the newest acknowledged one comes.
 fn read_back(cluster: &Cluster, version: u64, record: &Record) -> bool {
     let end = Instant::now() + READING;
