--- a/review/standin-3/cluster.rs
+++ b/review/standin-3/cluster.rs
@@ -82,7 +82,7 @@
     /// Sends SIGTERM and waits until the process has ended. Kills it after `grace`, as the platform does.
     pub fn stop(&mut self, grace: Duration) {
         let Some(pid) = self.pid() else { return };
-        let _ = Command::new("kill").args(["-TERM", &pid.to_string()]).status();
+        let _ = Command::new("sh").args(["-c", &format!("kill -TERM {pid}")]).status();
         let end = Instant::now() + grace;
         while !self.has_ended() && Instant::now() < end {
             std::thread::sleep(Duration::from_millis(10));
--- a/review/standin-3/restart.rs
+++ b/review/standin-3/restart.rs
@@ -16,6 +16,8 @@
 const CONTACT: Duration = Duration::from_millis(5_000);
 /// Time for which a backend is down; the site file has up to 4.5 s.
 const DOWN: Duration = Duration::from_millis(150);
+/// Each backend crashes this often, one after the other.
+const ROUNDS: u64 = 2;
 const CRASH_INTERVAL: Duration = Duration::from_millis(2_500);
 /// Time after a crash in which flows are opened.
 const OPENING_TIME: Duration = Duration::from_millis(700);
@@ -81,7 +83,9 @@
         verdict: Mutex::new(Verdict { broken: 0, tried: 0 }),
     });
     let (mut flows, mut number) = (Vec::new(), 0);
-    for (who, backend) in identities.iter().zip(&mut backends) {
+    for turn in 0..ROUNDS * u64::from(BACKENDS) {
+        let index = (turn % u64::from(BACKENDS)) as usize;
+        let (who, backend) = (&identities[index], &mut backends[index]);
         let begin = record.now();
         let mut is_restarted = false;
         if let Some(backend) = backend.take_if(|_| with_trouble) {
@@ -92,7 +96,7 @@
             if with_trouble && !is_restarted && record.now() >= begin + DOWN {
                 is_restarted = true;
                 shared.restarted.lock().expect("no panics").push((who.id, record.now()));
-                *backend = Some(start(who, 2));
+                *backend = Some(start(who, 2 + turn / u64::from(BACKENDS)));
             }
             number += 1;
             let (shared, flow) = (Arc::clone(&shared), number);
@@ -129,9 +133,10 @@
     let sent = record.now();
     let second = flow.request(&format!("{number}-b"), DEADLINE);
     let backend = first.backend;
-    let restart = restarted.lock().expect("no panics").iter().find(|(id, _)| *id == backend).copied();
+    let restarts = restarted.lock().expect("no panics").clone();
+    let restart = restarts.iter().rfind(|(id, at)| *id == backend && *at <= sent);
     // A flow from before a crash has ended with it, and the disruption has to be over for `contactMs`.
-    if restart.is_some_and(|(_, at)| flow.opened < at || sent < at + CONTACT) {
+    if restart.is_some_and(|(_, at)| flow.opened < *at || sent < *at + CONTACT) {
         return;
     }
     verdict.lock().expect("no panics").tried += 1;
