--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 11 to 15. They use the standard library only.
+# Builds the stand-ins of the cases 12 and 13. They use the standard library only.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
