--- a/review/standin-3/backend.rs
+++ b/review/standin-3/backend.rs
@@ -1,8 +1,8 @@
 //! A backend: takes flows from packets, answers requests, and sends heartbeats to the control daemons.
 
 use crate::http;
-use crate::packet::{ACK, FIN, Packet, RST, SYN};
-use crate::record::{Record, random};
+use crate::packet::{Packet, ACK, FIN, RST, SYN};
+use crate::record::{random, Record};
 use std::collections::HashMap;
 use std::net::{SocketAddrV4, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -55,12 +55,21 @@
 
 impl Backend {
     /// Starts a backend. `start` counts the starts under this identity, for the record.
-    pub fn run(who: &Identity, start: u64, controls: Vec<SocketAddrV4>, record: &Arc<Record>) -> Self {
+    pub fn run(
+        who: &Identity,
+        start: u64,
+        controls: Vec<SocketAddrV4>,
+        record: &Arc<Record>,
+    ) -> Self {
         let socket = UdpSocket::bind(who.address).expect("the address of the backend is free");
         socket.set_read_timeout(Some(Duration::from_millis(10))).expect("a time-out above 0");
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        let born =
+            SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
         let stop = Arc::new(AtomicBool::new(false));
-        record.line(&format!("backend {:x} of {} starts ({start}), born {born}", who.id, who.service));
+        record.line(&format!(
+            "backend {:x} of {} starts ({start}), born {born}",
+            who.id, who.service
+        ));
         let shared = Arc::new(Shared {
             who: who.clone(),
             born,
@@ -124,7 +133,8 @@
                 continue;
             }
             if sequence == 1 {
-                self.record.line(&format!("backend {:x} ({}) registered at {to}", who.id, self.start));
+                self.record
+                    .line(&format!("backend {:x} ({}) registered at {to}", who.id, self.start));
             }
             let until = Instant::now() + HEARTBEAT;
             while Instant::now() < until && !self.is_stopped() {
@@ -216,7 +226,8 @@
             if packet.seq == flow.expected {
                 flow.expected = packet.seq.wrapping_add(packet.data.len() as u32);
                 let request = String::from_utf8_lossy(&packet.data).into_owned();
-                let id = request.lines().find_map(|l| l.strip_prefix("Attempt-Id: ")).unwrap_or("?");
+                let id =
+                    request.lines().find_map(|l| l.strip_prefix("Attempt-Id: ")).unwrap_or("?");
                 self.record.line(&format!("backend {:x} ({}) runs {id}", self.who.id, self.start));
                 let body = format!("done {id}");
                 let text = format!(
--- a/review/standin-3/client.rs
+++ b/review/standin-3/client.rs
@@ -1,11 +1,11 @@
 //! Clients: open flows through the entries, as the platform's routers spread them, and send requests on them.
 
-use crate::packet::{ACK, FIN, Packet, RST, SYN};
-use crate::record::{Record, random};
+use crate::packet::{Packet, ACK, FIN, RST, SYN};
+use crate::record::{random, Record};
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
-use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
 
@@ -75,7 +75,8 @@
 
 impl Client {
     pub fn start(ip: Ipv4Addr, port: u16, router: &Arc<Router>, record: &Arc<Record>) -> Arc<Self> {
-        let socket = UdpSocket::bind(SocketAddrV4::new(ip, port)).expect("the client's address is free");
+        let socket =
+            UdpSocket::bind(SocketAddrV4::new(ip, port)).expect("the client's address is free");
         socket.set_read_timeout(Some(Duration::from_millis(20))).expect("a time-out above 0");
         let client = Arc::new(Self {
             ip,
@@ -177,7 +178,9 @@
                     let distance = packet.seq.wrapping_sub(self.ack) as i32;
                     // A reset of the system's own must come close to the last acknowledgement.
                     match packet.sum {
-                        0 if distance.unsigned_abs() <= 76_800 => return reset(End::SystemReset, from),
+                        0 if distance.unsigned_abs() <= 76_800 => {
+                            return reset(End::SystemReset, from)
+                        }
                         0 => continue,
                         _ if packet.is_intact() => return reset(End::BackendReset, from),
                         _ => continue,
@@ -194,7 +197,11 @@
                     }
                     let seal = answer.lines().find_map(|line| line.strip_prefix("Backend-Seal: "));
                     let backend = seal.and_then(|seal| u64::from_str_radix(seal, 16).ok());
-                    return Outcome { end: End::Done, backend: backend.unwrap_or(0), reset_by: None };
+                    return Outcome {
+                        end: End::Done,
+                        backend: backend.unwrap_or(0),
+                        reset_by: None,
+                    };
                 }
             }
         }
--- a/review/standin-3/cluster.rs
+++ b/review/standin-3/cluster.rs
@@ -1,7 +1,7 @@
 //! A small deployment of the platform's programs on loopback addresses, as the deploy file starts them.
 
 use crate::http;
-use crate::record::{Record, random};
+use crate::record::{random, Record};
 use std::fs::{self, File};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
 use std::path::PathBuf;
@@ -59,7 +59,8 @@
 
     pub fn is_ready(&self) -> bool {
         let to = SocketAddrV4::new(self.ip, READY_PORT);
-        http::call(to, "GET", "/ready", b"", Duration::from_millis(300)).is_ok_and(|a| a.status == 200)
+        http::call(to, "GET", "/ready", b"", Duration::from_millis(300))
+            .is_ok_and(|a| a.status == 200)
     }
 
     pub fn start(&mut self) -> std::io::Result<()> {
@@ -105,7 +106,9 @@
 
     /// Whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| child.try_wait().is_ok_and(|status| status.is_some()))
+        self.child
+            .as_mut()
+            .is_some_and(|child| child.try_wait().is_ok_and(|status| status.is_some()))
     }
 }
 
@@ -138,17 +141,25 @@
         Ok(cluster)
     }
 
-    fn daemon(&self, role: &'static str, number: u8, ip: Ipv4Addr, first: bool) -> std::io::Result<Daemon> {
+    fn daemon(
+        &self,
+        role: &'static str,
+        number: u8,
+        ip: Ipv4Addr,
+        first: bool,
+    ) -> std::io::Result<Daemon> {
         let name = format!("{role}-{number}");
         let settings = self.folder.join(format!("{name}.yaml"));
         let data = self.folder.join(&name);
         let seeds: Vec<String> =
             (0..3).map(|seed| format!("\"{}:{CONTROL_PORT}\"", self.net.ip(1 + seed))).collect();
         let (listen, rest) = if role == "entry" {
-            let listen = format!("  packets: \"{ip}:{DATA_PORT}\"\n  readiness: \"{ip}:{READY_PORT}\"\n");
+            let listen =
+                format!("  packets: \"{ip}:{DATA_PORT}\"\n  readiness: \"{ip}:{READY_PORT}\"\n");
             (listen, "limits:\n  link_mbps: 5.3\n".to_owned())
         } else {
-            let rest = format!("data_folder: \"{}\"\nlimits:\n  link_mbps: 170.0\n", data.display());
+            let rest =
+                format!("data_folder: \"{}\"\nlimits:\n  link_mbps: 170.0\n", data.display());
             (format!("  control: \"{ip}:{CONTROL_PORT}\"\n"), rest)
         };
         let domain = ["zone-a", "zone-b", "zone-c", "zone-d"][usize::from(number) % 4];
--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -10,11 +10,21 @@
 }
 
 /// Calls a server and waits for the whole answer, at most for `limit`.
-pub fn call(to: SocketAddrV4, method: &str, path: &str, body: &[u8], limit: Duration) -> Result<Answer> {
+pub fn call(
+    to: SocketAddrV4,
+    method: &str,
+    path: &str,
+    body: &[u8],
+    limit: Duration,
+) -> Result<Answer> {
     let end = Instant::now() + limit;
     let left = || {
         let left = end.saturating_duration_since(Instant::now());
-        if left.is_zero() { Err(Error::from(ErrorKind::TimedOut)) } else { Ok(left) }
+        if left.is_zero() {
+            Err(Error::from(ErrorKind::TimedOut))
+        } else {
+            Ok(left)
+        }
     };
     let mut stream = TcpStream::connect_timeout(&SocketAddr::V4(to), left()?)?;
     stream.set_nodelay(true)?;
@@ -48,7 +58,9 @@
     let body = &text[head_end + 4..];
     let length = head.lines().find_map(|line| line.strip_prefix("content-length:"));
     match length.and_then(|length| length.trim().parse::<usize>().ok()) {
-        Some(length) if body.len() >= length => Some(Answer { status, body: body[..length].to_vec() }),
+        Some(length) if body.len() >= length => {
+            Some(Answer { status, body: body[..length].to_vec() })
+        }
         None if is_end => Some(Answer { status, body: body.to_vec() }),
         _ => None,
     }
--- a/review/standin-3/replace.rs
+++ b/review/standin-3/replace.rs
@@ -2,10 +2,10 @@
 //! the former ones are stopped in order, one after the other. With `VARIANT=disk`, one is replaced, and another one loses its
 //! disk then. The configuration is read back at the end.
 
-use crate::Verdict;
 use crate::cluster::Cluster;
 use crate::http;
 use crate::record::Record;
+use crate::Verdict;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -67,7 +67,10 @@
         .iter_mut()
         .filter_map(|daemon| daemon.has_ended().then(|| daemon.name.clone()))
         .collect();
-    record.line(&format!("{} control daemons run, ended by themselves: {ended:?}", cluster.controls.len()));
+    record.line(&format!(
+        "{} control daemons run, ended by themselves: {ended:?}",
+        cluster.controls.len()
+    ));
     let newer = publish(&cluster, 20, Duration::from_secs(10));
     let is_read = read_back(&cluster, if newer { 20 } else { 12 }, record);
     Ok(Verdict { broken: usize::from(!is_read), tried: 1 })
@@ -100,7 +103,9 @@
         match http::call(to, "GET", "/config", b"", CALL) {
             Ok(answer) if answer.status == 200 => {
                 let is_newest = answer.body == configuration(version).as_bytes();
-                record.line(&format!("{to} answers with 200, the newest acknowledged one: {is_newest}"));
+                record.line(&format!(
+                    "{to} answers with 200, the newest acknowledged one: {is_newest}"
+                ));
                 return is_newest;
             }
             Ok(answer) => {
--- a/review/standin-3/restart.rs
+++ b/review/standin-3/restart.rs
@@ -1,11 +1,11 @@
 //! Backends of a service crash and start again under their ids, one after the other. Flows that open at a new start, before
 //! the entry has heard of it, are looked at after they have been idle for longer than `contactMs`.
 
-use crate::Verdict;
 use crate::backend::{Backend, Identity};
 use crate::client::{Client, End, Router};
 use crate::cluster::{Cluster, DATA_PORT};
 use crate::record::Record;
+use crate::Verdict;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
