Leave the reset of flows at a restarted target to the target

Cause: until an entry has heard of a new start it places openings on the former one. They reach the new one, since a packet names the id only. Once the entry knew of the new start it reset every flow with the former cookie. The same belief dropped such packets after 30 s, when the former start was forgotten, at entries that never knew it, and sent cached flows to a former address.

Change: packets of a flow that was placed on another start go to the latest one known, with its cookie; the target resets what it lacks. The cookie holds 24 bits of the id alone, so that an entry finds the target of a start that it has never heard of, and 8 bits that tell starts apart: an entry that has heard of the end of one start and not yet of the next resets no flow of the next.

Ruled out: resets by the backend (sum and sender), flows of the former start (all ten opened after the new one), colliding cookies (one target is enough). Asking control daemons for former starts: they keep the last one only.

--- a/crates/fleet/src/entry/explain.rs
+++ b/crates/fleet/src/entry/explain.rs
@@ -86,10 +86,11 @@
             "starting".clone_into(&mut answer.decision.reason);
             return Ok(answer);
         }
-        let target = balancer.directory().iter().find(|(_, target)| {
+        let starts = balancer.directory().iter().filter(|(_, target)| {
             answer.decision.target.as_ref() == Some(&target.spec.id.to_string())
         });
-        let to = target.map(|(_, target)| target.spec.address);
+        let latest = starts.max_by_key(|(_, target)| target.spec.born_ms);
+        let to = latest.map(|(_, target)| target.spec.address);
         let to = to.unwrap_or(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0));
         answer.link = self.explain_link(&query.packet(), to, now);
         apply_link(&mut answer);
--- a/crates/flow/src/cookie/balancer.rs
+++ b/crates/flow/src/cookie/balancer.rs
@@ -63,6 +63,15 @@
     pub withdrawn: BTreeSet<DomainName>,
 }
 
+/// Where the packets of an established flow go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct FlowTarget {
+    /// Latest known start of the flow's target.
+    pub key: TargetKey,
+    /// Whether the directory has the start that the flow was placed on. Otherwise that start may be later than `key`.
+    pub is_known_start: bool,
+}
+
 /// Routes the packets of one entry, with its directory of targets and its flow cache.
 #[derive(Debug)]
 pub struct Balancer {
@@ -220,13 +229,13 @@
         late: bool,
         now: Instant,
     ) -> Verdict {
-        let key = match self.find_flow_target(packet, route) {
-            Ok(key) => key,
+        let flow_target = match self.find_flow_target(packet, route) {
+            Ok(flow_target) => flow_target,
             Err(reason) => return Verdict::Discard(reason),
         };
         self.observe(packet, late, now);
-        let answered = self.record_packet(packet, key, route, now);
-        let verdict = self.established_verdict(key, answered, now);
+        let answered = self.record_packet(packet, flow_target.key, route, now);
+        let verdict = self.established_verdict(flow_target, answered, now);
         if matches!(verdict, Verdict::Reset(_)) {
             self.flows.remove(&packet.flow, &mut self.directory);
         }
@@ -234,13 +243,19 @@
     }
 
     /// The verdict on a packet of an established flow whose target is known.
+    ///
+    /// A flow that was placed on a former start may be open at the present one: openings reach it until this entry, or the
+    /// one that placed the flow, has learned of the restart. Only the target knows, and it resets flows that it lacks. So
+    /// this entry resets a flow only if the start that it was placed on is known, and the latest one has ended.
     pub(super) fn established_verdict(
         &self,
-        key: TargetKey,
+        flow_target: FlowTarget,
         answered: Option<Duration>,
         now: Instant,
     ) -> Verdict {
-        if self.directory.get(key).is_some_and(|target| has_stopped_answering(target, now)) {
+        let FlowTarget { key, is_known_start } = flow_target;
+        let target = self.directory.get(key).filter(|_| is_known_start);
+        if target.is_some_and(|target| has_stopped_answering(target, now)) {
             return Verdict::Reset(ResetReason::TargetEnded);
         }
         self.forward_to(key, answered)
@@ -253,24 +268,46 @@
         &self,
         packet: &CallerPacket,
         route: &Route,
-    ) -> Result<TargetKey, DiscardReason> {
-        let cached = self.flows.get(&packet.flow);
-        if let Some(flow) = cached.filter(|flow| flow.stage != FlowStage::Opening) {
-            return Ok(flow.target);
-        }
-        if packet.cookie == Cookie::default() {
-            let opening = cached.map(|flow| flow.target);
-            return opening.ok_or(DiscardReason::UnknownTarget);
+    ) -> Result<FlowTarget, DiscardReason> {
+        let cached = self.flows.get(&packet.flow).map(|flow| (flow.stage, flow.target));
+        let placed = cached.filter(|(stage, _)| *stage != FlowStage::Opening);
+        let flow_target = match placed.and_then(|(_, placed)| self.latest_start_of(placed)) {
+            Some(flow_target) => Some(flow_target),
+            None if packet.cookie == Cookie::default() => {
+                cached.and_then(|(_, opening)| self.latest_start_of(opening))
+            }
+            None => self.find_by_cookie(packet.cookie),
+        };
+        let flow_target = flow_target.ok_or(DiscardReason::UnknownTarget)?;
+        if placed.is_some_and(|(_, placed)| placed == flow_target.key) {
+            return Ok(flow_target);
         }
-        let key = self.directory.find(packet.cookie).ok_or(DiscardReason::UnknownTarget)?;
-        let target = self.directory.get(key).ok_or(DiscardReason::UnknownTarget)?;
+        let target = self.directory.get(flow_target.key).ok_or(DiscardReason::UnknownTarget)?;
         if self.is_allowed_target(&packet.flow, route, target) {
-            Ok(key)
+            Ok(flow_target)
         } else {
             Err(DiscardReason::ForeignTarget)
         }
     }
 
+    /// The latest start of the target that a flow was placed on; `None` if that is no longer in the directory.
+    fn latest_start_of(&self, placed: TargetKey) -> Option<FlowTarget> {
+        let target = self.directory.get(placed)?;
+        let key = match target.is_replaced {
+            true => self.directory.latest_start(target.spec.id)?,
+            false => placed,
+        };
+        Some(FlowTarget { key, is_known_start: true })
+    }
+
+    fn find_by_cookie(&self, cookie: Cookie) -> Option<FlowTarget> {
+        if let Some(placed) = self.directory.find(cookie) {
+            return self.latest_start_of(placed);
+        }
+        let key = self.directory.find_other_start(cookie)?;
+        Some(FlowTarget { key, is_known_start: false })
+    }
+
     /// Whether a route of the service address leads to the target's service, or has led to it.
     fn is_allowed_target(&self, flow: &FlowKey, route: &Route, target: &Target) -> bool {
         let service = &target.spec.service;
--- a/crates/flow/src/cookie/directory.rs
+++ b/crates/flow/src/cookie/directory.rs
@@ -76,11 +76,12 @@
     pub learned: Box<Learned>,
     /// Health by its answers to openings.
     pub health: Health,
-    /// Whether an older target has the same cookie, so that packets to this one would go there.
+    /// Whether another target has the same cookie and keeps it, so that packets to this one would go there: an older
+    /// one, or a later start of this one.
     pub has_ambiguous_cookie: bool,
     /// When this entry learned that the target has ended; `None` while it runs.
     pub ended_at: Option<Instant>,
-    /// Whether a later incarnation at its address or with its id shows that its process has ended.
+    /// Whether a later incarnation with its id or at its address shows that its process has ended.
     pub is_replaced: bool,
 }
 
@@ -170,15 +171,18 @@
         self.mark_replaced(key, now);
     }
 
-    /// Marks all targets with this cookie as ambiguous except for the oldest, which keeps it.
+    /// Marks all targets with this cookie as ambiguous except for the oldest, which keeps it. Of its incarnations with this
+    /// cookie, the latest keeps it: it receives the packets of them all.
     fn resolve_cookie_collision(&mut self, cookie: Cookie) {
         let Some(keys) = self.by_cookie.get_mut(&cookie) else { return };
-        keys.sort_by_key(|key| {
-            self.targets.get(*key).map(|target| (target.spec.born_ms, target.spec.id))
-        });
-        for (position, key) in keys.iter().enumerate() {
+        let start_of =
+            |key: &TargetKey| self.targets.get(*key).map(|t| (t.spec.born_ms, t.spec.id));
+        keys.sort_by_key(start_of);
+        let owner = keys.first().and_then(start_of).map(|(_, id)| id);
+        let latest = keys.iter().rfind(|key| start_of(key).map(|(_, id)| id) == owner).copied();
+        for key in &*keys {
             if let Some(target) = self.targets.get_mut(*key) {
-                target.has_ambiguous_cookie = position > 0;
+                target.has_ambiguous_cookie = Some(*key) != latest;
             }
         }
         if keys.len() > 1 {
@@ -285,6 +289,28 @@
         self.by_cookie.get(&cookie)?.first().copied()
     }
 
+    /// Returns the latest incarnation of the target that a cookie belongs to, if the directory lacks the incarnation that
+    /// it was derived from: that one may be earlier or later than the known ones. `None` if there is no such target, or
+    /// several.
+    #[must_use]
+    pub fn find_other_start(&self, cookie: Cookie) -> Option<TargetKey> {
+        let mut ids = self
+            .by_cookie
+            .range(cookie.all_starts())
+            .flat_map(|(_, keys)| keys)
+            .filter_map(|key| self.targets.get(*key))
+            .map(|target| target.spec.id);
+        let id = ids.next()?;
+        if ids.all(|other| other == id) { self.latest_start(id) } else { None }
+    }
+
+    /// Returns the latest known incarnation of a target.
+    #[must_use]
+    pub fn latest_start(&self, id: TargetId) -> Option<TargetKey> {
+        let mut starts = self.by_incarnation.range((id, 0)..=(id, u64::MAX));
+        starts.next_back().map(|(_, key)| *key)
+    }
+
     /// Iterates over the targets of a service, ended ones included.
     pub fn iter_service(&self, service: &str) -> impl Iterator<Item = (TargetKey, &Target)> {
         let keys = self.by_service.get(service).into_iter().flatten();
--- a/crates/flow/src/cookie/explain/decide.rs
+++ b/crates/flow/src/cookie/explain/decide.rs
@@ -97,10 +97,12 @@
     ) -> Result<Explanation, ExplainError> {
         let unknown = || ExplainError::UnknownCookie(packet.cookie);
         let (verdict, key) = match self.find_flow_target(packet, route) {
-            Ok(key) => (self.established_verdict(key, None, now), key),
+            Ok(flow_target) => (self.established_verdict(flow_target, None, now), flow_target.key),
             Err(DiscardReason::UnknownTarget) => return Err(unknown()),
             Err(reason) => {
-                let key = self.directory().find(packet.cookie).ok_or_else(unknown)?;
+                let directory = self.directory();
+                let other = || directory.find_other_start(packet.cookie);
+                let key = directory.find(packet.cookie).or_else(other).ok_or_else(unknown)?;
                 (Verdict::Discard(reason), key)
             }
         };
--- a/crates/flow/src/cookie/mod.rs
+++ b/crates/flow/src/cookie/mod.rs
@@ -29,27 +29,47 @@
 use siphasher::sip::SipHasher13;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddrV4;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 use strum::{Display, IntoStaticStr};
 
 /// Identifies a flow's target in the packets of the flow. 0 means that there is none.
+///
+/// The upper bits depend on the target's id alone, so that an entry which knows another start of the target than the one
+/// that placed the flow still finds it. The lower bits depend on the start.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[serde(transparent)]
 pub struct Cookie(pub u32);
 
+/// Bits of a cookie that depend on the start of the target.
+const START_BITS: u32 = 8;
+
+const START_MASK: u32 = (1 << START_BITS) - 1;
+
 impl Cookie {
     /// Derives the cookie of one incarnation of a target. All entries derive the same one independently.
     #[must_use]
     pub fn of(id: TargetId, born_ms: u64) -> Self {
-        let mut hasher = SipHasher13::new();
-        (id, born_ms).hash(&mut hasher);
-        let [a, b, c, d, ..] = hasher.finish().to_le_bytes();
-        Self(u32::from_le_bytes([a, b, c, d]).max(1))
+        let of_id = hash32(&id) & !START_MASK;
+        let of_start = hash32(&(id, born_ms)) & START_MASK;
+        Self((of_id | of_start).max(1))
+    }
+
+    /// The cookies of all incarnations of the target that this one belongs to.
+    fn all_starts(self) -> RangeInclusive<Self> {
+        Self(self.0 & !START_MASK)..=Self(self.0 | START_MASK)
     }
 }
 
+fn hash32(value: &impl Hash) -> u32 {
+    let mut hasher = SipHasher13::new();
+    value.hash(&mut hasher);
+    let [a, b, c, d, ..] = hasher.finish().to_le_bytes();
+    u32::from_le_bytes([a, b, c, d])
+}
+
 /// Endpoints of a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct FlowKey {
