Exchange voters that stop, lose their folders or are removed in turn

Cause: a vote was given to a spare only 3 s after its daemon had fallen silent. Nobody knew that a daemon stopped, so that the group was one loss short of what it must tolerate after each removal. The same gap stood in exchanges one by one, in the single daemon that decides about voters, in checks that were put off beside orders in quick succession, and in removals without notice.

Change: a daemon that is told to stop says so and exchanges its own vote before it ends (0.7 s as before, 3 s at most). Exchanges whose reason the voters state go along with the next round of any daemon. As many voters are exchanged at once as leave a majority to those that stay; silent ones go first. Two more voters than needed where as many daemons run. The next daemon decides if the first one has not within 0.9 s.

Ruled out: a change of voters that was not completed (the record's voters were one stable set); the successors (they acknowledged before the first stop); a shorter time of silence (it exchanges voters that only restart).

next_voters takes the departing voters as one value, silent and stopping apart; the tests that call it are adapted, their assertions unchanged.

--- a/crates/consensus/tests/register_support/mod.rs
+++ b/crates/consensus/tests/register_support/mod.rs
@@ -1,9 +1,11 @@
 //! Simulated control daemons with registers, on a network that loses, delays and reorders messages,
 //! reproducible from a seed.
 
+mod exchanges;
+
 use comfreyhold_consensus::register::acceptor::Acceptor;
 use comfreyhold_consensus::register::read::{QuorumRead, ReadOutcome};
-use comfreyhold_consensus::register::repair::{VoterCandidate, next_voters};
+use comfreyhold_consensus::register::repair::{Departures, VoterCandidate, next_voters};
 use comfreyhold_consensus::register::round::{Proposal, Round, RoundProgress, VoterChange};
 use comfreyhold_consensus::register::{
     AddressedRequest, Ballot, DiskId, RegisterRequest, RegisterResponse, RegisterValue, Replica,
@@ -40,6 +42,8 @@
     chosen: Option<Arc<RegisterValue>>,
     /// Round in progress, with the version that it publishes.
     round: Option<(Round, Option<u64>)>,
+    /// Voters that the last proposal is to make.
+    proposed_voters: Option<BTreeSet<Replica>>,
     /// Highest ballot seen.
     seen: Ballot,
     /// Number of rounds that ended with a chosen value that includes their proposal.
@@ -58,6 +62,8 @@
     removed: BTreeSet<usize>,
     /// Highest version that was reported to an operator as in effect.
     acknowledged: u64,
+    /// Chosen values.
+    history: BTreeMap<Ballot, Arc<RegisterValue>>,
     /// Contents of chosen values, by version.
     contents: BTreeMap<u64, BTreeSet<Vec<u8>>>,
 }
@@ -72,6 +78,7 @@
             known: Arc::clone(&initial),
             chosen: None,
             round: None,
+            proposed_voters: None,
             seen: Ballot::default(),
             completed: 0,
         };
@@ -85,6 +92,7 @@
             next_disk: 1_000,
             removed: BTreeSet::new(),
             acknowledged: 0,
+            history: BTreeMap::new(),
             contents: BTreeMap::new(),
         }
     }
@@ -95,9 +103,18 @@
 
     /// Publishes the next version on a random daemon.
     pub fn publish_on_random_daemon(&mut self) {
+        let (changes, version) = self.next_publication();
+        let at = self.random_daemon();
+        if !self.removed.contains(&at) {
+            self.propose(at, Proposal { changes, voters: None }, version);
+        }
+    }
+
+    /// A publication of the next version, with that version.
+    fn next_publication(&mut self) -> (Vec<StateChange>, Option<u64>) {
         self.version += self.rng.random_range(1..4);
-        let (version, at) = (self.version, self.random_daemon());
-        self.propose(at, publication(version, &version.to_le_bytes()), Some(version));
+        let version = self.version;
+        (publication(version, &version.to_le_bytes()).changes, Some(version))
     }
 
     /// Withdraws or restores a failure domain on a random daemon.
@@ -137,6 +154,7 @@
         let seen = daemon.seen.max(known.ballot).max(daemon.acceptor.promised());
         let ballot = Ballot::above(seen, me.disk, 0);
         daemon.seen = ballot;
+        daemon.proposed_voters = proposal.voters.as_ref().map(|change| change.to.clone());
         let (round, requests) = Round::new(ballot, known, proposal);
         daemon.round = Some((round, version));
         self.send(at, ballot, requests);
@@ -235,6 +253,7 @@
             let contents = self.contents.entry(publication.table.version).or_default();
             contents.insert(publication.document.to_vec());
         }
+        self.history.insert(value.ballot, Arc::clone(&value));
         let daemon = &mut self.daemons[at];
         if daemon.chosen.as_ref().is_none_or(|known| known.ballot < value.ballot) {
             daemon.chosen = Some(value);
@@ -365,10 +384,14 @@
         let voters: Vec<Replica> =
             self.daemons[0].chosen.as_ref().unwrap().voters.current.iter().copied().collect();
         let lost = voters[self.rng.random_range(0..voters.len())];
-        let daemon = self.daemons.iter_mut().find(|d| d.acceptor.disk() == lost.disk).unwrap();
+        let at = self.daemons.iter().position(|d| d.acceptor.disk() == lost.disk).unwrap();
+        self.renew_folder(at);
+    }
+
+    fn renew_folder(&mut self, at: usize) {
         self.next_disk += 1;
-        daemon.acceptor = acceptor(DiskId(self.next_disk));
-        daemon.round = None;
+        self.daemons[at].acceptor = acceptor(DiskId(self.next_disk));
+        self.daemons[at].round = None;
     }
 
     /// Removes a daemon for good.
@@ -381,9 +404,9 @@
     pub fn replace_removed_voter(&mut self) {
         let at = (0..self.daemons.len()).find(|at| !self.removed.contains(at)).unwrap();
         let from = self.daemons[at].chosen.as_ref().unwrap().voters.current.clone();
-        let unresponsive =
-            self.removed.iter().map(|at| self.daemons[*at].acceptor.disk()).collect();
-        let to = next_voters(&from, &self.candidates(), &unresponsive, 3).unwrap();
+        let unresponsive = self.removed_disks();
+        let departures = Departures { unresponsive, ..Departures::default() };
+        let to = next_voters(&from, &self.candidates(), &departures, 3).unwrap();
         let voters = Some(VoterChange { from, to });
         let proposal = Proposal { changes: Vec::new(), voters };
         self.loss_rate = 0.0;
@@ -410,7 +433,8 @@
         for _ in 0..10 {
             self.heal_and_converge();
             let voters = self.daemons[0].chosen.as_ref().unwrap().voters.current.clone();
-            let Some(to) = next_voters(&voters, &self.candidates(), &BTreeSet::new(), 3) else {
+            let Some(to) = next_voters(&voters, &self.candidates(), &Departures::default(), 3)
+            else {
                 return;
             };
             let voters = Some(VoterChange { from: voters, to });
@@ -434,7 +458,9 @@
         let Some(chosen) = self.daemons[at].chosen.clone() else { return };
         let voters = chosen.voters.current.clone();
         let unresponsive = voters.iter().nth(self.rng.random_range(0..voters.len())).unwrap().disk;
-        let to = next_voters(&voters, &self.candidates(), &BTreeSet::from([unresponsive]), 3);
+        let unresponsive = BTreeSet::from([unresponsive]);
+        let departures = Departures { unresponsive, ..Departures::default() };
+        let to = next_voters(&voters, &self.candidates(), &departures, 3);
         let voters = to.map(|to| VoterChange { from: voters, to });
         self.propose(at, Proposal { changes: Vec::new(), voters }, None);
     }
--- a/crates/fleet/src/control/gossip.rs
+++ b/crates/fleet/src/control/gossip.rs
@@ -171,6 +171,8 @@
         let is_new_incarnation = self.peers.borrow_mut().receive_state(state, &digests, now);
         if is_new_incarnation {
             self.record("control-found", || json!({"address": address, "domain": domain}));
+            // It may have lost its data folder, or take the place of a voter.
+            self.repair_due.notify_one();
         }
         self.receive_chosen(chosen, address);
         let differing = self.peers.borrow_mut().take_differing(&address);
--- a/crates/fleet/src/control/mod.rs
+++ b/crates/fleet/src/control/mod.rs
@@ -6,6 +6,7 @@
 pub mod encodings;
 pub mod feed;
 mod gossip;
+mod hand_over;
 mod load;
 mod operations;
 pub mod peers;
@@ -122,6 +123,10 @@
     was_informed: Cell<bool>,
     /// Wakes the entries' long polls.
     changed: Notify,
+    /// Wakes the check of the voters.
+    repair_due: Notify,
+    /// Whether this daemon is told to stop.
+    is_stopping: Cell<bool>,
     encodings: RefCell<Encodings>,
     /// Turns of the full copies for entries.
     entry_turns: RefCell<CopyTurns>,
@@ -185,6 +190,8 @@
             heartbeats_in_flight: RefCell::default(),
             operations,
             changed: Notify::new(),
+            repair_due: Notify::new(),
+            is_stopping: Cell::new(false),
             encodings: RefCell::default(),
             entry_turns: RefCell::default(),
             value_turns: RefCell::default(),
@@ -224,9 +231,12 @@
         self.record("reload", || json!({"seeds": seeds}));
     }
 
-    /// Logs that the process has been requested to stop.
-    pub fn stop(&self) {
+    /// Tells the other daemons that this one stops, so that none of them gives it a vote. Follow it with
+    /// [`hand_over`](Self::hand_over).
+    pub fn stop(self: &Rc<Self>) {
         self.record("stop", || json!({"targets": self.targets.borrow().live_count()}));
+        self.is_stopping.set(true);
+        self.announce_stop();
     }
 
     /// Records that the process is active, before it handles a message. Returns the present time.
@@ -372,6 +382,10 @@
             FleetRequest::Load(None) => self.poll_sharing().await,
             FleetRequest::Load(Some(report)) => self.receive_load_report(*report),
             FleetRequest::LoadSum(sum) => self.receive_load_sum(*sum),
+            FleetRequest::Stopping(address, start) => {
+                self.receive_stop(address, start);
+                FleetResponse::Done
+            }
         }
     }
 }
--- a/crates/fleet/src/control/operations.rs
+++ b/crates/fleet/src/control/operations.rs
@@ -346,6 +346,13 @@
                 RegisterOperation::Complete => {}
             }
         }
+        // Under many changes, a round for the voters alone could be preempted again and again.
+        if proposal.voters.is_none() {
+            proposal.voters = self.stated_voter_change(self.clock.now());
+            if let Some(change) = &proposal.voters {
+                self.record_voter_change("round", change);
+            }
+        }
         let previous_ballot = self.register.chosen_ballot();
         let started = self.clock.now();
         let result = self.register.propose(&proposal, is_wanted).await;
--- a/crates/fleet/src/control/peers.rs
+++ b/crates/fleet/src/control/peers.rs
@@ -7,7 +7,7 @@
 
 use super::LARGE_FLEET;
 use crate::messages::{ControlState, IncarnationId};
-use comfreyhold_consensus::register::Replica;
+use comfreyhold_consensus::register::{Ballot, Replica};
 use comfreyhold_membership::announcements::{TargetDigests, TargetGroup};
 use comfreyhold_types::keys::DomainName;
 use std::collections::{BTreeMap, BTreeSet};
@@ -74,6 +74,8 @@
     unanswered_since: Option<Instant>,
     /// Incarnation that has refused the heartbeats of large fleets; the default value if it was unknown then.
     refused_relay: Option<IncarnationId>,
+    /// Incarnation that is told to stop.
+    stopping: Option<IncarnationId>,
 }
 
 /// All known control daemons other than this one.
@@ -215,6 +217,19 @@
         due
     }
 
+    /// Records that the daemon at an address is told to stop, in one incarnation.
+    pub fn record_stopping(&mut self, address: &SocketAddr, start: IncarnationId) {
+        if let Some(peer) = self.peers.get_mut(address) {
+            peer.stopping = Some(start);
+        }
+    }
+
+    /// Whether the daemon at an address is told to stop.
+    #[must_use]
+    pub fn is_stopping(&self, address: &SocketAddr) -> bool {
+        self.get(address).is_some_and(Peer::is_stopping)
+    }
+
     /// Addresses of the seeds.
     pub fn seeds(&self) -> impl Iterator<Item = SocketAddr> {
         self.seeds.iter().copied()
@@ -236,9 +251,23 @@
             last_relay: None,
             unanswered_since: None,
             refused_relay: None,
+            stopping: None,
         }
     }
 
+    /// Whether the daemon knows the declarations.
+    fn has_joined(&self) -> bool {
+        let own = self.state.as_ref().map(|state| state.chosen);
+        let relayed = self.relayed.as_ref().map(|relayed| relayed.chosen);
+        own.max(relayed).unwrap_or_default() != Ballot::default()
+    }
+
+    /// Whether the daemon is told to stop, and has not started again since.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.is_some_and(|start| Some(start) == self.incarnation())
+    }
+
     /// When the daemon was last heard, by this daemon or by another one.
     fn heard_at(&self) -> Option<Instant> {
         self.last_seen.max(self.relayed.as_ref().map(|relayed| relayed.heard_at))
--- a/crates/fleet/src/control/peers/relayed.rs
+++ b/crates/fleet/src/control/peers/relayed.rs
@@ -62,6 +62,14 @@
         })
     }
 
+    /// Live daemons that know the declarations and are not told to stop, and so can decide about voters.
+    pub fn deciders(&self, max_age: Duration, now: Instant) -> impl Iterator<Item = SocketAddr> {
+        let live = self.live(max_age, now).map(|(address, _)| address);
+        live.filter(|address| {
+            self.get(address).is_some_and(|peer| peer.has_joined() && !peer.is_stopping())
+        })
+    }
+
     /// Daemons of a failure domain that were heard within `max_age`, by this daemon or by others, with the newest state.
     pub fn heard_in(
         &self,
--- a/crates/fleet/src/control/register.rs
+++ b/crates/fleet/src/control/register.rs
@@ -190,11 +190,11 @@
         values.into_iter().flatten().max_by_key(|value| value.ballot)
     }
 
-    /// Whether the local disk holds an accepted value that is not known to be chosen.
+    /// Ballot of the accepted value on the local disk, if it is not known to be chosen.
     #[must_use]
-    pub fn has_unconfirmed(&self) -> bool {
+    pub fn unconfirmed(&self) -> Option<Ballot> {
         let accepted = self.voter.accepted().map(|value| value.ballot);
-        accepted.is_some_and(|accepted| accepted > self.chosen_ballot())
+        accepted.filter(|accepted| *accepted > self.chosen_ballot())
     }
 
     /// Learns a chosen value. Returns whether it is newer than the last one learned.
--- a/crates/fleet/src/control/repair.rs
+++ b/crates/fleet/src/control/repair.rs
@@ -1,12 +1,17 @@
 //! Keeps the register able to tolerate the configured number of failures: completes writes and voter changes
-//! whose proposer has gone, and replaces unresponsive voters.
+//! whose proposer has gone, and replaces voters that are unresponsive, told to stop, or without their data folder.
+//!
+//! One daemon decides about voters, and others only if it does not. A change that the voters themselves state the need of
+//! is also made by each round of another daemon.
 
 use super::Control;
 use super::operations::RegisterOperation;
 use super::peers::Peers;
-use comfreyhold_consensus::register::Replica;
-use comfreyhold_consensus::register::repair::{VoterCandidate, next_voters, voters_needed};
+use comfreyhold_consensus::register::repair::{
+    Departures, VoterCandidate, available_voters, next_voters, voters_wanted,
+};
 use comfreyhold_consensus::register::round::VoterChange;
+use comfreyhold_consensus::register::{Ballot, Replica};
 use comfreyhold_types::keys::DomainName;
 use serde_json::json;
 use std::collections::BTreeSet;
@@ -31,24 +36,77 @@
 /// restarts are over by then, and a second failure is likely to follow later.
 const REPLACE_AFTER: Duration = Duration::from_secs(3);
 
+/// Number of daemons that decide about voters, each if those before it have not done so in time.
+const MAX_DECIDERS: u32 = 3;
+
+/// Time for which a change of voters is needed before the next daemon decides about it. The first one takes a check, and two
+/// rounds of a few milliseconds.
+const TAKEOVER_AFTER: Duration = Duration::from_millis(900);
+
+/// Which voters are to be replaced, and whether voters are added.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ChangeScope {
+    /// Those without their data folders, told to stop, or silent since a time or the start of this daemon's checks; voters are
+    /// added up to the wanted number.
+    All { started: Instant },
+    /// Those whose daemons state that they have lost their data folders or are told to stop. All daemons agree about these,
+    /// while a silent voter may be silent to this daemon only.
+    Stated,
+}
+
+/// State of the checks between them.
+struct Checks {
+    started: Instant,
+    /// Ballot of the accepted value that is not known to be chosen, and since when.
+    unconfirmed: Option<(Ballot, Instant)>,
+    /// Since when there has been any such value.
+    writing_since: Option<Instant>,
+    /// Since when a change of voters has been needed.
+    needed_since: Option<Instant>,
+}
+
 impl Control {
     pub(super) async fn run_repair(self: Rc<Self>) {
         self.join().await;
-        let started = self.clock.now();
-        let mut unconfirmed_since: Option<Instant> = None;
+        let mut checks = Checks {
+            started: self.clock.now(),
+            unconfirmed: None,
+            writing_since: None,
+            needed_since: None,
+        };
         loop {
-            tokio::time::sleep(CHECK_INTERVAL).await;
+            tokio::select! {
+                () = tokio::time::sleep(CHECK_INTERVAL) => {}
+                () = self.repair_due.notified() => {}
+            }
             let now = self.clock.now();
-            if !self.register.has_unconfirmed() {
-                unconfirmed_since = None;
-                self.check_voters(now, started).await;
-            } else if now >= *unconfirmed_since.get_or_insert(now) + UNCONFIRMED_TIMEOUT {
-                unconfirmed_since = None;
+            if self.is_unconfirmed_for_long(&mut checks, now) {
                 self.read_and_confirm().await;
+            } else if checks.writing_since.is_none_or(|since| now >= since + UNCONFIRMED_TIMEOUT) {
+                self.check_voters(&mut checks, now).await;
             }
         }
     }
 
+    /// Whether the local disk has held the same unconfirmed value for so long that its proposer may have gone.
+    fn is_unconfirmed_for_long(&self, checks: &mut Checks, now: Instant) -> bool {
+        let Some(ballot) = self.register.unconfirmed() else {
+            (checks.unconfirmed, checks.writing_since) = (None, None);
+            return false;
+        };
+        checks.writing_since.get_or_insert(now);
+        let (known, since) = *checks.unconfirmed.get_or_insert((ballot, now));
+        if known != ballot {
+            checks.unconfirmed = Some((ballot, now));
+            return false;
+        }
+        let is_long = now >= since + UNCONFIRMED_TIMEOUT;
+        if is_long {
+            checks.unconfirmed = None;
+        }
+        is_long
+    }
+
     /// Reads the newest value after a start, as soon as a majority of the voters is live. The first live
     /// daemon tries at once and the others after [`JOIN_HEAD_START`], so that their rounds do not preempt
     /// each other.
@@ -95,64 +153,130 @@
         }
     }
 
-    async fn check_voters(&self, now: Instant, started: Instant) {
-        if self.register.chosen().is_some_and(|value| value.voters.is_changing()) {
-            return self.complete_voter_change(now).await;
+    async fn check_voters(&self, checks: &mut Checks, now: Instant) {
+        let scope = ChangeScope::All { started: checks.started };
+        let is_changing = self.register.chosen().is_some_and(|value| value.voters.is_changing());
+        let change = if is_changing { None } else { self.needed_voter_change(scope, now) };
+        if !is_changing && change.is_none() {
+            checks.needed_since = None;
+            return;
+        }
+        let since = *checks.needed_since.get_or_insert(now);
+        let is_due = |rank| now >= since + TAKEOVER_AFTER * rank;
+        if !self.decider_rank(now).is_some_and(is_due) {
+            return;
         }
-        let Some(change) = self.needed_voter_change(now, started) else { return };
-        self.record(
-            "voter-change",
-            || json!({"from": addresses(&change.from), "to": addresses(&change.to)}),
-        );
-        if let Err(error) = self.submit(RegisterOperation::Voters(change), None).await {
-            self.record("voter-change-failed", || json!({"error": error.to_string()}));
+        let operation = match change {
+            Some(change) => {
+                self.record_voter_change("check", &change);
+                RegisterOperation::Voters(change)
+            }
+            // Its proposer completes a change within milliseconds unless it has gone.
+            None if self.live_majority(now).is_some_and(|(has_majority, _)| has_majority) => {
+                RegisterOperation::Complete
+            }
+            None => return,
+        };
+        match self.submit(operation, None).await {
+            Ok(_) => checks.needed_since = None,
+            Err(error) => {
+                self.record("voter-change-failed", || json!({"error": error.to_string()}))
+            }
         }
     }
 
-    /// Completes a change of voters. Its proposer does that within milliseconds unless it has gone. Only the
-    /// first live daemon tries, so that rounds do not preempt each other.
-    async fn complete_voter_change(&self, now: Instant) {
-        if !self.live_majority(now).is_some_and(|(has_majority, is_first)| has_majority && is_first)
-        {
-            return;
-        }
-        if let Err(error) = self.submit(RegisterOperation::Complete, None).await {
-            self.record("voter-change-failed", || json!({"error": error.to_string()}));
+    /// Logs a change of voters, and what has brought it about.
+    pub(super) fn record_voter_change(&self, by: &'static str, change: &VoterChange) {
+        let (from, to) = (addresses(&change.from), addresses(&change.to));
+        self.record("voter-change", || json!({"by": by, "from": from, "to": to}));
+    }
+
+    /// Number of live daemons that decide about voters before this one; `None` if this one does not. Their rounds would
+    /// preempt each other.
+    fn decider_rank(&self, now: Instant) -> Option<u32> {
+        if self.is_stopping.get() {
+            return None;
         }
+        let peers = self.peers.borrow();
+        let before = peers.deciders(super::PEER_TIMEOUT, now).filter(|a| *a < self.me.address);
+        let rank = u32::try_from(before.count()).ok()?;
+        (rank < MAX_DECIDERS).then_some(rank)
+    }
+
+    /// Returns the change of voters that is needed because a voter has lost its data folder or is told to stop.
+    pub(super) fn stated_voter_change(&self, now: Instant) -> Option<VoterChange> {
+        self.needed_voter_change(ChangeScope::Stated, now)
     }
 
-    /// Returns the change of voters that is needed now, if this daemon is the one to decide about it.
-    fn needed_voter_change(&self, now: Instant, started: Instant) -> Option<VoterChange> {
-        let voters = self.register.chosen()?.voters.current.clone();
+    fn needed_voter_change(&self, scope: ChangeScope, now: Instant) -> Option<VoterChange> {
+        let value = self.register.chosen()?;
+        if value.voters.is_changing() {
+            return None;
+        }
+        let voters = value.voters.current.clone();
         let peers = self.peers.borrow();
-        let live: Vec<(Replica, DomainName)> = peers
-            .seen_within(super::PEER_TIMEOUT, now)
-            .map(|(_, state)| (state.replica, state.domain.clone()))
-            .chain([(self.me, self.domain.clone())])
-            .collect();
-        // Only the first live daemon decides, so that changes do not conflict.
-        let is_first = self.is_first_live(&peers, now);
-        let live_voters = live.iter().filter(|(replica, _)| voters.contains(replica)).count();
-        if !is_first || live_voters <= voters.len() / 2 {
+        let live: Vec<LiveControl> = self.live_candidates(&peers, now);
+        let live_voters = live.iter().filter(|control| voters.contains(&control.replica)).count();
+        if live_voters <= voters.len() / 2 {
             return None;
         }
-        let is_unresponsive = |voter: &&Replica| {
-            let last_seen = peers.get(&voter.address).and_then(|peer| peer.last_seen);
-            **voter != self.me && now >= last_seen.unwrap_or(started) + REPLACE_AFTER
+        let is_silent = |voter: &Replica| match scope {
+            ChangeScope::All { started } => {
+                let last_seen = peers.get(&voter.address).and_then(|peer| peer.last_seen);
+                *voter != self.me && now >= last_seen.unwrap_or(started) + REPLACE_AFTER
+            }
+            ChangeScope::Stated => false,
         };
-        let unresponsive = voters.iter().filter(is_unresponsive).map(|voter| voter.disk).collect();
-        let domains: BTreeSet<&DomainName> = live.iter().map(|(_, domain)| domain).collect();
+        let stopping = live.iter().filter(|control| control.is_stopping);
+        let departures = Departures {
+            unresponsive: voters.iter().filter(|v| is_silent(v)).map(|voter| voter.disk).collect(),
+            stopping: stopping.map(|control| control.replica.disk).collect(),
+        };
+        let domains: BTreeSet<&DomainName> = live.iter().map(|control| &control.domain).collect();
+        let is_voter_address = |address| voters.iter().any(|voter| voter.address == address);
         let candidates: Vec<VoterCandidate> = live
             .iter()
-            .map(|(replica, domain)| VoterCandidate {
-                replica: *replica,
-                domain: domains.iter().position(|name| *name == domain).unwrap_or_default(),
+            .filter(|control| !control.is_stopping)
+            .filter(|control| control.has_joined || is_voter_address(control.replica.address))
+            .map(|control| VoterCandidate {
+                replica: control.replica,
+                domain: domains.iter().position(|name| **name == control.domain).unwrap_or(0),
             })
             .collect();
-        let voter_count = voters_needed(self.settings.tolerate.instances);
-        let to = next_voters(&voters, &candidates, &unresponsive, voter_count)?;
+        let available = available_voters(&voters, &candidates, &departures);
+        let wanted = voters_wanted(self.settings.tolerate.instances, available);
+        let count = if scope == ChangeScope::Stated { wanted.min(voters.len()) } else { wanted };
+        let to = next_voters(&voters, &candidates, &departures, count)?;
         Some(VoterChange { from: voters, to })
     }
+
+    /// The daemons that have sent a heartbeat in time, and this one.
+    fn live_candidates(&self, peers: &Peers, now: Instant) -> Vec<LiveControl> {
+        let others =
+            peers.seen_within(super::PEER_TIMEOUT, now).map(|(address, state)| LiveControl {
+                replica: state.replica,
+                domain: state.domain.clone(),
+                has_joined: state.chosen != Ballot::default(),
+                is_stopping: peers.is_stopping(address),
+            });
+        let local = LiveControl {
+            replica: self.me,
+            domain: self.domain.clone(),
+            has_joined: true,
+            is_stopping: self.is_stopping.get(),
+        };
+        others.chain([local]).collect()
+    }
+}
+
+/// A control daemon within its heartbeat timeout.
+struct LiveControl {
+    replica: Replica,
+    domain: DomainName,
+    /// Whether it knows the declarations, so that it is ready to vote.
+    has_joined: bool,
+    /// Whether it is told to stop.
+    is_stopping: bool,
 }
 
 fn addresses(voters: &BTreeSet<Replica>) -> Vec<std::net::SocketAddr> {
--- a/crates/fleet/src/counters.rs
+++ b/crates/fleet/src/counters.rs
@@ -48,6 +48,8 @@
     Relay,
     /// Part of declarations that are too large for one message.
     Part,
+    /// Notice that a control daemon is told to stop.
+    Stopping,
 }
 
 /// One end of a message exchange.
@@ -91,6 +93,7 @@
             FleetRequest::LoadSum(_) => Self::LoadSum,
             FleetRequest::Relay(_) => Self::Relay,
             FleetRequest::Part(_) => Self::Part,
+            FleetRequest::Stopping(..) => Self::Stopping,
         }
     }
 
--- a/crates/fleet/src/messages.rs
+++ b/crates/fleet/src/messages.rs
@@ -145,6 +145,8 @@
     Relay(Box<RelayHello>),
     /// An entry's request for the next part of newer declarations.
     Part(PartRequest),
+    /// The control daemon at this address, in this incarnation, is told to stop.
+    Stopping(SocketAddr, IncarnationId),
 }
 
 /// A response of a control daemon, with one variant for each kind of result.
@@ -158,7 +160,7 @@
     Newest(Option<Arc<RegisterValue>>),
     /// Response to `Announcements` and `LastAnnouncement`, without the targets that the receiver does not know.
     Announcements(Vec<Announcement>),
-    /// Response without content: to `Chosen` and `Announced`.
+    /// Response without content: to `Chosen`, `Announced` and `Stopping`.
     Done,
     /// Response to `Watch`.
     News(Box<EntryUpdate>),
--- a/crates/fleet/tests/decoders/samples.rs
+++ b/crates/fleet/tests/decoders/samples.rs
@@ -187,6 +187,7 @@
         FleetRequest::Load(Some(Box::new(report()))),
         FleetRequest::LoadSum(Box::new(sum())),
         FleetRequest::Part(PartRequest { change: 2, begun: Some(copy_key()), offset: 3 }),
+        FleetRequest::Stopping(address(2), IncarnationId(7)),
     ]
 }
 
