Acknowledge orders whose round is chosen beside a change of voters

Each round asked whether the order was still wanted, also the one that makes nothing else.

Change: nothing is asked once a round with the proposal is chosen.

Evidence: fleet/stops::an_order_that_a_change_of_voters_goes_with_is_ acknowledged. By reading, the fault was there before: the deciding daemon batches its own change of voters with orders.

--- a/crates/fleet/src/control/register.rs
+++ b/crates/fleet/src/control/register.rs
@@ -247,17 +247,23 @@
         let _guard = self.proposing.lock().await;
         let mut proposal = proposal.clone();
         let mut may_take_effect = false;
+        let mut is_made = false;
         let started = tokio::time::Instant::now();
         for attempt in 1..=MAX_ROUNDS {
             if started.elapsed() >= PROPOSAL_LIFETIME {
                 break;
             }
-            match self.run_round(proposal.clone(), is_wanted).await? {
+            let is_wanted = || is_made || is_wanted();
+            match self.run_round(proposal.clone(), &is_wanted).await? {
                 RoundOutcome::Chosen(value, next) => {
                     self.learn(&value);
                     match next {
                         None => return Ok(value),
-                        Some(next) => proposal = next,
+                        Some(next) => {
+                            // What is left is to complete a change of voters, which makes nothing else.
+                            is_made = next == Proposal::default();
+                            proposal = next;
+                        }
                     }
                 }
                 RoundOutcome::NoQuorum => return Err(RegisterError::NoQuorum),
--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -22,3 +22,4 @@
 mod saves;
 mod settings;
 mod stalls;
+mod stops;
