Keep flows of restarted targets at the product's own entries

Cause: a target got a new key with each incarnation, so that records and pins of the former one matched nothing; and the announcement of a later incarnation ended the flows of the address at once.

Change: the key stays while the address serves the same service. The announcement ends the flows of another service only. The target resets the flows that it lacks.

--- a/crates/daemon/src/entry_changes.rs
+++ b/crates/daemon/src/entry_changes.rs
@@ -5,6 +5,7 @@
 use crate::entry_roles::EntryRoles;
 use crate::entry_view::EntryView;
 use crate::peers;
+use comfreyhold_flow::targets::TargetRef;
 use comfreyhold_flow::{Peer, PeerState};
 use comfreyhold_membership::collector::ENTRY_GRACE;
 use comfreyhold_membership::detector::{DetectorAction, MemberChange};
@@ -96,8 +97,8 @@
         }
     }
 
-    /// Ends flows to an earlier incarnation of a target, or to another service that had the address before.
-    /// An isolated entry also ends the flows of a lost target.
+    /// Ends flows to another service that had the address of a target before. An isolated entry also ends the flows of a
+    /// lost target.
     fn end_stale_flows(&self, members: &MembershipState, kind: EventKind, target: &TargetRecord) {
         let isolated = !members.installer.has_lease(self.cx.now());
         match kind {
@@ -105,8 +106,10 @@
                 self.packets.end_target_flows(target.address, target.incarnation);
             }
             EventKind::TargetJoined => {
-                let earlier = Incarnation(target.incarnation.0.saturating_sub(1));
-                self.packets.end_target_flows(target.address, earlier);
+                let view = self.view();
+                let service = view.declared.services.get(&target.service).map(|known| known.id);
+                let target = TargetRef { address: target.address, incarnation: target.incarnation };
+                self.packets.end_flows_of_former_service(&target, service);
             }
             _ => {}
         }
--- a/crates/daemon/src/entry_packets.rs
+++ b/crates/daemon/src/entry_packets.rs
@@ -3,6 +3,7 @@
 
 use crate::context::{Context, lock};
 use comfreyhold_flow::packet::Endpoint;
+use comfreyhold_flow::targets::TargetRef;
 use comfreyhold_flow::{
     Action, FlowRouter, Frame, Message, Outgoing, Packet, Peer, RouterSettings, TargetSets,
     TargetSpec, reply,
@@ -111,6 +112,11 @@
         self.router.end_target_flows(address, incarnation);
     }
 
+    /// Ends the flows of another service whose target had the address of `target` before. `service` is that of `target`.
+    pub fn end_flows_of_former_service(&self, target: &TargetRef, service: Option<ServiceId>) {
+        self.router.end_flows_of_former_service(target, service);
+    }
+
     /// Sets whether only targets of the local failure domain may be used.
     pub fn set_isolated(&self, isolated: bool) {
         if isolated {
--- a/crates/flow/src/control.rs
+++ b/crates/flow/src/control.rs
@@ -7,7 +7,7 @@
 use crate::router::{FlowRouter, Peer};
 use crate::sync::UnsyncedMove;
 use crate::table::{SLOTS_PER_SERVICE, SlotTable};
-use crate::targets::{ServiceTargets, TargetKey, TargetRef, TargetSets, TargetSpec};
+use crate::targets::{ServiceTargets, Target, TargetKey, TargetRef, TargetSets, TargetSpec};
 use crate::view::{ServiceView, SlotTransition, View};
 use comfreyhold_types::codes::ResultCode;
 use comfreyhold_types::keys::{DomainId, Incarnation, InstanceId, Revision, ServiceId};
@@ -435,8 +435,23 @@
         self.publish(&control);
     }
 
+    /// Ends the flows of another service whose target had the address of `target` before, without waiting for the next
+    /// version. `service` is that of `target`; `None` if it is not declared. Flows of a former incarnation of the same service
+    /// are left to the target.
+    pub fn end_flows_of_former_service(&self, target: &TargetRef, service: Option<ServiceId>) {
+        let mut control = self.control();
+        let existing = control.view.targets.get_by_address(target.address);
+        let is_former = |existing: &Target| {
+            existing.spec.incarnation < target.incarnation && Some(existing.service) != service
+        };
+        if existing.is_some_and(is_former) {
+            Arc::make_mut(&mut control.view.targets).remove(target.address);
+            self.publish(&control);
+        }
+    }
+
     /// Ends the flows of a target up to an incarnation without waiting for the next version: its
-    /// lease has expired, or another service or a higher incarnation has taken its address.
+    /// lease has expired.
     pub fn end_target_flows(&self, address: SocketAddr, incarnation: Incarnation) {
         let mut control = self.control();
         let existing = control.view.targets.get_by_address(address);
--- a/crates/flow/src/targets.rs
+++ b/crates/flow/src/targets.rs
@@ -13,9 +13,8 @@
 const DEFAULT_WEIGHT: u32 = 100;
 
 new_key_type! {
-    /// Key of a target. A target gets a new key when its service or incarnation changes, or when
-    /// its failure domain is withdrawn. Keys are never reused, so pins to a removed target match
-    /// nothing.
+    /// Key of a target. A target gets a new key when its service changes, or when its failure domain is
+    /// withdrawn. Keys are never reused, so pins to a removed target match nothing.
     pub struct TargetKey;
 }
 
@@ -133,12 +132,12 @@
         self.by_address.get(&address).and_then(|key| self.arena.get(*key))
     }
 
-    /// Key of the target if the address still belongs to this service and incarnation.
+    /// Key of the target if the address still belongs to this service. Flows of another incarnation may be open at the
+    /// present one, since openings reach it before this entry or the sender knows of it; it resets those that it lacks.
     pub fn find(&self, service: ServiceId, target: &TargetRef) -> Option<TargetKey> {
         let key = *self.by_address.get(&target.address)?;
         let known = self.arena.get(key)?;
-        let same = known.service == service && known.spec.incarnation == target.incarnation;
-        same.then_some(key)
+        (known.service == service).then_some(key)
     }
 
     pub fn target_ref(&self, key: TargetKey) -> Option<TargetRef> {
@@ -146,7 +145,7 @@
         Some(TargetRef { address: spec.address, incarnation: spec.incarnation })
     }
 
-    /// Adds or updates a target. Another service or incarnation at the address gets a new key.
+    /// Adds or updates a target. Another service at the address gets a new key.
     pub fn upsert(
         &mut self,
         service: ServiceId,
--- a/crates/flow/tests/router.rs
+++ b/crates/flow/tests/router.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, clippy::panic)]
 
-use comfreyhold_flow::targets::TargetKey;
+use comfreyhold_flow::targets::{TargetKey, TargetRef};
 use comfreyhold_flow::{
     Action, DropReason, FiveTuple, FlowRouter, Frame, Message, Outgoing, Packet, Peer, PeerState,
     Protocol, RouterSettings, SLOTS_PER_SERVICE, ServiceTargets, SlotTable, TargetSets, TargetSpec,
@@ -113,6 +113,27 @@
     assert_eq!(fixture.router.return_source(address(0)), Some(service_address(2)));
 }
 
+/// Guards against established flows that are rejected because their target has started again: they may have opened at the
+/// new start before this entry or a peer knew of it (review/13). The target itself resets those that it lacks.
+#[test]
+fn a_target_that_started_again_keeps_its_flows() {
+    let later = TargetSpec { incarnation: Incarnation(2), ..spec(0) };
+    let joined = TargetRef { address: address(0), incarnation: Incarnation(2) };
+    let mut fixture = Fixture::new(&sets(vec![spec(0)], vec![]));
+    assert_eq!(fixture.send(1, true), Action::ToTarget(address(0)));
+    assert_eq!(fixture.send(1, false), Action::ToTarget(address(0)));
+    fixture.router.end_flows_of_former_service(&joined, Some(ServiceId(1)));
+    assert_eq!(fixture.send(1, false), Action::ToTarget(address(0)), "announced");
+    fixture.install(2, &sets(vec![later, spec(2)], vec![]));
+    assert_eq!(fixture.send(1, false), Action::ToTarget(address(0)), "declared");
+    fixture.run(Duration::from_secs(8));
+    assert_eq!(fixture.send(1, false), Action::ToTarget(address(0)), "after the transition");
+    // Another service that takes the address gets none of them.
+    let joined = TargetRef { incarnation: Incarnation(3), ..joined };
+    fixture.router.end_flows_of_former_service(&joined, Some(ServiceId(2)));
+    assert!(matches!(fixture.send(1, false), Action::Reject(_)));
+}
+
 /// Guards against an isolated entry that sends to another failure domain, whose state may have
 /// changed.
 #[test]
