Let rounds with a large value wait for each other

Cause: each round preempts the one in progress. With a large value a round takes 0.7 to 1.4 s, and other daemons begin the next ones meanwhile, for orders, reads and voters.

Change: a daemon waits while its own voter sees a round of another one in progress, for twice the time of a round at most; withdrawals don't wait, and values below 256 KiB change nothing. Daemons that start or stop are gathered for 0.1 s.

All tests of comfreyhold-fleet and comfreyhold-platform pass.

--- a/crates/fleet/src/control/register.rs
+++ b/crates/fleet/src/control/register.rs
@@ -10,7 +10,7 @@
 };
 use comfreyhold_types::codes::ResultCode;
 use comfreyhold_types::routes::{
-    MAX_DOMAIN_NAME_BYTES, MAX_PUBLICATION_BYTES, MAX_TABLE_BYTES, MAX_WITHDRAWN,
+    MAX_DOMAIN_NAME_BYTES, MAX_PUBLICATION_BYTES, MAX_TABLE_BYTES, MAX_WITHDRAWN, StateChange,
 };
 use comfreyhold_wire::envelope::{MAX_BODY_BYTES, encode_body};
 use futures_util::StreamExt;
@@ -42,6 +42,9 @@
 /// Document bytes that a round handles in a second, on control daemons with 0.15 of a core and links of 170 Mbit/s.
 const ROUND_BYTES_PER_S: f64 = 1.5 * 1024.0 * 1024.0;
 
+/// Interval between checks whether the round of another daemon has ended.
+const ROUND_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Interval between quorum reads while another daemon may be writing a large value.
 const UNSETTLED_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -253,6 +256,9 @@
             if started.elapsed() >= PROPOSAL_LIFETIME {
                 break;
             }
+            if !is_made && !is_urgent(&proposal) {
+                self.wait_for_other_round().await;
+            }
             let is_wanted = || is_made || is_wanted();
             match self.run_round(proposal.clone(), &is_wanted).await? {
                 RoundOutcome::Chosen(value, next) => {
@@ -325,8 +331,33 @@
         Ok(RoundOutcome::NoQuorum)
     }
 
+    /// Waits while the round of another daemon may be in progress, which a round of this daemon would preempt. Rounds with a
+    /// small value don't wait. The time after the end of that round is random, so that those who have waited don't begin at
+    /// once.
+    async fn wait_for_other_round(&self) {
+        let round_time = self.round_time();
+        let started = tokio::time::Instant::now();
+        while started.elapsed() < 2 * round_time && self.sees_other_round(round_time) {
+            while started.elapsed() < 2 * round_time && self.sees_other_round(round_time) {
+                tokio::time::sleep(ROUND_CHECK_INTERVAL).await;
+            }
+            let jitter = rand::rng().random::<f64>();
+            tokio::time::sleep(round_time.mul_f64(jitter / 4.0)).await;
+        }
+    }
+
+    /// Whether the local voter has seen a round of another daemon begin within `round_time`, whose value is not known to be
+    /// chosen.
+    fn sees_other_round(&self, round_time: Duration) -> bool {
+        self.voter.last_round().is_some_and(|(ballot, begun)| {
+            ballot.proposer != self.me.disk
+                && ballot > self.chosen_ballot()
+                && begun.elapsed() < round_time
+        })
+    }
+
     /// Additional time that a round needs because the newest value is large.
-    fn round_time(&self) -> Duration {
+    pub fn round_time(&self) -> Duration {
         let newest = self.newest_known();
         let publication = newest.as_ref().and_then(|value| value.state.publication.as_ref());
         let bytes = publication.map_or(0, |publication| publication.document.len());
@@ -442,6 +473,11 @@
     }
 }
 
+/// Whether a proposal has an order whose caller waits for a second only.
+fn is_urgent(proposal: &Proposal) -> bool {
+    proposal.changes.iter().any(|change| matches!(change, StateChange::Withdraw { .. }))
+}
+
 /// Checks that the other voters can receive a value. One that only the local voter accepts would be proposed again by each
 /// later round, and never be chosen.
 fn check_size(requests: &VoterRequests) -> Result<(), RegisterError> {
--- a/crates/fleet/src/control/repair.rs
+++ b/crates/fleet/src/control/repair.rs
@@ -21,6 +21,10 @@
 /// Interval between checks of the register and its voters.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Time for which daemons that have started or are told to stop are gathered, so that one change exchanges those that do so
+/// together.
+const GATHER_TIME: Duration = Duration::from_millis(100);
+
 /// Interval at which a daemon that has started checks whether a majority of the voters is live.
 const JOIN_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -39,10 +43,13 @@
 /// Number of daemons that decide about voters, each if those before it have not done so in time.
 const MAX_DECIDERS: u32 = 3;
 
-/// Time for which a change of voters is needed before the next daemon decides about it. The first one takes a check, and two
-/// rounds of a few milliseconds.
+/// Time for which a change of voters is needed before the next daemon decides about it, beside [`TAKEOVER_ROUNDS`]. The
+/// first one takes a check, and two rounds of a few milliseconds.
 const TAKEOVER_AFTER: Duration = Duration::from_millis(900);
 
+/// Rounds with a large value that the daemon before has the time for: two of its own, each after one of another daemon.
+const TAKEOVER_ROUNDS: u32 = 4;
+
 /// Which voters are to be replaced, and whether voters are added.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ChangeScope {
@@ -77,7 +84,7 @@
         loop {
             tokio::select! {
                 () = tokio::time::sleep(CHECK_INTERVAL) => {}
-                () = self.repair_due.notified() => {}
+                () = self.repair_due.notified() => tokio::time::sleep(GATHER_TIME).await,
             }
             let now = self.clock.now();
             if self.is_unconfirmed_for_long(&mut checks, now) {
@@ -162,7 +169,8 @@
             return;
         }
         let since = *checks.needed_since.get_or_insert(now);
-        let is_due = |rank| now >= since + TAKEOVER_AFTER * rank;
+        let takeover_after = TAKEOVER_AFTER + self.register.round_time() * TAKEOVER_ROUNDS;
+        let is_due = |rank| now >= since + takeover_after * rank;
         if !self.decider_rank(now).is_some_and(is_due) {
             return;
         }
--- a/crates/fleet/src/control/voter.rs
+++ b/crates/fleet/src/control/voter.rs
@@ -7,6 +7,7 @@
     AddressedRequest, Ballot, DiskId, RegisterRequest, RegisterResponse, RegisterValue,
 };
 use comfreyhold_types::announcement::Announcement;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::Write;
@@ -14,6 +15,7 @@
 use std::sync::{Arc, Mutex, PoisonError, mpsc};
 use std::time::Duration;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 /// Attempts to open the data folder. Together with the retry interval they cover the time for which a disk
 /// is usually full or stalled.
@@ -48,6 +50,8 @@
 pub struct Voter {
     disk_tasks: mpsc::Sender<DiskTask>,
     synced: Arc<Mutex<SyncedState>>,
+    /// Highest ballot for which a round has begun here, and when.
+    last_round: Cell<Option<(Ballot, Instant)>>,
 }
 
 impl Voter {
@@ -88,7 +92,7 @@
                 }
             }
         })?;
-        Ok(Self { disk_tasks: tx, synced })
+        Ok(Self { disk_tasks: tx, synced, last_round: Cell::new(None) })
     }
 
     /// Saves the targets for the next start, after earlier disk tasks. Returns whether they are synced to disk.
@@ -129,6 +133,19 @@
         lock_synced(&self.synced).promised
     }
 
+    /// Highest ballot for which a proposer has begun a round with this voter, and when. `None` if there was none since the
+    /// start of the process.
+    #[must_use]
+    pub fn last_round(&self) -> Option<(Ballot, Instant)> {
+        self.last_round.get()
+    }
+
+    fn record_round(&self, ballot: Ballot) {
+        if self.last_round.get().is_none_or(|(last, _)| ballot > last) {
+            self.last_round.set(Some((ballot, Instant::now())));
+        }
+    }
+
     fn read_synced(&self, addressed: &AddressedRequest) -> RegisterResponse {
         let synced = lock_synced(&self.synced);
         match addressed.request {
@@ -147,6 +164,9 @@
             // A write in progress has not been confirmed to any proposer yet, so the synced state is enough.
             return self.read_synced(&addressed);
         }
+        if let RegisterRequest::Prepare { ballot, .. } = &addressed.request {
+            self.record_round(*ballot);
+        }
         let (tx, rx) = oneshot::channel();
         if self.disk_tasks.send(DiskTask::HandleRequest { addressed, reply: tx }).is_err() {
             return RegisterResponse::Unavailable;
--- a/crates/fleet/tests/fleet/contention.rs
+++ b/crates/fleet/tests/fleet/contention.rs
@@ -7,10 +7,11 @@
 use comfreyhold_fleet::control::Control;
 use comfreyhold_fleet::messages::{FleetRequest, FleetResponse};
 use comfreyhold_types::clock::SystemClock;
+use comfreyhold_types::keys::DomainName;
 use comfreyhold_types::routes::{MAX_PUBLICATION_BYTES, RoutePublication, RouteTable, StateChange};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::task::LocalSet;
 
 /// Newest value that a daemon has learned to be chosen.
@@ -66,3 +67,40 @@
     assert_eq!(read.await.unwrap(), Ok(Some(publication)));
     assert_eq!(chosen(&first).await.ballot, ballot, "the read has written a value of its own");
 }
+
+/// Guards against daemons whose rounds preempt each other as long as a large configuration changes (review/11): a daemon waits
+/// while the round of another one may be in progress. An order that its caller waits a second for does not.
+#[tokio::test]
+async fn a_round_waits_for_that_of_another_daemon_with_a_large_value() {
+    LocalSet::new().run_until(check_rounds_in_turn()).await;
+}
+
+async fn check_rounds_in_turn() {
+    let folder = crate::folders::data_folder();
+    let settings = settings(153, &[153], folder.path(), "");
+    let (control, handle) = start_with_clock(&settings, Arc::new(SystemClock)).await;
+    let large = |version| {
+        let table = RouteTable { version, ..RouteTable::default() };
+        RoutePublication::new(vec![b' '; MAX_PUBLICATION_BYTES], table).unwrap()
+    };
+    while handle.change_declarations(StateChange::Publish(large(1))).await.is_err() {}
+    let begin_round = async || {
+        let value = chosen(&control).await;
+        let disk = value.voters.current.first().unwrap().disk;
+        let ballot = Ballot { count: value.ballot.count + 9, proposer: DiskId(1), start: 1 };
+        let request = RegisterRequest::Prepare { ballot, known: value.ballot };
+        let vote = FleetRequest::Vote(AddressedRequest { to: disk, request });
+        let response = ask(&control, &vote).await;
+        assert!(matches!(response, FleetResponse::Vote(RegisterResponse::Promised { .. })));
+    };
+    begin_round().await;
+    let domain = DomainName::from("b");
+    let withdraw = StateChange::Withdraw { domain, out: true };
+    assert_eq!(handle.change_declarations(withdraw).await, Ok(()), "it waited for too long");
+    begin_round().await;
+    let begun = Instant::now();
+    assert_eq!(handle.change_declarations(StateChange::Publish(large(2))).await, Ok(()));
+    assert!(begun.elapsed() >= Duration::from_secs(1), "it preempted the other round");
+    let version = handle.read_publication().await.unwrap().map(|read| read.table.version);
+    assert_eq!(version, Some(2));
+}
