--- a/crates/fleet/src/control/hand_over.rs
+++ b/crates/fleet/src/control/hand_over.rs
@@ -63,8 +63,8 @@
         Some(RegisterOperation::Voters(change))
     }
 
-    /// Tells the other daemons of the stop, without waiting for their answers. In a large fleet those that can decide about
-    /// voters first: the others ask none of them.
+    /// Tells the other daemons of the stop, without waiting for their answers. In a large fleet only the voters and the daemons
+    /// with which heartbeats are exchanged: only these know this daemon as a candidate for a vote.
     pub(super) fn announce_stop(self: &Rc<Self>) {
         let receivers: BTreeSet<SocketAddr> = if self.is_large_fleet() {
             let newest = self.register.newest_known();
