Vary the retries of stopping control daemons

Read again: a stopping daemon repeated a failed exchange of its vote every 50 ms sharp, so that two that stop together could preempt each other in step until their time was over. The interval varies by half now.

--- a/crates/fleet/src/control/hand_over.rs
+++ b/crates/fleet/src/control/hand_over.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Interval at which a stopping daemon checks whether it has a vote, and after a failed attempt to give it away.
+/// Mean interval at which a stopping daemon checks whether it has a vote, and after a failed attempt to give it away.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Attempts to tell each daemon of the stop.
@@ -31,7 +31,9 @@
                 } else if begun.elapsed() >= at_least {
                     return;
                 }
-                tokio::time::sleep(CHECK_INTERVAL).await;
+                // Daemons that stop together would preempt each other again and again.
+                let jitter = rand::random::<f64>();
+                tokio::time::sleep(CHECK_INTERVAL.mul_f64(0.5 + jitter)).await;
             }
         };
         let is_done = tokio::time::timeout(limit, handing_over).await.is_ok();
