Keep voters that the deciding daemon hears

Found by reading the change again: a voter that is well was exchanged when a cut lay between it and the second daemon that decides about voters, though the first one heard it. Under a cut between two domains the votes would have moved again and again.

Change: the daemons after the first make only changes whose reason a voter states (a stop, another data folder), and complete changes. Silent voters are exchanged by the first daemon alone, as before.

Before: fleet/stops::a_voter_that_the_deciding_daemon_hears_is_kept fails, the voter is gone after 7 s (1 of 1).

--- a/crates/fleet/src/control/repair.rs
+++ b/crates/fleet/src/control/repair.rs
@@ -1,8 +1,8 @@
 //! Keeps the register able to tolerate the configured number of failures: completes writes and voter changes
 //! whose proposer has gone, and replaces voters that are unresponsive, told to stop, or without their data folder.
 //!
-//! One daemon decides about voters, and others only if it does not. A change that the voters themselves state the need of
-//! is also made by each round of another daemon.
+//! One daemon decides about voters. A change that the voters themselves state the need of is also made by the next daemons
+//! if the first one does not act, and by each round of another daemon.
 
 use super::Control;
 use super::operations::RegisterOperation;
@@ -40,7 +40,8 @@
 /// restarts are over by then, and a second failure is likely to follow later.
 const REPLACE_AFTER: Duration = Duration::from_secs(3);
 
-/// Number of daemons that decide about voters, each if those before it have not done so in time.
+/// Number of daemons that decide about voters. Those after the first make changes that voters state the need of, and complete
+/// changes, if those before have not done so in time.
 const MAX_DECIDERS: u32 = 3;
 
 /// Time for which a change of voters is needed before the next daemon decides about it, beside [`TAKEOVER_ROUNDS`]. The
@@ -61,7 +62,7 @@
     Stated,
 }
 
-/// State of the checks between them.
+/// What the checks of the register and its voters keep from one to the next.
 struct Checks {
     started: Instant,
     /// Ballot of the accepted value that is not known to be chosen, and since when.
@@ -161,7 +162,12 @@
     }
 
     async fn check_voters(&self, checks: &mut Checks, now: Instant) {
-        let scope = ChangeScope::All { started: checks.started };
+        let Some(rank) = self.decider_rank(now) else { return };
+        let scope = match rank {
+            0 => ChangeScope::All { started: checks.started },
+            // The daemon before may hear a voter that is silent to this one.
+            _ => ChangeScope::Stated,
+        };
         let is_changing = self.register.chosen().is_some_and(|value| value.voters.is_changing());
         let change = if is_changing { None } else { self.needed_voter_change(scope, now) };
         if !is_changing && change.is_none() {
@@ -170,8 +176,7 @@
         }
         let since = *checks.needed_since.get_or_insert(now);
         let takeover_after = TAKEOVER_AFTER + self.register.round_time() * TAKEOVER_ROUNDS;
-        let is_due = |rank| now >= since + takeover_after * rank;
-        if !self.decider_rank(now).is_some_and(is_due) {
+        if now < since + takeover_after * rank {
             return;
         }
         let operation = match change {
--- a/crates/fleet/tests/fleet/stops.rs
+++ b/crates/fleet/tests/fleet/stops.rs
@@ -1,10 +1,10 @@
-//! Orders beside a control daemon that is told to stop.
+//! Orders beside a control daemon that is told to stop, and voters that are kept.
 
 use crate::feed::publication;
-use crate::saves::{settings, start_with_clock};
-use comfreyhold_consensus::register::RegisterRequest;
+use crate::saves::{ask, settings, start_with_clock};
+use comfreyhold_consensus::register::{Ballot, RegisterRequest};
 use comfreyhold_fleet::control::{Control, ControlHandle};
-use comfreyhold_fleet::messages::FleetRequest;
+use comfreyhold_fleet::messages::{FleetRequest, FleetResponse};
 use comfreyhold_types::clock::SystemClock;
 use comfreyhold_types::codes::ResultCode;
 use comfreyhold_types::keys::DomainName;
@@ -14,6 +14,7 @@
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -102,3 +103,64 @@
     assert_eq!(daemons[1].1.change_declarations(withdraw).await, Ok(()));
     assert!(begun.elapsed() >= PREPARE_DELAY * 2, "no change of voters went with the order");
 }
+
+/// Passes requests on, but no heartbeats between two daemons that hear all others.
+struct CutPair {
+    control: Rc<Control>,
+    address: SocketAddr,
+    pair: [SocketAddr; 2],
+}
+
+impl Responder for CutPair {
+    fn respond(
+        self: Rc<Self>,
+        topic: u16,
+        body: Vec<u8>,
+    ) -> LocalBoxFuture<'static, Result<Vec<u8>, ResultCode>> {
+        if let FleetRequest::Hello(hello) = decode_body(&body).unwrap() {
+            let from = hello.state.replica.address;
+            if self.pair.contains(&from) && self.pair.contains(&self.address) {
+                return std::future::pending().boxed_local();
+            }
+        }
+        Rc::clone(&self.control).respond(topic, body)
+    }
+}
+
+/// Guards against a voter that is exchanged although it is well: the second daemon to decide does not hear it, the first one
+/// does.
+#[tokio::test]
+async fn a_voter_that_the_deciding_daemon_hears_is_kept() {
+    LocalSet::new().run_until(check_cut_pair()).await;
+}
+
+async fn check_cut_pair() {
+    let hosts: Vec<u8> = (236..240).collect();
+    let folders: Vec<TempDir> = hosts.iter().map(|_| crate::folders::data_folder()).collect();
+    let further = "exchange_bind: \"{ip}:7915\"\n";
+    let all: Vec<_> = hosts
+        .iter()
+        .zip(&folders)
+        .map(|(host, folder)| settings(*host, &hosts[..3], folder.path(), further))
+        .collect();
+    let pair = [all[1].exchange_address(), all[2].exchange_address()];
+    let mut daemons = Vec::new();
+    for settings in &all {
+        let (control, handle) = start_with_clock(settings, Arc::new(SystemClock)).await;
+        let address = settings.exchange_address();
+        let proxy = Rc::new(CutPair { control: Rc::clone(&control), address, pair });
+        tokio::task::spawn_local(serve(TcpListener::bind(address).await.unwrap(), proxy));
+        daemons.push((control, handle));
+    }
+    let until = Instant::now() + LIMIT;
+    let publish = StateChange::Publish(publication(1, &[1]));
+    while daemons[0].1.change_declarations(publish.clone()).await.is_err() {
+        assert!(Instant::now() < until, "a publication is not accepted");
+    }
+    // Longer than a silent voter is kept, and than the first daemon has the time to decide.
+    tokio::time::sleep(Duration::from_secs(7)).await;
+    let newest = ask(&daemons[0].0, &FleetRequest::Newest(Ballot::default())).await;
+    let FleetResponse::Newest(Some(value)) = newest else { panic!("{newest:?}") };
+    let voters: Vec<SocketAddr> = value.voters.current.iter().map(|v| v.address).collect();
+    assert!(voters.contains(&pair[0]) && voters.contains(&pair[1]), "{voters:?}");
+}
